--- /dev/null
+++ b/crates/boragepass_core/src/address.rs
@@ -0,0 +1,110 @@
+//! Which VMs serve a workspace.
+//!
+//! Rendezvous hashing gives each workspace a few VMs of each region. All VMs come to the same
+//! result from the same membership, so plan limits can be shared out without asking, prompt
+//! prefixes stay in few caches, and a harmful workspace touches few VMs.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+use boragepass_types::{Region, SpanMs, VmId, WorkspaceId, rendezvous_weight};
+
+use crate::membership::{MemberRecord, Membership};
+
+const MIN_VMS: usize = 2;
+
+/// Address with the VM behind it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EntryAddress {
+    /// The VM.
+    pub vm: VmId,
+    /// Its region.
+    pub region: Region,
+    /// Address for callers.
+    pub address: SocketAddr,
+}
+
+/// Addresses that a caller is to use, in this order.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AddressAnswer {
+    /// Addresses; the last lies in another region where there is one.
+    pub addresses: Vec<EntryAddress>,
+    /// How long the answer may be kept.
+    pub valid_ms: SpanMs,
+}
+
+/// VMs of a region that serve a workspace, best first.
+pub(crate) fn vms_in_region<'a>(
+    membership: &'a Membership,
+    workspace: &WorkspaceId,
+    region: &Region,
+    count: u8,
+) -> Vec<&'a MemberRecord> {
+    let mut ranked: Vec<_> = membership
+        .serving()
+        .filter(|record| record.region == *region)
+        .map(|record| (rendezvous_weight(workspace.as_str(), record.vm.as_str()), record))
+        .collect();
+    ranked.sort_by(|a, b| b.0.cmp(&a.0).then_with(|| a.1.vm.cmp(&b.1.vm)));
+    ranked.truncate(usize::from(count).max(MIN_VMS));
+    ranked.into_iter().map(|(_, record)| record).collect()
+}
+
+/// Regions in which a workspace is served: those of its allowlist that have VMs, else all.
+pub(crate) fn serving_regions(membership: &Membership, allowed: Option<&BTreeSet<Region>>) -> BTreeSet<Region> {
+    let with_vms: BTreeSet<_> = membership.serving().map(|record| record.region.clone()).collect();
+    let chosen: BTreeSet<_> =
+        with_vms.iter().filter(|region| allowed.is_some_and(|allowed| allowed.contains(*region))).cloned().collect();
+    if chosen.is_empty() { with_vms } else { chosen }
+}
+
+/// All VMs that serve a workspace, in an order that all VMs agree on.
+pub(crate) fn serving_vms<'a>(
+    membership: &'a Membership,
+    workspace: &WorkspaceId,
+    allowed: Option<&BTreeSet<Region>>,
+    count: u8,
+) -> Vec<&'a MemberRecord> {
+    let regions = serving_regions(membership, allowed);
+    regions.iter().flat_map(|region| vms_in_region(membership, workspace, region, count)).collect()
+}
+
+/// Answer to a caller in `region`; `turn` spreads callers over the VMs of a large workspace.
+pub(crate) fn answer(
+    membership: &Membership,
+    workspace: &WorkspaceId,
+    allowed: Option<&BTreeSet<Region>>,
+    region: &Region,
+    count: u8,
+    turn: usize,
+    valid_ms: SpanMs,
+) -> AddressAnswer {
+    let regions = serving_regions(membership, allowed);
+    let nearest = if regions.contains(region) { Some(region) } else { regions.first() };
+    let mut records = nearest.map_or(Vec::new(), |near| vms_in_region(membership, workspace, near, count));
+    let primaries = usize::from(count).clamp(1, records.len().max(1));
+    if !records.is_empty() {
+        records.rotate_left(turn % primaries);
+    }
+    let others = regions.iter().filter(|other| Some(*other) != nearest);
+    let abroad = others.flat_map(|other| vms_in_region(membership, workspace, other, 1)).next();
+    records.extend(abroad);
+    let to_entry = |record: &MemberRecord| EntryAddress {
+        vm: record.vm.clone(),
+        region: record.region.clone(),
+        address: record.caller_address,
+    };
+    AddressAnswer { addresses: records.into_iter().map(to_entry).collect(), valid_ms }
+}
+
+/// VM that a caller of `me` turns to next: the one after it in the workspace's list.
+pub(crate) fn successor<'a>(
+    membership: &'a Membership,
+    workspace: &WorkspaceId,
+    count: u8,
+) -> Option<&'a MemberRecord> {
+    let records = vms_in_region(membership, workspace, &membership.me.region, count);
+    let mine = records.iter().position(|record| record.vm == membership.me.vm)?;
+    let next = records[(mine + 1) % records.len()];
+    (next.vm != membership.me.vm).then_some(next)
+}
--- /dev/null
+++ b/crates/boragepass_core/src/claim_flow.rs
@@ -0,0 +1,285 @@
+//! Claims between requests, the VMs that commit them and the table service.
+
+use boragepass_types::{NotRunReason, OpId, Outcome, SpanMs, StageId, TimeMs, VmId, rendezvous_weight};
+
+use crate::claim_batch::{Answered, Waiting};
+use crate::claim_row::ClaimOwner;
+use crate::claims::{ClaimOutput, ClaimRefusal, Claims};
+use crate::counter::Counter;
+use crate::effect::Effects;
+use crate::explain::{AttemptReason, ClaimStep, Decision};
+use crate::membership::{MemberRecord, MemberState};
+use crate::message::{ClaimStatus, ClaimWrite, ClaimWriteReply, PeerMessage};
+use crate::node::{Node, TableUse};
+use crate::platform::{RowKey, TableReply, TableRequest};
+use crate::request_table::{Phase, RequestKey};
+use crate::timers::Timer;
+
+const RETRY_LATER: SpanMs = SpanMs(1_000);
+
+impl Node {
+    /// Carries out what the claims ask for.
+    pub(crate) fn carry_out_claims(&mut self, now: TimeMs, outputs: Vec<ClaimOutput>, out: &mut Effects) {
+        for output in outputs {
+            match output {
+                ClaimOutput::Write(write) => self.send_claim(now, write, out),
+                ClaimOutput::Read { job, key } => {
+                    self.ask_table(TableRequest::Read(vec![key]), TableUse::ClaimRead(job), out);
+                }
+                ClaimOutput::Granted { request, stage_output } => self.on_claim_granted(now, request, stage_output, out),
+                ClaimOutput::Refused { request, why } => self.on_claim_refused(now, request, why, out),
+                ClaimOutput::AskOwner { request, key, version, owner } => {
+                    self.ask_owner(now, request, key, version, &owner, out);
+                }
+                ClaimOutput::Step { request, step } => self.note_claim_step(now, request, step, out),
+            }
+        }
+    }
+
+    fn note_claim_step(&mut self, now: TimeMs, request: RequestKey, step: ClaimStep, out: &mut Effects) {
+        if step == ClaimStep::Held {
+            out.count(Counter::ClaimHeld);
+        }
+        if let Some(active) = self.requests.get(request) {
+            self.tracer.note(now, &active.request.workspace, &active.request.id, Decision::Claim(step));
+        }
+    }
+
+    /// Hands a claim to the VM that commits it, which may be this one.
+    fn send_claim(&mut self, now: TimeMs, write: ClaimWrite, out: &mut Effects) {
+        let committer = self.committer_of(&write.key).filter(|record| record.vm != self.settings.vm).cloned();
+        match committer {
+            Some(record) => self.send_to(&record, PeerMessage::ClaimWrites(vec![write]), out),
+            None => {
+                let origin = self.settings.vm.clone();
+                self.collect_claim(now, Waiting { origin, write }, out);
+            }
+        }
+    }
+
+    /// One of the region's few committers; the hash is only a hint, the table decides.
+    fn committer_of(&self, key: &RowKey) -> Option<&MemberRecord> {
+        let region = &self.settings.region;
+        let mut ranked: Vec<_> = self
+            .membership
+            .serving()
+            .filter(|record| record.region == *region)
+            .map(|record| (rendezvous_weight(region.as_str(), record.vm.as_str()), record))
+            .collect();
+        ranked.sort_by(|a, b| b.0.cmp(&a.0).then_with(|| a.1.vm.cmp(&b.1.vm)));
+        ranked.truncate(self.settings.limits.claim_committers);
+        let key = key.to_string();
+        ranked.into_iter().map(|(_, record)| record).max_by_key(|record| rendezvous_weight(&key, record.vm.as_str()))
+    }
+
+    /// Adds a claim to the next transaction.
+    pub(crate) fn collect_claim(&mut self, now: TimeMs, waiting: Waiting, out: &mut Effects) {
+        if let Some(refused) = self.claim_batch.push(waiting) {
+            self.deliver_claim_replies(now, vec![refused], out);
+            return;
+        }
+        if self.claim_batch.len() >= self.settings.limits.claim_batch_max {
+            self.flush_claims(now, out);
+        } else if !self.claim_batch.is_timer_set {
+            self.claim_batch.is_timer_set = true;
+            self.timers.set(now + self.settings.limits.claim_batch_ms, Timer::ClaimFlush);
+        }
+    }
+
+    /// Commits the claims that wait.
+    pub(crate) fn flush_claims(&mut self, now: TimeMs, out: &mut Effects) {
+        self.claim_batch.is_timer_set = false;
+        if self.claim_batch.len() == 0 {
+            return;
+        }
+        let op = self.new_op();
+        let writes = self.claim_batch.take(op, self.settings.limits.claim_batch_max);
+        out.count(Counter::ClaimBatch);
+        out.push(crate::effect::Effect::Count { counter: Counter::ClaimRow, by: writes.len() as u64 });
+        self.table_uses.insert(op, TableUse::ClaimBatch);
+        out.count(Counter::TableRequest);
+        out.push(crate::effect::Effect::Table { op, request: TableRequest::Commit(writes) });
+        if self.claim_batch.len() > 0 {
+            self.claim_batch.is_timer_set = true;
+            self.timers.set(now + self.settings.limits.claim_batch_ms, Timer::ClaimFlush);
+        }
+    }
+
+    /// Takes over the fate of a transaction of claims.
+    pub(crate) fn on_claim_batch(&mut self, now: TimeMs, op: OpId, reply: TableReply, out: &mut Effects) {
+        let Some(answers) = self.claim_batch.on_reply(op, reply) else {
+            return;
+        };
+        if self.claim_batch.len() > 0 {
+            self.flush_claims(now, out);
+        }
+        self.deliver_claim_replies(now, answers, out);
+    }
+
+    fn deliver_claim_replies(&mut self, now: TimeMs, answers: Vec<Answered>, out: &mut Effects) {
+        let mut by_origin: std::collections::BTreeMap<VmId, Vec<ClaimWriteReply>> = std::collections::BTreeMap::new();
+        for answer in answers {
+            by_origin.entry(answer.origin).or_default().push(answer.reply);
+        }
+        for (origin, replies) in by_origin {
+            if origin == self.settings.vm {
+                self.on_claim_replies(now, replies, out);
+            } else {
+                self.send_to_vm(&origin, PeerMessage::ClaimReplies(replies), out);
+            }
+        }
+    }
+
+    /// Takes over the fate of this VM's claims.
+    pub(crate) fn on_claim_replies(&mut self, now: TimeMs, replies: Vec<ClaimWriteReply>, out: &mut Effects) {
+        for reply in replies {
+            let is_mine = reply.id.vm == self.settings.vm && reply.id.incarnation == self.settings.incarnation;
+            if is_mine {
+                let outputs = self.claims.on_write(now, reply.id.op, reply.result);
+                self.carry_out_claims(now, outputs, out);
+            }
+        }
+    }
+
+    /// Takes over a claim's row that was read back.
+    pub(crate) fn on_claim_read(&mut self, now: TimeMs, job: OpId, reply: TableReply, out: &mut Effects) {
+        let row = match reply {
+            TableReply::Rows(rows) => rows.into_iter().next(),
+            _ => None,
+        };
+        let outputs = self.claims.on_read(now, job, row);
+        self.carry_out_claims(now, outputs, out);
+    }
+
+    /// Takes up claims whose writes are unsettled.
+    pub(crate) fn clean_up_claims(&mut self, now: TimeMs, out: &mut Effects) {
+        self.timers.set(now + Claims::cleanup_interval(), Timer::ClaimCleanup);
+        let outputs = self.claims.clean_up(now, self.settings.limits.claim_timeout_ms);
+        self.carry_out_claims(now, outputs, out);
+    }
+
+    fn on_claim_granted(
+        &mut self,
+        now: TimeMs,
+        key: RequestKey,
+        stage_output: Option<boragepass_types::Payload>,
+        out: &mut Effects,
+    ) {
+        let Some(active) = self.requests.get_mut(key) else {
+            return;
+        };
+        active.phase = Phase::Running;
+        let Some(output) = stage_output else {
+            self.start_first_stage(now, key, out);
+            return;
+        };
+        let done = active.pipeline.stages.iter().position(|stage| !stage.repeatable).unwrap_or(0);
+        active.claimed_output = Some(output.clone());
+        let next = done + 1;
+        if next == active.pipeline.stages.len() {
+            self.finish(now, key, Outcome::Answered { output }, out);
+            return;
+        }
+        active.enter_stage(now, next, output);
+        self.run_stage(now, key, AttemptReason::First, out);
+    }
+
+    fn on_claim_refused(&mut self, now: TimeMs, key: RequestKey, why: ClaimRefusal, out: &mut Effects) {
+        let Some(stage) = self.unrepeatable_stage(key) else {
+            return;
+        };
+        let outcome = match why {
+            ClaimRefusal::Unavailable => {
+                out.count(Counter::ClaimUnavailable);
+                Outcome::not_run_retry(NotRunReason::ClaimUnavailable, RETRY_LATER)
+            }
+            ClaimRefusal::KeyConflict => Outcome::not_run(NotRunReason::KeyConflict),
+            ClaimRefusal::Unknown => Outcome::Unknown { stage, retry_after_ms: None },
+            ClaimRefusal::InProgress => Outcome::Unknown { stage, retry_after_ms: Some(RETRY_LATER) },
+            ClaimRefusal::Answered(output) => Outcome::Answered { output },
+        };
+        self.finish(now, key, outcome, out);
+    }
+
+    fn unrepeatable_stage(&self, key: RequestKey) -> Option<StageId> {
+        let active = self.requests.get(key)?;
+        active.pipeline.stages.iter().find(|stage| !stage.repeatable).map(|stage| stage.id.clone())
+    }
+
+    /// Asks the owner of a claim, or decides in its place when it is dead.
+    fn ask_owner(
+        &mut self,
+        now: TimeMs,
+        request: RequestKey,
+        key: RowKey,
+        version: boragepass_types::RowVersion,
+        owner: &ClaimOwner,
+        out: &mut Effects,
+    ) {
+        let is_me = owner.vm == self.settings.vm && owner.incarnation == self.settings.incarnation;
+        if is_me {
+            let status = self.claims.status_of(&key);
+            let outputs = self.claims.on_owner_status(now, &key, version, status);
+            self.carry_out_claims(now, outputs, out);
+            return;
+        }
+        let record = self.membership.get(&owner.vm).map(|member| member.record.clone());
+        let is_live = record.as_ref().is_some_and(|record| {
+            record.incarnation == owner.incarnation
+                && matches!(record.state, MemberState::Alive | MemberState::Leaving)
+        });
+        if let Some(record) = record.filter(|_| is_live) {
+            self.send_to(&record, PeerMessage::ClaimQuery { key, version }, out);
+            return;
+        }
+        let outputs = match self.progress_past_claim(request) {
+            Some(output) => self.claims.take_over_done(now, &key, version, output),
+            None => self.claims.on_owner_status(now, &key, version, ClaimStatus::NotKnown),
+        };
+        self.carry_out_claims(now, outputs, out);
+    }
+
+    /// Another VM asks whether this one dispatched under a claim.
+    pub(crate) fn on_claim_query(
+        &mut self,
+        from: &VmId,
+        key: RowKey,
+        version: boragepass_types::RowVersion,
+        out: &mut Effects,
+    ) {
+        let status = self.claims.status_of(&key);
+        self.send_to_vm(from, PeerMessage::ClaimStatus { key, version, status }, out);
+    }
+
+    /// The owner of a claim has answered.
+    pub(crate) fn on_claim_status(
+        &mut self,
+        now: TimeMs,
+        key: &RowKey,
+        version: boragepass_types::RowVersion,
+        status: ClaimStatus,
+        out: &mut Effects,
+    ) {
+        let outputs = self.claims.on_owner_status(now, key, version, status);
+        self.carry_out_claims(now, outputs, out);
+    }
+
+    /// A claim has taken too long; nothing was dispatched under it.
+    pub(crate) fn on_claim_timeout(&mut self, now: TimeMs, key: RequestKey, out: &mut Effects) {
+        let is_claiming = self.requests.get(key).is_some_and(|active| active.phase == Phase::Claiming);
+        if !is_claiming {
+            return;
+        }
+        out.count(Counter::ClaimUnavailable);
+        if self.claims.is_asking(key) {
+            // Another VM holds the key and does not answer: it may be running the request.
+            let stage = self.unrepeatable_stage(key);
+            if let Some(stage) = stage {
+                self.finish(now, key, Outcome::Unknown { stage, retry_after_ms: Some(RETRY_LATER) }, out);
+                return;
+            }
+        }
+        let outcome = Outcome::not_run_retry(NotRunReason::ClaimUnavailable, RETRY_LATER);
+        self.finish(now, key, outcome, out);
+    }
+}
--- /dev/null
+++ b/crates/boragepass_core/src/endpoints.rs
@@ -0,0 +1,198 @@
+//! What this VM knows of every endpoint, indexed for choices in constant time.
+
+use std::net::SocketAddr;
+
+use boragepass_types::{AdapterId, EndpointId, Hash64, ModelId, PoolId, Region, SpanMs, TimeMs};
+
+use crate::concurrency::ConcurrencyLimit;
+use crate::ejection::Health;
+use crate::map::Map;
+use crate::platform::{LoadReport, VmEntry, VmState};
+
+const SLOWNESS_KEEP: f32 = 0.8;
+const LOAD_HALF_LIFE_MS: f32 = 1_500.0;
+
+/// Index of an endpoint; stays valid as long as the process runs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub(crate) struct EndpointIdx(pub(crate) u32);
+
+/// Load as last reported.
+#[derive(Debug, Default, Clone)]
+pub(crate) struct KnownLoad {
+    pub(crate) running: u32,
+    pub(crate) queued: u32,
+    pub(crate) slots: u32,
+    /// When the figures were true, by this VM's clock.
+    pub(crate) true_at: TimeMs,
+    /// Attempts sent since, less those that ended.
+    pub(crate) sent_since: i32,
+}
+
+/// One endpoint.
+#[derive(Debug, Clone)]
+pub(crate) struct Endpoint {
+    pub(crate) id: EndpointId,
+    pub(crate) hash: Hash64,
+    pub(crate) pool: PoolId,
+    pub(crate) region: Region,
+    pub(crate) address: SocketAddr,
+    pub(crate) state: VmState,
+    pub(crate) reports_leaving: bool,
+    pub(crate) models: Vec<ModelId>,
+    pub(crate) adapters: Vec<AdapterId>,
+    pub(crate) load: KnownLoad,
+    pub(crate) heard_at: Option<TimeMs>,
+    pub(crate) in_flight: u32,
+    pub(crate) suspects_in_flight: u32,
+    pub(crate) limit: ConcurrencyLimit,
+    pub(crate) health: Health,
+    /// Observed time over the pool's usual time.
+    pub(crate) slowness: f32,
+    pub(crate) last_failure_at: Option<TimeMs>,
+}
+
+impl Endpoint {
+    /// Whether it takes new work as far as is known.
+    pub(crate) fn is_open(&self) -> bool {
+        self.state == VmState::Live && !self.reports_leaving
+    }
+
+    /// Whether what is known is recent enough to act on.
+    pub(crate) fn is_fresh(&self, now: TimeMs, stale: SpanMs) -> bool {
+        self.heard_at.is_some_and(|at| now.since(at) <= stale)
+    }
+
+    /// Whether it holds what a stage needs.
+    pub(crate) fn holds(&self, model: Option<&ModelId>, adapter: Option<&AdapterId>) -> bool {
+        model.is_none_or(|model| self.models.contains(model))
+            && adapter.is_none_or(|adapter| self.adapters.contains(adapter))
+    }
+
+    /// Expected work ahead of a new attempt; an old report counts less than own attempts.
+    pub(crate) fn expected_load(&self, now: TimeMs) -> f32 {
+        let reported = (self.load.running + self.load.queued) as f32 + self.load.sent_since as f32;
+        let age_ms = now.since(self.load.true_at).0 as f32;
+        let trust = (-age_ms / LOAD_HALF_LIFE_MS).exp2();
+        let own = self.in_flight as f32;
+        own.max(reported * trust + own * (1.0 - trust))
+    }
+
+    /// Notes how long a success took against the usual time.
+    pub(crate) fn note_slowness(&mut self, sample: f32) {
+        self.slowness = self.slowness * SLOWNESS_KEEP + sample * (1.0 - SLOWNESS_KEEP);
+    }
+
+    /// Takes over a load report whose figures were true at `true_at`.
+    pub(crate) fn note_load(&mut self, now: TimeMs, load: KnownLoad, leaving: bool) {
+        if load.true_at >= self.load.true_at {
+            self.load = load;
+        }
+        self.reports_leaving = leaving;
+        self.heard_at = Some(now);
+    }
+}
+
+impl KnownLoad {
+    /// Load of a report that arrives at `now`.
+    pub(crate) fn from_report(report: &LoadReport, now: TimeMs) -> Self {
+        Self {
+            running: report.running,
+            queued: report.queued,
+            slots: report.slots.max(1),
+            true_at: TimeMs(now.0.saturating_sub(report.lag_ms.0)),
+            sent_since: 0,
+        }
+    }
+}
+
+/// Endpoints of one pool by region.
+#[derive(Debug, Default)]
+pub(crate) struct Pool {
+    pub(crate) by_region: Map<Region, Vec<EndpointIdx>>,
+}
+
+/// All endpoints.
+#[derive(Debug, Default)]
+pub(crate) struct EndpointTable {
+    endpoints: Vec<Endpoint>,
+    by_id: Map<EndpointId, EndpointIdx>,
+    by_hash: Map<Hash64, EndpointIdx>,
+    pools: Map<PoolId, Pool>,
+}
+
+impl EndpointTable {
+    /// Endpoint at an index.
+    pub(crate) fn get(&self, idx: EndpointIdx) -> &Endpoint {
+        &self.endpoints[idx.0 as usize]
+    }
+
+    /// Endpoint at an index, to change it.
+    pub(crate) fn get_mut(&mut self, idx: EndpointIdx) -> &mut Endpoint {
+        &mut self.endpoints[idx.0 as usize]
+    }
+
+    /// Index of an endpoint.
+    pub(crate) fn find(&self, id: &EndpointId) -> Option<EndpointIdx> {
+        self.by_id.get(id).copied()
+    }
+
+    /// Index of the endpoint with a hash.
+    pub(crate) fn find_hash(&self, hash: Hash64) -> Option<EndpointIdx> {
+        self.by_hash.get(&hash).copied()
+    }
+
+    /// All endpoints with their indices.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (EndpointIdx, &Endpoint)> {
+        self.endpoints.iter().enumerate().map(|(index, endpoint)| (EndpointIdx(index as u32), endpoint))
+    }
+
+    /// Endpoints of a pool in a region.
+    pub(crate) fn in_pool(&self, pool: &PoolId, region: &Region) -> &[EndpointIdx] {
+        self.pools.get(pool).and_then(|pool| pool.by_region.get(region)).map_or(&[], Vec::as_slice)
+    }
+
+    /// Takes over an entry of the VM list; says which endpoint it concerns and whether it began to leave.
+    pub(crate) fn apply(&mut self, entry: &VmEntry) -> Option<(EndpointIdx, bool)> {
+        let VmEntry::Endpoint { endpoint, pool, region, address, state, .. } = entry else {
+            return None;
+        };
+        if let Some(idx) = self.find(endpoint) {
+            let known = self.get_mut(idx);
+            let was_open = known.is_open();
+            if known.state == VmState::Gone && *state == VmState::Live {
+                known.limit.restart();
+                known.heard_at = None;
+                known.reports_leaving = false;
+            }
+            known.state = *state;
+            known.address = *address;
+            return Some((idx, was_open && *state != VmState::Live));
+        }
+        let idx = EndpointIdx(self.endpoints.len() as u32);
+        let hash = Hash64::of(endpoint.as_str().as_bytes());
+        self.endpoints.push(Endpoint {
+            id: endpoint.clone(),
+            hash,
+            pool: pool.clone(),
+            region: region.clone(),
+            address: *address,
+            state: *state,
+            reports_leaving: false,
+            models: Vec::new(),
+            adapters: Vec::new(),
+            load: KnownLoad::default(),
+            heard_at: None,
+            in_flight: 0,
+            suspects_in_flight: 0,
+            limit: ConcurrencyLimit::default(),
+            health: Health::default(),
+            slowness: 1.0,
+            last_failure_at: None,
+        });
+        self.by_id.insert(endpoint.clone(), idx);
+        self.by_hash.insert(hash, idx);
+        let pool = self.pools.entry(pool.clone()).or_default();
+        pool.by_region.entry(region.clone()).or_default().push(idx);
+        Some((idx, false))
+    }
+}
--- /dev/null
+++ b/crates/boragepass_core/src/finish.rs
@@ -0,0 +1,234 @@
+//! The end of a request: one outcome, its claim settled, its attempts canceled.
+
+use boragepass_types::{AttemptId, CallId, FailureCause, NotRunReason, Outcome, Payload, SpanMs, TimeMs};
+
+use crate::claim_row::ClaimState;
+use crate::counter::Counter;
+use crate::effect::{Effect, Effects};
+use crate::explain::{AttemptEnd, Decision};
+use crate::node::{Node, counter_of};
+use crate::request_table::{Active, RequestKey};
+use crate::timers::Timer;
+use crate::usage::EndedAttempt;
+
+const RETRY_LATER: SpanMs = SpanMs(1_000);
+const LATE_RESULT_KEPT: SpanMs = SpanMs(60_000);
+
+impl Node {
+    /// Ends a request of which something ran; `not_run` if nothing did.
+    pub(crate) fn finish_failed(&mut self, now: TimeMs, key: RequestKey, cause: FailureCause, out: &mut Effects) {
+        let Some(active) = self.requests.get(key) else {
+            return;
+        };
+        let ran = self.ran_stages(active);
+        let outcome = if ran.is_empty() {
+            let reason = match cause {
+                FailureCause::DeadlinePassed => NotRunReason::DeadlinePassed,
+                FailureCause::CallerGone => NotRunReason::CallerGone,
+                FailureCause::Quarantined => NotRunReason::Quarantined,
+                FailureCause::AttemptsExhausted | FailureCause::Rejected => {
+                    NotRunReason::NoEndpoint(active.stage().id.clone())
+                }
+            };
+            Outcome::not_run_retry(reason, RETRY_LATER)
+        } else {
+            Outcome::Failed { ran, cause }
+        };
+        self.finish(now, key, outcome, out);
+    }
+
+    /// Stages that ran or may be running.
+    fn ran_stages(&self, active: &Active) -> Vec<boragepass_types::StageId> {
+        let mut ran = active.ran.clone();
+        let stage = &active.stage().id;
+        if !active.attempts.is_empty() && !ran.contains(stage) {
+            ran.push(stage.clone());
+        }
+        ran
+    }
+
+    /// Ends a request.
+    pub(crate) fn finish(&mut self, now: TimeMs, key: RequestKey, outcome: Outcome, out: &mut Effects) {
+        self.leave_queue(key);
+        self.claims.abandon(key);
+        let Some(mut active) = self.requests.remove(key) else {
+            return;
+        };
+        let kind = outcome.kind();
+        self.end_attempts(now, &mut active, out);
+        self.end_claim(now, &active, &outcome, out);
+        if kind == boragepass_types::OutcomeKind::Answered {
+            self.clear_suspicion(now, &active, out);
+        }
+        let request = &active.request;
+        self.shares.finish(&request.workspace);
+        self.tracer.note(now, &request.workspace, &request.id, Decision::Finished(kind));
+        let counts = self.counts_for_level(&outcome);
+        self.usage.note_outcome(now, &request.workspace, &request.pipeline, kind, counts);
+        let is_final = matches!(outcome, Outcome::Answered { .. });
+        if is_final {
+            let id = (request.workspace.clone(), request.id.clone());
+            let entries_max = self.settings.limits.finished_max;
+            self.finished.insert(now, id, request.digest, outcome.clone(), entries_max);
+        }
+        self.send_progress_done(&active, out);
+        for waiter in &active.waiters {
+            out.count(counter_of(kind));
+            out.push(Effect::Reply { call: waiter.call, outcome: outcome.clone(), elsewhere: Vec::new() });
+        }
+    }
+
+    fn counts_for_level(&self, outcome: &Outcome) -> bool {
+        match outcome {
+            Outcome::NotRun { reason, .. } => crate::admission::bears_on_service_level(reason),
+            Outcome::Failed { cause, .. } => {
+                !matches!(cause, FailureCause::CallerGone | FailureCause::Rejected | FailureCause::Quarantined)
+            }
+            Outcome::Answered { .. } | Outcome::Unknown { .. } => true,
+        }
+    }
+
+    /// Cancels what runs. A stage that may not be repeated is left alone, for its late result.
+    fn end_attempts(&mut self, now: TimeMs, active: &mut Active, out: &mut Effects) {
+        for id in std::mem::take(&mut active.attempts) {
+            let Some(attempt) = self.attempts.remove(&id) else {
+                continue;
+            };
+            let endpoint = self.endpoints.get_mut(attempt.endpoint);
+            endpoint.in_flight = endpoint.in_flight.saturating_sub(1);
+            endpoint.load.sent_since -= 1;
+            endpoint.suspects_in_flight -= u32::from(attempt.is_suspect);
+            active.note_ran(&attempt.tag.stage);
+            let took = attempt.took(now);
+            let decision = Decision::Ended { attempt: id, end: AttemptEnd::Abandoned, took };
+            self.tracer.note(now, &active.request.workspace, &active.request.id, decision);
+            let ended = EndedAttempt { took, is_used: false, cross_region: attempt.cross_region };
+            self.usage.note_attempt(&active.request.workspace, &attempt.tag.stage, &ended);
+            if attempt.is_repeatable {
+                out.push(Effect::Cancel { attempt: id });
+            } else {
+                self.late_attempts.insert(id, attempt);
+                self.late_claims.insert(id, self.late_claim_of(active));
+                self.timers.set(now + LATE_RESULT_KEPT, Timer::LateResultForgotten(id));
+            }
+        }
+    }
+
+    fn late_claim_of(&self, active: &Active) -> Option<LateClaim> {
+        let row = active.claim.clone()?;
+        let is_last_stage = active.stage_index + 1 == active.pipeline.stages.len();
+        Some(LateClaim { row, is_last_stage })
+    }
+
+    /// Settles or releases the claim, unless a late result may still settle it.
+    fn end_claim(&mut self, now: TimeMs, active: &Active, outcome: &Outcome, out: &mut Effects) {
+        let Some(row) = &active.claim else {
+            return;
+        };
+        let waits_for_late = self.late_claims.values().flatten().any(|late| late.row == *row);
+        if waits_for_late {
+            return;
+        }
+        let outputs = match (outcome, &active.claimed_output) {
+            (Outcome::Answered { output }, _) => {
+                out.count(Counter::ClaimSettled);
+                self.claims.settle(now, row, ClaimState::Answered { output: output.clone() })
+            }
+            (Outcome::Unknown { .. }, None) => {
+                out.count(Counter::ClaimSettled);
+                self.claims.settle(now, row, ClaimState::Unknown)
+            }
+            (_, stage_output) => {
+                out.count(Counter::ClaimReleased);
+                self.claims.release(now, row, stage_output.clone())
+            }
+        };
+        self.carry_out_claims(now, outputs, out);
+    }
+
+    /// Takes over the result of a stage whose request has ended as `unknown`.
+    pub(crate) fn settle_late(&mut self, now: TimeMs, id: AttemptId, output: Option<Payload>, out: &mut Effects) {
+        self.late_attempts.remove(&id);
+        let Some(late) = self.late_claims.remove(&id).flatten() else {
+            return;
+        };
+        let state = match output {
+            Some(output) if late.is_last_stage => ClaimState::Answered { output },
+            Some(stage_output) => ClaimState::StageDone { stage_output },
+            None => ClaimState::Unknown,
+        };
+        out.count(Counter::ClaimSettled);
+        let outputs = self.claims.settle(now, &late.row, state);
+        self.carry_out_claims(now, outputs, out);
+    }
+
+    /// Stops waiting for a late result.
+    pub(crate) fn forget_late(&mut self, now: TimeMs, id: AttemptId, out: &mut Effects) {
+        if self.late_attempts.contains_key(&id) {
+            out.push(Effect::Cancel { attempt: id });
+            self.settle_late(now, id, None, out);
+        }
+    }
+
+    fn clear_suspicion(&mut self, now: TimeMs, active: &Active, out: &mut Effects) {
+        let digest = active.request.digest;
+        if active.is_suspect && self.quarantine.on_success(digest) {
+            let kind = crate::message::VerdictKind::Cleared;
+            self.spread_verdict(now, digest, &active.request.workspace, kind, SpanMs(0), out);
+        }
+    }
+
+    /// Drops a request that waits, because it is the least valuable or too late.
+    pub(crate) fn shed(&mut self, now: TimeMs, key: RequestKey, out: &mut Effects) {
+        let has_run = self.requests.get(key).is_some_and(|active| !self.ran_stages(active).is_empty());
+        if has_run {
+            self.finish_failed(now, key, FailureCause::DeadlinePassed, out);
+        } else {
+            self.finish(now, key, Outcome::not_run_retry(NotRunReason::Shed, RETRY_LATER), out);
+        }
+    }
+
+    /// Ends a request for whose stage there is no endpoint at all.
+    pub(crate) fn give_up_without_endpoint(&mut self, now: TimeMs, key: RequestKey, out: &mut Effects) {
+        let has_attempts = self.requests.get(key).is_none_or(|active| !active.attempts.is_empty());
+        if !has_attempts {
+            self.finish_failed(now, key, FailureCause::AttemptsExhausted, out);
+        }
+    }
+
+    /// The deadline of a request has come.
+    pub(crate) fn on_deadline(&mut self, now: TimeMs, key: RequestKey, out: &mut Effects) {
+        let Some(active) = self.requests.get(key) else {
+            return;
+        };
+        let is_out = !active.attempts.is_empty() && !active.stage().repeatable;
+        if is_out {
+            let outcome =
+                Outcome::Unknown { stage: active.stage().id.clone(), retry_after_ms: Some(RETRY_LATER) };
+            self.finish(now, key, outcome, out);
+            return;
+        }
+        self.finish_failed(now, key, FailureCause::DeadlinePassed, out);
+    }
+
+    /// A caller's connection closed.
+    pub(crate) fn on_caller_gone(&mut self, now: TimeMs, call: CallId, out: &mut Effects) {
+        let Some(key) = self.requests.leave(call) else {
+            return;
+        };
+        let Some(active) = self.requests.get(key) else {
+            return;
+        };
+        let is_out = !active.attempts.is_empty() && !active.stage().repeatable;
+        if active.waiters.is_empty() && !is_out && active.claimed_output.is_none() {
+            self.finish_failed(now, key, FailureCause::CallerGone, out);
+        }
+    }
+}
+
+/// Claim that a late result settles.
+#[derive(Debug, Clone)]
+pub(crate) struct LateClaim {
+    pub(crate) row: crate::platform::RowKey,
+    pub(crate) is_last_stage: bool,
+}
--- /dev/null
+++ b/crates/boragepass_core/src/lib.rs
@@ -0,0 +1,83 @@
+//! All decisions of boragepass, without I/O, clock or global randomness.
+//!
+//! [`Node::handle`] takes one [`Event`] and gives the [`Effect`]s it calls for. The daemon turns
+//! sockets and timers into events and carries effects out; tests and benches drive the same
+//! function. An effect that rests on a lease or a deadline carries `not_after`; whoever carries it
+//! out checks that on the monotonic clock right before the bytes leave.
+//!
+//! Where to look: an endpoint is chosen in `routing`, a request is refused in `admission`, retried
+//! and hedged in `attempt_flow`, ended in `finish`; a claim is decided in `claims` and released in
+//! `finish`; the lists come into force in `list_commit`; a VM is declared dead in `membership`.
+
+mod address;
+mod admission;
+mod attempt_flow;
+mod claim_batch;
+mod claim_flow;
+mod claim_row;
+mod claims;
+mod concurrency;
+mod counter;
+mod drain;
+mod effect;
+mod ejection;
+mod endpoints;
+mod event;
+mod explain;
+mod finish;
+mod finished;
+mod gather;
+mod latency;
+mod lease_row;
+mod list_change;
+mod list_commit;
+mod lists;
+mod map;
+mod member_flow;
+mod membership;
+mod message;
+mod node;
+mod operator;
+mod operator_flow;
+mod order;
+mod platform;
+mod prefix_cache;
+mod quarantine;
+mod queue;
+mod request_table;
+mod resume;
+mod retry;
+mod routing;
+mod settings;
+mod shares;
+mod stage_flow;
+mod state_change;
+mod timers;
+mod usage;
+mod watch;
+
+pub use address::{AddressAnswer, EntryAddress};
+pub use claim_row::{ClaimOwner, ClaimRow, ClaimState};
+pub use counter::Counter;
+pub use effect::{Dispatch, Effect, ResumePoint};
+pub use ejection::EjectionCause;
+pub use event::{AttemptTag, Event, StageReply};
+pub use explain::{RequestTrace, TraceLine};
+pub use lease_row::LeaseRow;
+pub use list_change::{ListChange, ListEdit};
+pub use lists::Snapshot;
+pub use membership::{MemberRecord, MemberState};
+pub use message::{
+    ClaimStatus, ClaimWrite, ClaimWriteReply, ClaimWriteResult, Heartbeat, Holdings, Part, PeerMessage, Progress,
+    Question, SharedLoad, Verdict, VerdictKind,
+};
+pub use node::Node;
+pub use operator::{EndpointStatus, OperatorCommand, OperatorReply, Status, VmStatus};
+pub use platform::{
+    CacheEvent, Expect, LoadReport, ObjectReply, ObjectRequest, Order, OrderReply, Row, RowKey, RowValue, RowWrite,
+    TableReply, TableRequest, VmEntry, VmListReply, VmState, WriteId,
+};
+pub use quarantine::QuarantineEntry;
+pub use settings::{Limits, NodeSettings};
+pub use state_change::StateChange;
+pub use usage::{Attainment, BurnWindow, NamedCost, ServiceLevel, StageCost, UsageReport};
--- /dev/null
+++ b/crates/boragepass_core/src/member_flow.rs
@@ -0,0 +1,270 @@
+//! Heartbeats, relays and messages from other VMs.
+
+use boragepass_types::{ContentDigest, Incarnation, SpanMs, TimeMs, VmId, WorkspaceId};
+
+use crate::claim_batch::Waiting;
+use crate::counter::Counter;
+use crate::effect::{Effect, Effects};
+use crate::membership::{MemberChange, MemberRecord, MemberState};
+use crate::message::{Heartbeat, PeerMessage, Verdict, VerdictKind};
+use crate::node::Node;
+use crate::state_change::StateChange;
+use crate::timers::Timer;
+
+/// Where a message that is passed on came from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum SpreadFrom<'a> {
+    /// This VM.
+    Here,
+    /// Another VM.
+    Peer(&'a VmId),
+}
+
+impl Node {
+    /// Sends a message to a VM.
+    pub(crate) fn send_to(&mut self, record: &MemberRecord, message: PeerMessage, out: &mut Effects) {
+        out.push(Effect::Send { to: record.vm.clone(), address: record.peer_address, message });
+    }
+
+    /// Sends a message to a VM by name, if it is known.
+    pub(crate) fn send_to_vm(&mut self, vm: &VmId, message: PeerMessage, out: &mut Effects) {
+        if let Some(record) = self.membership.get(vm).map(|member| member.record.clone()) {
+            self.send_to(&record, message, out);
+        }
+    }
+
+    /// Passes a message on so that every VM gets it: everyone at home, and the relays of other
+    /// failure domains, who tell theirs.
+    pub(crate) fn spread(&mut self, from: SpreadFrom<'_>, message: &PeerMessage, out: &mut Effects) {
+        let source = match from {
+            SpreadFrom::Here => None,
+            SpreadFrom::Peer(vm) => self.membership.get(vm).map(|member| member.record.failure_domain.clone()),
+        };
+        let home = &self.settings.failure_domain;
+        let is_from_home = source.as_ref() == Some(home);
+        let mut receivers = Vec::new();
+        if !is_from_home {
+            receivers.extend(self.membership.domain_peers().map(|member| member.record.clone()));
+        }
+        let is_from_here = source.is_none();
+        if (is_from_here || is_from_home) && self.membership.am_relay() {
+            receivers.extend(self.membership.remote_relays().into_iter().cloned());
+        }
+        for record in receivers {
+            self.send_to(&record, message.clone(), out);
+        }
+    }
+
+    /// Spreads what is known about content.
+    pub(crate) fn spread_verdict(
+        &mut self,
+        _now: TimeMs,
+        digest: ContentDigest,
+        workspace: &WorkspaceId,
+        kind: VerdictKind,
+        for_ms: SpanMs,
+        out: &mut Effects,
+    ) {
+        let verdict = Verdict { digest, workspace: workspace.clone(), kind, for_ms };
+        self.spread(SpreadFrom::Here, &PeerMessage::Verdict(verdict), out);
+    }
+
+    fn heartbeat(&mut self, now: TimeMs, records: Vec<MemberRecord>) -> PeerMessage {
+        self.membership.me.lists = self.lists.version().unwrap_or_default();
+        let quarantine_hash = self.quarantine.hash(now);
+        PeerMessage::Heartbeat(Heartbeat { sender: self.membership.me.clone(), quarantine_hash, records })
+    }
+
+    /// Heartbeats at home.
+    pub(crate) fn on_heartbeat_timer(&mut self, now: TimeMs, out: &mut Effects) {
+        self.timers.set(now + self.settings.limits.heartbeat_ms, Timer::Heartbeat);
+        let timeout = self.settings.limits.member_timeout_ms;
+        let changes = self.membership.expire(now, timeout);
+        self.note_member_changes(changes, out);
+        self.tell_home_now(now, out);
+    }
+
+    fn send_home(&mut self, now: TimeMs, records: Vec<MemberRecord>, out: &mut Effects) {
+        let message = self.heartbeat(now, records);
+        let receivers: Vec<_> = self.membership.domain_peers().map(|member| member.record.clone()).collect();
+        for record in receivers {
+            self.send_to(&record, message.clone(), out);
+        }
+        self.pending_records.clear();
+    }
+
+    /// Heartbeats to the relays of other failure domains.
+    pub(crate) fn on_relay_timer(&mut self, now: TimeMs, out: &mut Effects) {
+        self.timers.set(now + self.settings.limits.relay_heartbeat_ms, Timer::RelayHeartbeat);
+        if self.membership.am_relay() {
+            self.send_records(now, out);
+        }
+    }
+
+    /// Exchanges what changed with the other relays and keeps it for the next heartbeat at home.
+    fn send_records(&mut self, now: TimeMs, out: &mut Effects) {
+        let records = self.membership.take_records();
+        let message = self.heartbeat(now, records.clone());
+        let receivers: Vec<_> = self.membership.remote_relays().into_iter().cloned().collect();
+        for record in receivers {
+            self.send_to(&record, message.clone(), out);
+        }
+        self.pending_records.extend(records);
+    }
+
+    /// Tells everybody at once, without waiting for the next heartbeat.
+    pub(crate) fn tell_everyone_now(&mut self, now: TimeMs, out: &mut Effects) {
+        self.send_records(now, out);
+        let records = self.pending_records.clone();
+        self.send_home(now, records, out);
+    }
+
+    /// Sends a heartbeat at home at once.
+    pub(crate) fn tell_home_now(&mut self, now: TimeMs, out: &mut Effects) {
+        let records = if self.membership.am_relay() { self.pending_records.clone() } else { Vec::new() };
+        self.send_home(now, records, out);
+    }
+
+    /// Takes over a message from another VM.
+    pub(crate) fn on_peer(
+        &mut self,
+        now: TimeMs,
+        from: VmId,
+        incarnation: Incarnation,
+        message: PeerMessage,
+        out: &mut Effects,
+    ) {
+        let is_current = self.membership.note_message(now, &from, incarnation);
+        if !is_current {
+            out.count(Counter::PeerStale);
+            return;
+        }
+        match message {
+            PeerMessage::Heartbeat(heartbeat) => self.on_heartbeat(now, heartbeat, out),
+            PeerMessage::Change(change) => self.on_change(now, *change, Some(&from), out),
+            PeerMessage::ChangesQuery { after } => self.on_changes_query(&from, after, out),
+            PeerMessage::SnapshotQuery => self.on_snapshot_query(&from, out),
+            PeerMessage::Snapshot(snapshot) => self.load_snapshot(now, &snapshot, out),
+            PeerMessage::Loads(loads) => self.on_loads(now, &loads, out),
+            PeerMessage::VmEntries(entries) => self.on_entries(now, &entries, out),
+            PeerMessage::Verdict(verdict) => self.on_verdict(now, &from, verdict, out),
+            PeerMessage::VerdictsQuery => self.on_verdicts_query(now, &from, out),
+            PeerMessage::ClaimWrites(writes) => {
+                for write in writes {
+                    self.collect_claim(now, Waiting { origin: from.clone(), write }, out);
+                }
+            }
+            PeerMessage::ClaimReplies(replies) => self.on_claim_replies(now, replies, out),
+            PeerMessage::ClaimQuery { key, version } => self.on_claim_query(&from, key, version, out),
+            PeerMessage::ClaimStatus { key, version, status } => {
+                self.on_claim_status(now, &key, version, status, out);
+            }
+            PeerMessage::Progress(progress) => {
+                let entries_max = self.settings.limits.progress_max;
+                self.progress.insert(now, *progress, entries_max);
+            }
+            PeerMessage::ProgressDone { workspace, request } => self.progress.remove(&workspace, &request),
+            PeerMessage::Gather { op, question } => self.on_gather(now, &from, op, &question, out),
+            PeerMessage::Gathered { op, part } => self.on_gathered(op, from, part, out),
+        }
+    }
+
+    fn on_heartbeat(&mut self, now: TimeMs, heartbeat: Heartbeat, out: &mut Effects) {
+        let Some(mut changes) = self.membership.hear(now, &heartbeat.sender) else {
+            out.count(Counter::PeerStale);
+            return;
+        };
+        for record in &heartbeat.records {
+            changes.extend(self.membership.apply_record(now, record, false));
+        }
+        self.note_member_changes(changes, out);
+        self.correct_sender(now, &heartbeat.sender, out);
+        self.ask_for_verdicts(now, &heartbeat, out);
+        self.catch_up(now, &heartbeat.sender, out);
+        self.check_commits(now, out);
+    }
+
+    /// Tells a VM that was taken for dead, so that it can raise its epoch.
+    fn correct_sender(&mut self, now: TimeMs, sender: &MemberRecord, out: &mut Effects) {
+        let known = self.membership.get(&sender.vm).map(|member| member.record.clone());
+        if let Some(record) = known.filter(|record| record.state == MemberState::Dead) {
+            let message = self.heartbeat(now, vec![record.clone()]);
+            self.send_to(&record, message, out);
+        }
+    }
+
+    fn ask_for_verdicts(&mut self, now: TimeMs, heartbeat: &Heartbeat, out: &mut Effects) {
+        let mine = self.quarantine.hash(now);
+        let is_due = self.verdicts_asked_at.is_none_or(|at| now.since(at) > SpanMs(2_000));
+        if heartbeat.quarantine_hash != mine && heartbeat.quarantine_hash.0 != 0 && is_due {
+            self.verdicts_asked_at = Some(now);
+            self.send_to(&heartbeat.sender.clone(), PeerMessage::VerdictsQuery, out);
+        }
+    }
+
+    pub(crate) fn note_member_changes(&mut self, changes: Vec<MemberChange>, out: &mut Effects) {
+        for change in changes {
+            match change {
+                MemberChange::Alive(vm) => out.log(StateChange::MemberAlive { vm }),
+                MemberChange::Leaving(vm) => out.log(StateChange::MemberLeaving { vm }),
+                MemberChange::Dead(vm, unheard_ms) => {
+                    out.count(Counter::MemberDead);
+                    out.log(StateChange::MemberDead { vm, unheard_ms });
+                }
+            }
+        }
+    }
+
+    fn on_verdict(&mut self, now: TimeMs, from: &VmId, verdict: Verdict, out: &mut Effects) {
+        let spans = self.settings.limits.verdict_spans();
+        if !self.quarantine.apply(now, &verdict, spans) {
+            return;
+        }
+        if verdict.kind == VerdictKind::Quarantined {
+            out.count(Counter::QuarantineAdded);
+            self.end_quarantined(now, verdict.digest, out);
+        }
+        self.spread(SpreadFrom::Peer(from), &PeerMessage::Verdict(verdict), out);
+    }
+
+    /// Ends requests whose content another VM found guilty.
+    fn end_quarantined(&mut self, now: TimeMs, digest: ContentDigest, out: &mut Effects) {
+        for key in self.requests.keys() {
+            let is_hit = self.requests.get(key).is_some_and(|active| {
+                active.request.digest == digest && active.claimed_output.is_none() && active.stage().repeatable
+            });
+            if is_hit {
+                self.finish_failed(now, key, boragepass_types::FailureCause::Quarantined, out);
+            }
+        }
+    }
+
+    fn on_verdicts_query(&mut self, now: TimeMs, from: &VmId, out: &mut Effects) {
+        for verdict in self.quarantine.verdicts(now) {
+            self.send_to_vm(from, PeerMessage::Verdict(verdict), out);
+        }
+    }
+
+    /// Whether this VM hears neither the table service nor another VM.
+    pub(crate) fn is_isolated(&self, now: TimeMs) -> bool {
+        let started_at = self.started_at.unwrap_or(now);
+        let unheard = self.membership.unheard_for(now, started_at);
+        let Some(unheard) = unheard else {
+            return false;
+        };
+        let table = self.table_heard_at.map_or(unheard, |at| now.since(at));
+        unheard.min(table) > self.settings.limits.isolation_limit_ms
+    }
+
+    /// Logs when isolation begins or ends.
+    pub(crate) fn note_isolation(&mut self, now: TimeMs, out: &mut Effects) {
+        let is_isolated = self.is_isolated(now);
+        if is_isolated == self.was_isolated {
+            return;
+        }
+        self.was_isolated = is_isolated;
+        let started_at = self.started_at.unwrap_or(now);
+        let for_ms = self.membership.unheard_for(now, started_at).unwrap_or_default();
+        out.log(if is_isolated { StateChange::Isolated { for_ms } } else { StateChange::Reconnected });
+    }
+}
--- /dev/null
+++ b/crates/boragepass_core/src/membership.rs
@@ -0,0 +1,430 @@
+//! Which VMs there are, what state they are in and which lists they enforce.
+//!
+//! Every VM hears the VMs of its own failure domain directly. Two relays of each failure domain,
+//! chosen by rendezvous hash, exchange what they know with the relays of the others and pass it on
+//! at home. Records are ordered by incarnation, epoch and state, so that their order of arrival
+//! does not matter; a VM that finds itself reported dead raises its epoch.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+use boragepass_types::{
+    FailureDomain, Incarnation, ListVersion, Region, SpanMs, TimeMs, VmId, rendezvous_weight,
+};
+
+use crate::platform::{VmEntry, VmState};
+use crate::settings::NodeSettings;
+
+const RELAYS: usize = 2;
+const RECORDS_PER_HEARTBEAT: usize = 4;
+const CHANGED_PER_HEARTBEAT: usize = 64;
+const EXCUSE_MARGIN: SpanMs = SpanMs(500);
+
+/// State of a VM; the later ones win within an epoch.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, derive_more::Display)]
+pub enum MemberState {
+    /// Listed, never heard.
+    #[display("listed")]
+    Listed,
+    /// Serves.
+    #[display("alive")]
+    Alive,
+    /// Drains.
+    #[display("leaving")]
+    Leaving,
+    /// Not heard any more.
+    #[display("dead")]
+    Dead,
+}
+
+/// What one VM says of another, or of itself.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct MemberRecord {
+    /// The VM.
+    pub vm: VmId,
+    /// Its incarnation.
+    pub incarnation: Incarnation,
+    /// Raised by the VM itself when it was wrongly reported dead.
+    pub epoch: u32,
+    /// State.
+    pub state: MemberState,
+    /// Region.
+    pub region: Region,
+    /// Failure domain.
+    pub failure_domain: FailureDomain,
+    /// Address for other VMs.
+    pub peer_address: SocketAddr,
+    /// Address for callers.
+    pub caller_address: SocketAddr,
+    /// Lists it enforces, zero before the first.
+    pub lists: ListVersion,
+}
+
+impl MemberRecord {
+    fn rank(&self) -> (Incarnation, u32, MemberState) {
+        (self.incarnation, self.epoch, self.state)
+    }
+}
+
+/// Another VM.
+#[derive(Debug, Clone)]
+pub(crate) struct Member {
+    pub(crate) record: MemberRecord,
+    /// Last message that came straight from it.
+    pub(crate) heard_at: Option<TimeMs>,
+    pub(crate) state_since: TimeMs,
+    /// State in the VM list, if it stands there.
+    pub(crate) listed: Option<VmState>,
+}
+
+/// Change that others have to know.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum MemberChange {
+    Alive(VmId),
+    Leaving(VmId),
+    Dead(VmId, SpanMs),
+}
+
+/// All VMs as this one sees them.
+#[derive(Debug)]
+pub(crate) struct Membership {
+    pub(crate) me: MemberRecord,
+    members: BTreeMap<VmId, Member>,
+    changed: BTreeSet<VmId>,
+    cursor: Option<VmId>,
+    /// Raised when the set of serving VMs changes.
+    pub(crate) view: u64,
+    last_heard_at: Option<TimeMs>,
+}
+
+impl Membership {
+    /// Membership that knows only this VM.
+    pub(crate) fn new(settings: &NodeSettings) -> Self {
+        let me = MemberRecord {
+            vm: settings.vm.clone(),
+            incarnation: settings.incarnation,
+            epoch: 0,
+            state: MemberState::Alive,
+            region: settings.region.clone(),
+            failure_domain: settings.failure_domain.clone(),
+            peer_address: settings.peer_address,
+            caller_address: settings.caller_address,
+            lists: ListVersion(0),
+        };
+        let (members, changed) = (BTreeMap::new(), BTreeSet::new());
+        Self { me, members, changed, cursor: None, view: 0, last_heard_at: None }
+    }
+
+    /// Other VMs.
+    pub(crate) fn members(&self) -> impl Iterator<Item = &Member> {
+        self.members.values()
+    }
+
+    /// One other VM.
+    pub(crate) fn get(&self, vm: &VmId) -> Option<&Member> {
+        self.members.get(vm)
+    }
+
+    /// Other VMs that answer, leaving ones included.
+    pub(crate) fn reachable(&self) -> impl Iterator<Item = &MemberRecord> {
+        self.members
+            .values()
+            .map(|member| &member.record)
+            .filter(|record| matches!(record.state, MemberState::Alive | MemberState::Leaving))
+    }
+
+    /// VMs that take new work, this one included.
+    pub(crate) fn serving(&self) -> impl Iterator<Item = &MemberRecord> {
+        let others = self.members.values().map(|member| &member.record);
+        others.chain(std::iter::once(&self.me)).filter(|record| record.state == MemberState::Alive)
+    }
+
+    /// Takes over the VM list's word on an entry VM.
+    pub(crate) fn apply_entry(&mut self, now: TimeMs, entry: &VmEntry) -> Option<MemberChange> {
+        let VmEntry::Entry { vm, region, failure_domain, peer_address, caller_address, state } = entry else {
+            return None;
+        };
+        if *vm == self.me.vm {
+            return None;
+        }
+        let record = MemberRecord {
+            vm: vm.clone(),
+            incarnation: Incarnation(0),
+            epoch: 0,
+            state: MemberState::Listed,
+            region: region.clone(),
+            failure_domain: failure_domain.clone(),
+            peer_address: *peer_address,
+            caller_address: *caller_address,
+            lists: ListVersion(0),
+        };
+        let member = self.members.entry(vm.clone()).or_insert_with(|| Member {
+            record,
+            heard_at: None,
+            state_since: now,
+            listed: None,
+        });
+        member.listed = Some(*state);
+        if *state == VmState::Gone && member.record.state != MemberState::Dead {
+            let unheard = member.heard_at.map_or(SpanMs(0), |at| now.since(at));
+            return self.set_state(now, vm, MemberState::Dead, unheard);
+        }
+        let is_leaving = *state == VmState::Leaving && member.record.state == MemberState::Alive;
+        if is_leaving { self.set_state(now, vm, MemberState::Leaving, SpanMs(0)) } else { None }
+    }
+
+    /// Takes over what a VM says of itself. `None` when a later incarnation is known.
+    pub(crate) fn hear(&mut self, now: TimeMs, sender: &MemberRecord) -> Option<Vec<MemberChange>> {
+        let known = self.members.get(&sender.vm).map(|member| member.record.incarnation);
+        if known.is_some_and(|incarnation| incarnation > sender.incarnation) {
+            return None;
+        }
+        let mut changes: Vec<_> = self.apply_record(now, sender, true).into_iter().collect();
+        self.last_heard_at = Some(now);
+        if let Some(member) = self.members.get_mut(&sender.vm) {
+            member.heard_at = Some(now);
+            let was_dead = member.record.state == MemberState::Dead;
+            if was_dead && member.record.rank() > sender.rank() {
+                // The sender learns from the answer that it was taken for dead.
+                self.changed.insert(sender.vm.clone());
+            }
+        }
+        changes.dedup();
+        Some(changes)
+    }
+
+    /// Takes over what somebody says of a VM.
+    pub(crate) fn apply_record(&mut self, now: TimeMs, record: &MemberRecord, is_own_word: bool) -> Option<MemberChange> {
+        if record.vm == self.me.vm {
+            self.refute(record);
+            return None;
+        }
+        let Some(member) = self.members.get_mut(&record.vm) else {
+            let heard_at = None;
+            self.members
+                .insert(record.vm.clone(), Member { record: record.clone(), heard_at, state_since: now, listed: None });
+            self.note_change(&record.vm);
+            return change_of(record, SpanMs(0));
+        };
+        let lists = member.record.lists;
+        if record.rank() < member.record.rank() {
+            return None;
+        }
+        let is_same = record.rank() == member.record.rank();
+        let is_new_process = record.incarnation > member.record.incarnation;
+        let raised = if is_new_process { record.lists } else { lists.max(record.lists) };
+        let was = member.record.state;
+        member.record = MemberRecord { lists: raised, ..record.clone() };
+        if is_new_process && !is_own_word {
+            member.heard_at = None;
+        }
+        if is_same && raised == lists {
+            return None;
+        }
+        self.changed.insert(record.vm.clone());
+        if was == record.state {
+            return None;
+        }
+        if let Some(member) = self.members.get_mut(&record.vm) {
+            member.state_since = now;
+        }
+        self.view += 1;
+        change_of(record, SpanMs(0))
+    }
+
+    /// Notes that something other than a heartbeat came straight from a VM.
+    pub(crate) fn note_message(&mut self, now: TimeMs, vm: &VmId, incarnation: Incarnation) -> bool {
+        let Some(member) = self.members.get_mut(vm) else {
+            return true;
+        };
+        if member.record.incarnation > incarnation {
+            return false;
+        }
+        if member.record.incarnation == incarnation {
+            member.heard_at = Some(now);
+            self.last_heard_at = Some(now);
+        }
+        true
+    }
+
+    /// Declares dead what was not heard for too long.
+    pub(crate) fn expire(&mut self, now: TimeMs, timeout: SpanMs) -> Vec<MemberChange> {
+        let mut silent = Vec::new();
+        for member in self.members.values() {
+            let is_up = matches!(member.record.state, MemberState::Alive | MemberState::Leaving);
+            if is_up && self.is_mine_to_judge(member) {
+                let since = member.heard_at.unwrap_or(member.state_since);
+                if now.since(since) > timeout {
+                    silent.push((member.record.vm.clone(), now.since(since)));
+                }
+            }
+        }
+        let mut lost_domains: BTreeSet<FailureDomain> = BTreeSet::new();
+        if self.am_relay() {
+            for domain in self.other_domains() {
+                let relays = self.relays_of(&domain);
+                let is_cut = !relays.is_empty()
+                    && relays.iter().all(|relay| {
+                        let heard = relay.heard_at.unwrap_or(relay.state_since);
+                        relay.record.state != MemberState::Dead && now.since(heard) > timeout
+                    });
+                if is_cut {
+                    lost_domains.insert(domain);
+                }
+            }
+        }
+        for member in self.members.values() {
+            let is_up = matches!(member.record.state, MemberState::Alive | MemberState::Leaving);
+            if is_up && lost_domains.contains(&member.record.failure_domain) {
+                let since = member.heard_at.unwrap_or(member.state_since);
+                silent.push((member.record.vm.clone(), now.since(since)));
+            }
+        }
+        silent.into_iter().filter_map(|(vm, unheard)| self.set_state(now, &vm, MemberState::Dead, unheard)).collect()
+    }
+
+    fn is_mine_to_judge(&self, member: &Member) -> bool {
+        member.record.failure_domain == self.me.failure_domain
+    }
+
+    fn set_state(&mut self, now: TimeMs, vm: &VmId, state: MemberState, unheard: SpanMs) -> Option<MemberChange> {
+        let member = self.members.get_mut(vm)?;
+        if member.record.state == state {
+            return None;
+        }
+        member.record.state = state;
+        member.state_since = now;
+        let record = member.record.clone();
+        self.note_change(vm);
+        change_of(&record, unheard)
+    }
+
+    fn note_change(&mut self, vm: &VmId) {
+        self.changed.insert(vm.clone());
+        self.view += 1;
+    }
+
+    fn refute(&mut self, record: &MemberRecord) {
+        let is_about_me = record.incarnation == self.me.incarnation;
+        if is_about_me && record.epoch >= self.me.epoch && record.state == MemberState::Dead {
+            self.me.epoch = record.epoch + 1;
+        }
+    }
+
+    /// Other failure domains.
+    pub(crate) fn other_domains(&self) -> BTreeSet<FailureDomain> {
+        self.members
+            .values()
+            .filter(|member| member.listed != Some(VmState::Gone))
+            .map(|member| member.record.failure_domain.clone())
+            .filter(|domain| *domain != self.me.failure_domain)
+            .collect()
+    }
+
+    /// Relays of another failure domain. Dead VMs stand in when none is alive, so that a domain
+    /// that comes back is found again.
+    pub(crate) fn relays_of(&self, domain: &FailureDomain) -> Vec<&Member> {
+        let rank = |member: &&Member| rendezvous_weight(domain.as_str(), member.record.vm.as_str());
+        let in_domain = |member: &&Member| {
+            member.record.failure_domain == *domain && member.listed != Some(VmState::Gone)
+        };
+        let mut up: Vec<_> = self
+            .members
+            .values()
+            .filter(in_domain)
+            .filter(|member| member.record.state != MemberState::Dead)
+            .collect();
+        if up.is_empty() {
+            up = self.members.values().filter(in_domain).collect();
+        }
+        up.sort_by_key(rank);
+        up.reverse();
+        up.truncate(RELAYS);
+        up
+    }
+
+    /// Whether this VM is a relay of its failure domain.
+    pub(crate) fn am_relay(&self) -> bool {
+        let domain = self.me.failure_domain.as_str();
+        let mine = rendezvous_weight(domain, self.me.vm.as_str());
+        let ahead = self.domain_peers().filter(|member| {
+            member.record.state != MemberState::Listed
+                && rendezvous_weight(domain, member.record.vm.as_str()) > mine
+        });
+        ahead.count() < RELAYS
+    }
+
+    /// Other VMs of this failure domain that are not dead.
+    pub(crate) fn domain_peers(&self) -> impl Iterator<Item = &Member> {
+        self.members.values().filter(|member| {
+            member.record.failure_domain == self.me.failure_domain
+                && member.record.state != MemberState::Dead
+                && member.listed != Some(VmState::Gone)
+        })
+    }
+
+    /// Relays of all other failure domains.
+    pub(crate) fn remote_relays(&self) -> Vec<&MemberRecord> {
+        let domains = self.other_domains();
+        domains.iter().flat_map(|domain| self.relays_of(domain)).map(|member| &member.record).collect()
+    }
+
+    /// Records for the next heartbeats: those that changed, and a few more in turn.
+    pub(crate) fn take_records(&mut self) -> Vec<MemberRecord> {
+        let mut names: Vec<VmId> = self.changed.iter().take(CHANGED_PER_HEARTBEAT).cloned().collect();
+        for name in &names {
+            self.changed.remove(name);
+        }
+        for _ in 0..RECORDS_PER_HEARTBEAT.min(self.members.len()) {
+            let next = self.next_in_turn();
+            if let Some(name) = next.filter(|name| !names.contains(name)) {
+                names.push(name);
+            }
+        }
+        let records = names.iter().filter_map(|name| self.members.get(name)).map(|member| member.record.clone());
+        records.filter(|record| record.state != MemberState::Listed).collect()
+    }
+
+    fn next_in_turn(&mut self) -> Option<VmId> {
+        use std::ops::Bound::{Excluded, Unbounded};
+        let after = match &self.cursor {
+            Some(cursor) => self.members.range((Excluded(cursor.clone()), Unbounded)).next(),
+            None => None,
+        };
+        let next = after.or_else(|| self.members.iter().next()).map(|(vm, _)| vm.clone());
+        self.cursor = next.clone();
+        next
+    }
+
+    /// How long nobody was heard, if there is somebody to hear.
+    pub(crate) fn unheard_for(&self, now: TimeMs, started_at: TimeMs) -> Option<SpanMs> {
+        let has_others = self.members.values().any(|member| member.listed != Some(VmState::Gone));
+        has_others.then(|| now.since(self.last_heard_at.unwrap_or(started_at)))
+    }
+
+    /// VMs that may still admit requests under lists before `version`.
+    ///
+    /// A VM that hears nobody stops admitting after `isolation`, so a VM that nobody hears need
+    /// not be waited for after that time; but several unheard VMs may hear each other and are
+    /// waited for until the VM list drops them.
+    pub(crate) fn behind(&self, now: TimeMs, version: ListVersion, isolation: SpanMs) -> Vec<VmId> {
+        let is_behind = |member: &&Member| member.record.lists < version && member.listed != Some(VmState::Gone);
+        let is_dead = |member: &&Member| member.record.state == MemberState::Dead;
+        let dead = self.members.values().filter(is_behind).filter(is_dead).count();
+        let is_excused = |member: &Member| {
+            member.record.state == MemberState::Listed
+                || (is_dead(&member) && dead == 1 && now.since(member.state_since) > isolation + EXCUSE_MARGIN)
+        };
+        let waiting = self.members.values().filter(is_behind).filter(|member| !is_excused(member));
+        waiting.map(|member| member.record.vm.clone()).collect()
+    }
+}
+
+fn change_of(record: &MemberRecord, unheard: SpanMs) -> Option<MemberChange> {
+    match record.state {
+        MemberState::Listed => None,
+        MemberState::Alive => Some(MemberChange::Alive(record.vm.clone())),
+        MemberState::Leaving => Some(MemberChange::Leaving(record.vm.clone())),
+        MemberState::Dead => Some(MemberChange::Dead(record.vm.clone(), unheard)),
+    }
+}
--- /dev/null
+++ b/crates/boragepass_core/src/node.rs
@@ -0,0 +1,386 @@
+//! The reducer: one function takes every event and gives the effects.
+//!
+//! It reads no clock, does no I/O and draws its random choices from a seed, so that a run repeats
+//! exactly. Each decision has its own module; this one only hands events to them.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use boragepass_types::{
+    AttemptId, CallId, EndpointId, OpId, Outcome, OutcomeKind, PipelineId, PoolId, Region, TimeMs, WorkspaceId,
+};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use crate::admission::KnownShare;
+use crate::claim_batch::ClaimBatch;
+use crate::claims::Claims;
+use crate::counter::Counter;
+use crate::drain::Drain;
+use crate::effect::{Effect, Effects};
+use crate::endpoints::EndpointTable;
+use crate::event::Event;
+use crate::explain::Tracer;
+use crate::finish::LateClaim;
+use crate::finished::Finished;
+use crate::gather::Gathers;
+use crate::latency::LatencyWindow;
+use crate::list_commit::Commits;
+use crate::lists::Lists;
+use crate::map::Map;
+use crate::membership::{MemberRecord, Membership};
+use crate::order::Orders;
+use crate::platform::{ObjectReply, TableReply, TableRequest};
+use crate::prefix_cache::PrefixCache;
+use crate::quarantine::Quarantine;
+use crate::queue::WaitQueue;
+use crate::request_table::{Attempt, RequestTable};
+use crate::resume::ProgressStore;
+use crate::retry::AttemptBudget;
+use crate::settings::NodeSettings;
+use crate::shares::Shares;
+use crate::timers::{Timer, Timers};
+use crate::usage::Usage;
+use crate::watch::Watch;
+
+/// What a table operation is for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum TableUse {
+    ClaimBatch,
+    ClaimRead(OpId),
+    HeadPoll,
+    ChangesRead,
+    ListCommit(OpId),
+    ListReadBack(OpId),
+    ListConflict(OpId),
+    LeaseRead,
+    LeaseWrite,
+}
+
+/// Observed times of one stage of one pipeline.
+#[derive(Debug)]
+pub(crate) struct StageLatency {
+    /// From the stage's start to its result.
+    pub(crate) whole: LatencyWindow,
+    /// From the dispatch to the first token, or to the result of a stage without a stream.
+    pub(crate) first: LatencyWindow,
+}
+
+/// All decisions of one VM.
+pub struct Node {
+    pub(crate) settings: NodeSettings,
+    pub(crate) rng: SmallRng,
+    pub(crate) started_at: Option<TimeMs>,
+    pub(crate) lists: Lists,
+    pub(crate) commits: Commits,
+    pub(crate) membership: Membership,
+    pub(crate) endpoints: EndpointTable,
+    pub(crate) prefixes: PrefixCache,
+    pub(crate) watch: Watch,
+    pub(crate) requests: RequestTable,
+    pub(crate) attempts: Map<AttemptId, Attempt>,
+    pub(crate) late_attempts: Map<AttemptId, Attempt>,
+    pub(crate) late_claims: Map<AttemptId, Option<LateClaim>>,
+    pub(crate) next_attempt: AttemptId,
+    pub(crate) queues: Map<PoolId, WaitQueue>,
+    pub(crate) pool_capacity: Map<PoolId, f32>,
+    pub(crate) latency: Vec<Vec<StageLatency>>,
+    pub(crate) shares: Shares,
+    pub(crate) share_cache: Map<WorkspaceId, KnownShare>,
+    pub(crate) retry_budget: AttemptBudget,
+    pub(crate) hedge_budget: AttemptBudget,
+    pub(crate) quarantine: Quarantine,
+    pub(crate) claims: Claims,
+    pub(crate) claim_batch: ClaimBatch,
+    pub(crate) orders: Orders,
+    pub(crate) tracer: Tracer,
+    pub(crate) usage: Usage,
+    pub(crate) finished: Finished,
+    pub(crate) progress: ProgressStore,
+    pub(crate) gathers: Gathers,
+    pub(crate) timers: Timers,
+    pub(crate) drain: Drain,
+    pub(crate) table_uses: Map<OpId, TableUse>,
+    pub(crate) next_op: OpId,
+    pub(crate) table_is_up: bool,
+    pub(crate) table_heard_at: Option<TimeMs>,
+    pub(crate) was_isolated: bool,
+    pub(crate) pending_records: Vec<MemberRecord>,
+    pub(crate) verdicts_asked_at: Option<TimeMs>,
+    pub(crate) address_turn: usize,
+}
+
+impl Node {
+    /// Node that has heard nothing yet.
+    pub fn new(settings: NodeSettings) -> Self {
+        let latency = settings.pipelines.iter().map(|pipeline| {
+            let stages = pipeline.stages.iter();
+            let windows = stages.map(|stage| StageLatency {
+                whole: LatencyWindow::new(stage.expected_ms),
+                first: LatencyWindow::new(stage.expected_ms),
+            });
+            windows.collect()
+        });
+        let limits = settings.limits.clone();
+        Self {
+            rng: SmallRng::seed_from_u64(settings.seed),
+            started_at: None,
+            lists: Lists::default(),
+            commits: Commits::default(),
+            membership: Membership::new(&settings),
+            endpoints: EndpointTable::default(),
+            prefixes: PrefixCache::default(),
+            watch: Watch::default(),
+            requests: RequestTable::default(),
+            attempts: Map::default(),
+            late_attempts: Map::default(),
+            late_claims: Map::default(),
+            next_attempt: AttemptId(1),
+            queues: Map::default(),
+            pool_capacity: Map::default(),
+            latency: latency.collect(),
+            shares: Shares::default(),
+            share_cache: Map::default(),
+            retry_budget: AttemptBudget::new(limits.retry_budget_percent),
+            hedge_budget: AttemptBudget::new(limits.hedge_budget_percent),
+            quarantine: Quarantine::default(),
+            claims: Claims::new(settings.vm.clone(), settings.incarnation),
+            claim_batch: ClaimBatch::default(),
+            orders: Orders::default(),
+            tracer: Tracer::new(settings.vm.clone(), limits.finished_max),
+            usage: Usage::default(),
+            finished: Finished::default(),
+            progress: ProgressStore::default(),
+            gathers: Gathers::default(),
+            timers: Timers::default(),
+            drain: Drain::default(),
+            table_uses: Map::default(),
+            next_op: OpId(1),
+            table_is_up: true,
+            table_heard_at: None,
+            was_isolated: false,
+            pending_records: Vec::new(),
+            verdicts_asked_at: None,
+            address_turn: 0,
+            settings,
+        }
+    }
+
+    /// Takes an event and gives the effects, in order.
+    pub fn handle(&mut self, now: TimeMs, event: Event) -> Vec<Effect> {
+        let mut out = Effects::default();
+        self.start_once(now, &mut out);
+        while let Some(timer) = self.timers.pop_due(now) {
+            self.fire(now, timer, &mut out);
+        }
+        self.take(now, event, &mut out);
+        self.finish_drain(now, &mut out);
+        out.into_vec()
+    }
+
+    /// When the next timer is due.
+    pub fn next_wake(&self) -> Option<TimeMs> {
+        self.timers.next_at()
+    }
+
+    /// Number of requests in progress.
+    pub fn in_progress(&self) -> usize {
+        self.requests.len()
+    }
+
+    fn take(&mut self, now: TimeMs, event: Event, out: &mut Effects) {
+        match event {
+            Event::Submit { call, key, request } => self.submit(now, call, &key, request, out),
+            Event::CallerGone { call } => self.on_caller_gone(now, call, out),
+            Event::Addresses { call, workspace, region } => self.answer_addresses(call, &workspace, region, out),
+            Event::Operator { call, command } => self.on_operator(now, call, command, out),
+            Event::Stage { attempt, echo, reply } => self.on_stage_reply(now, attempt, echo, reply, out),
+            Event::Expired { attempt } => self.on_expired(now, attempt, out),
+            Event::Table { op, reply } => self.on_table(now, op, reply, out),
+            Event::Object { op: _, reply } => self.on_object(now, reply, out),
+            Event::Peer { from, incarnation, message } => self.on_peer(now, from, incarnation, message, out),
+            Event::VmList(reply) => self.on_vm_list(now, reply, out),
+            Event::Load { endpoint, report } => self.on_load(now, &endpoint, report, out),
+            Event::Order { op, reply } => self.on_order_reply(now, op, reply, out),
+            Event::Terminate => self.on_terminate(now, out),
+            Event::Tick => {}
+        }
+    }
+
+    fn fire(&mut self, now: TimeMs, timer: Timer, out: &mut Effects) {
+        match timer {
+            Timer::Deadline(key) => self.on_deadline(now, key, out),
+            Timer::AttemptSlow(attempt) => self.on_attempt_slow(now, attempt, out),
+            Timer::LateResultForgotten(attempt) => self.forget_late(now, attempt, out),
+            Timer::ClaimTimeout(key) => self.on_claim_timeout(now, key, out),
+            Timer::ClaimFlush => self.flush_claims(now, out),
+            Timer::ClaimCleanup => self.clean_up_claims(now, out),
+            Timer::Heartbeat => self.on_heartbeat_timer(now, out),
+            Timer::RelayHeartbeat => self.on_relay_timer(now, out),
+            Timer::LoadPoll => self.on_load_poll_timer(now, out),
+            Timer::PlatformPoll => self.on_platform_poll_timer(now, out),
+            Timer::OrderRound => self.on_order_timer(now, out),
+            Timer::ListCommit(op) => self.on_commit_timer(now, op, out),
+            Timer::GatherEnd(op) => self.end_gather(op, out),
+            Timer::Sweep => self.on_sweep_timer(now, out),
+            Timer::DrainIdle => {}
+            Timer::DrainEnd => out.push(Effect::Exit),
+        }
+    }
+
+    fn start_once(&mut self, now: TimeMs, out: &mut Effects) {
+        if self.started_at.is_some() {
+            return;
+        }
+        self.started_at = Some(now);
+        self.usage.start(now);
+        let periodic = [
+            Timer::Heartbeat,
+            Timer::RelayHeartbeat,
+            Timer::LoadPoll,
+            Timer::PlatformPoll,
+            Timer::OrderRound,
+            Timer::Sweep,
+            Timer::ClaimCleanup,
+        ];
+        for timer in periodic {
+            self.timers.set(now, timer);
+        }
+        let op = self.new_op();
+        out.push(Effect::Object { op, request: crate::platform::ObjectRequest::GetSnapshot });
+    }
+
+    fn on_sweep_timer(&mut self, now: TimeMs, out: &mut Effects) {
+        self.timers.set(now + crate::watch::SWEEP_INTERVAL, Timer::Sweep);
+        self.quarantine.sweep(now);
+        self.shares.sweep(now);
+        self.finished.sweep(now, self.settings.limits.finished_ms);
+        self.progress.sweep(now);
+        self.sweep_endpoints(now, out);
+        self.note_isolation(now, out);
+        self.check_ready(now, out);
+        self.check_commits(now, out);
+    }
+
+    fn on_object(&mut self, now: TimeMs, reply: ObjectReply, out: &mut Effects) {
+        if let ObjectReply::Snapshot(Some(snapshot)) = reply {
+            self.load_snapshot(now, &snapshot, out);
+        }
+    }
+
+    fn on_table(&mut self, now: TimeMs, op: OpId, reply: TableReply, out: &mut Effects) {
+        self.note_table_state(now, &reply, out);
+        let Some(table_use) = self.table_uses.remove(&op) else {
+            return;
+        };
+        match table_use {
+            TableUse::ClaimBatch => self.on_claim_batch(now, op, reply, out),
+            TableUse::ClaimRead(job) => self.on_claim_read(now, job, reply, out),
+            TableUse::HeadPoll => self.on_head(now, reply, out),
+            TableUse::ChangesRead => self.on_changes_read(now, reply, out),
+            TableUse::ListCommit(commit) => self.on_commit_reply(now, commit, reply, out),
+            TableUse::ListReadBack(commit) => self.on_commit_read_back(now, commit, reply, out),
+            TableUse::ListConflict(commit) => self.on_commit_conflict_read(now, commit, reply, out),
+            TableUse::LeaseRead => self.on_lease_read(now, reply, out),
+            TableUse::LeaseWrite => self.on_lease_written(now, reply, out),
+        }
+    }
+
+    fn note_table_state(&mut self, now: TimeMs, reply: &TableReply, out: &mut Effects) {
+        let is_up = !matches!(reply, TableReply::Unavailable | TableReply::Lost);
+        if is_up {
+            self.table_heard_at = Some(now);
+        } else {
+            out.count(Counter::TableFailed);
+        }
+        if is_up != self.table_is_up {
+            self.table_is_up = is_up;
+            let change = if is_up {
+                crate::state_change::StateChange::TableUp
+            } else {
+                crate::state_change::StateChange::TableDown
+            };
+            out.log(change);
+        }
+    }
+
+    /// Sends a request to the table service.
+    pub(crate) fn ask_table(&mut self, request: TableRequest, table_use: TableUse, out: &mut Effects) -> OpId {
+        let op = self.new_op();
+        self.table_uses.insert(op, table_use);
+        out.count(Counter::TableRequest);
+        out.push(Effect::Table { op, request });
+        op
+    }
+
+    /// Next operation number.
+    pub(crate) fn new_op(&mut self) -> OpId {
+        let op = self.next_op;
+        self.next_op = op.next();
+        op
+    }
+
+    /// Index of a pipeline in the settings.
+    pub(crate) fn pipeline_index(&self, id: &PipelineId) -> Option<usize> {
+        self.settings.pipelines.iter().position(|pipeline| pipeline.id == *id)
+    }
+
+    /// Answers a call that is not in the books of a request.
+    pub(crate) fn reply_unrecorded(&mut self, call: CallId, outcome: Outcome, out: &mut Effects) {
+        out.count(counter_of(outcome.kind()));
+        let elsewhere = if self.is_draining() { self.other_addresses() } else { Vec::new() };
+        out.push(Effect::Reply { call, outcome, elsewhere });
+    }
+
+    fn other_addresses(&self) -> Vec<SocketAddr> {
+        let mine = &self.settings.region;
+        let mut others: Vec<_> = self
+            .membership
+            .serving()
+            .filter(|record| record.vm != self.settings.vm)
+            .map(|record| (record.region != *mine, record.caller_address))
+            .collect();
+        others.sort();
+        others.truncate(3);
+        others.into_iter().map(|(_, address)| address).collect()
+    }
+
+    fn answer_addresses(&mut self, call: CallId, workspace: &WorkspaceId, region: Option<Region>, out: &mut Effects) {
+        let plan = self.lists.plan(workspace);
+        let count = plan.map_or(1, |plan| plan.entry_vms);
+        let allowed = self.lists.allowlist(workspace).map(|list| &list.regions);
+        let region = region.unwrap_or_else(|| self.settings.region.clone());
+        self.address_turn = self.address_turn.wrapping_add(1);
+        let valid_ms = self.settings.limits.address_valid_ms;
+        let answer = crate::address::answer(
+            &self.membership,
+            workspace,
+            allowed,
+            &region,
+            count,
+            self.address_turn,
+            valid_ms,
+        );
+        out.push(Effect::AddressAnswer { call, answer });
+    }
+
+    /// Address of an endpoint, for tests and benches.
+    pub fn endpoint_address(&self, id: &EndpointId) -> Option<SocketAddr> {
+        self.endpoints.find(id).map(|idx| self.endpoints.get(idx).address)
+    }
+
+    /// Pipelines this node serves.
+    pub fn pipelines(&self) -> &[Arc<boragepass_types::Pipeline>] {
+        &self.settings.pipelines
+    }
+}
+
+/// Counter of an outcome.
+pub(crate) fn counter_of(kind: OutcomeKind) -> Counter {
+    match kind {
+        OutcomeKind::Answered => Counter::Answered,
+        OutcomeKind::NotRun => Counter::NotRun,
+        OutcomeKind::Failed => Counter::Failed,
+        OutcomeKind::Unknown => Counter::Unknown,
+    }
+}
--- /dev/null
+++ b/crates/boragepass_core/src/operator_flow.rs
@@ -0,0 +1,68 @@
+//! Operators' commands.
+
+use boragepass_types::{CallId, TimeMs};
+
+use crate::effect::Effects;
+use crate::message::Question;
+use crate::node::Node;
+use crate::operator::{EndpointStatus, OperatorCommand, OperatorReply, Status, VmStatus};
+use crate::platform::VmState;
+
+impl Node {
+    /// Carries out a command.
+    pub(crate) fn on_operator(&mut self, now: TimeMs, call: CallId, command: OperatorCommand, out: &mut Effects) {
+        let version = self.lists.version().unwrap_or_default();
+        let reply = match command {
+            OperatorCommand::Commit { expect, edit } => return self.commit(now, call, expect, edit, out),
+            OperatorCommand::Explain(request) => return self.explain(now, call, request, out),
+            OperatorCommand::Usage => return self.gather(now, call, Question::Usage, out),
+            OperatorCommand::Plans => OperatorReply::Plans(version, self.lists.plans().cloned().collect()),
+            OperatorCommand::Plan(workspace) => {
+                OperatorReply::Plans(version, self.lists.plan(&workspace).cloned().into_iter().collect())
+            }
+            OperatorCommand::Allowlists => {
+                OperatorReply::Allowlists(version, self.lists.allowlists().cloned().collect())
+            }
+            OperatorCommand::Allowlist(workspace) => {
+                OperatorReply::Allowlists(version, self.lists.allowlist(&workspace).cloned().into_iter().collect())
+            }
+            OperatorCommand::Status => OperatorReply::Status(Box::new(self.status(now))),
+            OperatorCommand::Quarantine => OperatorReply::Quarantine(self.quarantine.entries(now)),
+            OperatorCommand::QuarantineClear(digest) => OperatorReply::Cleared(self.quarantine.clear(digest)),
+        };
+        self.reply_operator(call, reply, out);
+    }
+
+    fn status(&self, now: TimeMs) -> Status {
+        let me = &self.membership.me;
+        let others = self.membership.members().map(|member| &member.record);
+        let vms = std::iter::once(me).chain(others).map(|record| VmStatus {
+            vm: record.vm.clone(),
+            region: record.region.clone(),
+            state: record.state,
+            lists: if record.vm == me.vm { self.lists.version().unwrap_or_default() } else { record.lists },
+        });
+        let endpoints = self.endpoints.iter().filter(|(_, endpoint)| endpoint.state != VmState::Gone);
+        let endpoints = endpoints.map(|(_, endpoint)| EndpointStatus {
+            endpoint: endpoint.id.clone(),
+            region: endpoint.region.clone(),
+            is_open: endpoint.is_open(),
+            is_ejected: endpoint.health.is_ejected(now),
+            in_flight: endpoint.in_flight,
+            reported: endpoint.load.running + endpoint.load.queued,
+            age_ms: endpoint.heard_at.map(|at| now.since(at)),
+        });
+        let highest = self.lists.highest_shown;
+        Status {
+            vm: me.vm.clone(),
+            lists: self.lists.version(),
+            highest,
+            admits: self.is_ready() && !self.is_isolated(now) && !self.is_draining(),
+            table_is_up: self.table_is_up,
+            in_progress: self.requests.len(),
+            vms: vms.collect(),
+            endpoints: endpoints.collect(),
+            waiting_for: self.waiting_for(now, highest),
+        }
+    }
+}
--- /dev/null
+++ b/crates/boragepass_core/src/order.rs
@@ -0,0 +1,412 @@
+//! Orders to engines: which models each is to hold.
+//!
+//! One VM of a region holds a lease with a fencing number, kept in the table service. A holder
+//! counts its lease from before the write that took it; a successor waits, from when it first saw
+//! the row, for the lease, the longest time an order may travel and a margin. An order is a desired
+//! state. Engines that do not check the number may still take a stale order; it is undone because
+//! what an engine reports is compared with what is desired.
+
+use std::collections::BTreeMap;
+
+use boragepass_types::{AdapterId, FenceNumber, ModelId, OpId, PoolId, RowVersion, SpanMs, TimeMs, rendezvous_weight};
+
+use crate::counter::Counter;
+use crate::effect::{Effect, Effects};
+use crate::endpoints::EndpointIdx;
+use crate::lease_row::LeaseRow;
+use crate::map::Map;
+use crate::node::{Node, TableUse};
+use crate::platform::{Expect, Order, OrderReply, Row, RowKey, RowValue, RowWrite, TableReply, TableRequest, WriteId};
+use crate::state_change::StateChange;
+use crate::timers::Timer;
+
+const ROUND: SpanMs = SpanMs(1_000);
+const MARGIN: SpanMs = SpanMs(1_000);
+const RENEW_DIVISOR: u64 = 3;
+const RESEND_AFTER: SpanMs = SpanMs(5_000);
+const BUSY_LOAD: f32 = 0.8;
+const IDLE_LOAD: f32 = 0.4;
+
+/// Lease as this VM sees it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum Lease {
+    /// Not read yet, or no concern of this VM.
+    Unknown,
+    /// Held by another VM, or by an earlier process here; unchanged since `since`.
+    Observed { row: LeaseRow, version: RowVersion, since: TimeMs },
+    /// Held here.
+    Held { fence: FenceNumber, version: RowVersion, renewal: u64, until: TimeMs, renewed_at: TimeMs },
+}
+
+/// Write of the lease under way.
+#[derive(Debug, Clone)]
+struct LeaseWrite {
+    id: WriteId,
+    row: LeaseRow,
+    started_at: TimeMs,
+}
+
+/// What an engine is to hold.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Desired {
+    models: Vec<ModelId>,
+    adapters: Vec<AdapterId>,
+    sent_at: Option<TimeMs>,
+}
+
+/// Orders of this VM.
+#[derive(Debug)]
+pub(crate) struct Orders {
+    lease: Lease,
+    write: Option<LeaseWrite>,
+    /// Write whose reply was lost; it may have taken effect.
+    lost_write: Option<LeaseWrite>,
+    desired: Map<EndpointIdx, Desired>,
+    /// Since when a model has had too few engines.
+    short_since: BTreeMap<(PoolId, ModelId), TimeMs>,
+    sent: Map<OpId, EndpointIdx>,
+}
+
+impl Default for Orders {
+    fn default() -> Self {
+        Self {
+            lease: Lease::Unknown,
+            write: None,
+            lost_write: None,
+            desired: Map::default(),
+            short_since: BTreeMap::new(),
+            sent: Map::default(),
+        }
+    }
+}
+
+impl Node {
+    /// Keeps the lease and sends orders.
+    pub(crate) fn on_order_timer(&mut self, now: TimeMs, out: &mut Effects) {
+        self.timers.set(now + ROUND, Timer::OrderRound);
+        self.drop_lapsed_lease(now, out);
+        if !self.is_order_candidate() || !self.has_engines() {
+            return;
+        }
+        self.keep_lease(now, out);
+        self.plan_orders(now);
+        self.send_orders(now, out);
+    }
+
+    /// The first VM of the region by rendezvous hash; only a hint, the lease decides.
+    fn is_order_candidate(&self) -> bool {
+        let region = &self.settings.region;
+        let weight = |vm: &boragepass_types::VmId| rendezvous_weight(region.as_str(), vm.as_str());
+        let serving = self.membership.serving().filter(|record| record.region == *region);
+        let first = serving.map(|record| &record.vm).max_by_key(|vm| weight(vm));
+        first == Some(&self.settings.vm)
+    }
+
+    fn has_engines(&self) -> bool {
+        let is_engine_stage = |stage: &boragepass_types::Stage| stage.model.is_some();
+        self.settings.pipelines.iter().any(|pipeline| pipeline.stages.iter().any(is_engine_stage))
+    }
+
+    fn drop_lapsed_lease(&mut self, now: TimeMs, out: &mut Effects) {
+        if matches!(self.orders.lease, Lease::Held { until, .. } if until <= now) {
+            self.orders.lease = Lease::Unknown;
+            self.orders.desired.clear();
+            out.count(Counter::LeaseLapsed);
+            out.log(StateChange::LeaseLapsed { region: self.settings.region.clone() });
+        }
+    }
+
+    fn lease_key(&self) -> RowKey {
+        RowKey::Lease(self.settings.region.clone())
+    }
+
+    fn keep_lease(&mut self, now: TimeMs, out: &mut Effects) {
+        if self.orders.write.is_some() {
+            return;
+        }
+        let lease_ms = self.settings.limits.lease_ms;
+        match self.orders.lease.clone() {
+            Lease::Held { fence, version, renewal, renewed_at, .. } => {
+                let is_due = now.since(renewed_at).0 * RENEW_DIVISOR >= lease_ms.0;
+                if is_due {
+                    self.write_lease(now, Expect::Version(version), fence, renewal + 1, out);
+                }
+            }
+            Lease::Observed { row, version, since } => {
+                let wait = lease_ms + self.settings.limits.order_time_max_ms + MARGIN;
+                if now.since(since) >= wait {
+                    self.write_lease(now, Expect::Version(version), row.fence.next(), 0, out);
+                } else {
+                    self.ask_table(TableRequest::Read(vec![self.lease_key()]), TableUse::LeaseRead, out);
+                }
+            }
+            Lease::Unknown => {
+                self.ask_table(TableRequest::Read(vec![self.lease_key()]), TableUse::LeaseRead, out);
+            }
+        }
+    }
+
+    fn write_lease(&mut self, now: TimeMs, expect: Expect, fence: FenceNumber, renewal: u64, out: &mut Effects) {
+        let op = self.new_op();
+        let id = WriteId { vm: self.settings.vm.clone(), incarnation: self.settings.incarnation, op };
+        let row = LeaseRow {
+            holder: self.settings.vm.clone(),
+            incarnation: self.settings.incarnation,
+            fence,
+            renewal,
+        };
+        self.orders.write = Some(LeaseWrite { id: id.clone(), row: row.clone(), started_at: now });
+        let write = RowWrite { key: self.lease_key(), expect, id, value: RowValue::Lease(row) };
+        self.ask_table(TableRequest::Commit(vec![write]), TableUse::LeaseWrite, out);
+    }
+
+    /// Takes over the lease's row.
+    pub(crate) fn on_lease_read(&mut self, now: TimeMs, reply: TableReply, out: &mut Effects) {
+        let TableReply::Rows(rows) = reply else {
+            return;
+        };
+        match rows.into_iter().next().flatten() {
+            Some(row) => self.observe_lease(now, row, out),
+            None if self.orders.write.is_none() => {
+                self.write_lease(now, Expect::Absent, FenceNumber(1), 0, out);
+            }
+            None => {}
+        }
+    }
+
+    fn observe_lease(&mut self, now: TimeMs, row: Row, out: &mut Effects) {
+        let RowValue::Lease(lease) = row.value else {
+            return;
+        };
+        if let Some(write) = self.orders.lost_write.clone().filter(|write| write.id == row.op) {
+            // The write took effect although its reply was lost.
+            self.orders.lost_write = None;
+            self.take_lease(&write, row.version, out);
+            return;
+        }
+        let known = match &self.orders.lease {
+            Lease::Observed { version, since, .. } if *version == row.version => Some(*since),
+            Lease::Held { version, .. } if *version == row.version => return,
+            _ => None,
+        };
+        self.orders.lease = Lease::Observed { row: lease, version: row.version, since: known.unwrap_or(now) };
+    }
+
+    /// Takes over the fate of a write of the lease.
+    pub(crate) fn on_lease_written(&mut self, now: TimeMs, reply: TableReply, out: &mut Effects) {
+        let Some(write) = self.orders.write.clone() else {
+            return;
+        };
+        match reply {
+            TableReply::Committed(versions) => {
+                self.orders.write = None;
+                let version = versions.first().copied().unwrap_or_default();
+                self.take_lease(&write, version, out);
+            }
+            TableReply::Conflict(rows) => {
+                let row = rows.into_iter().next().and_then(|(_, row)| row);
+                match row {
+                    Some(row) => self.observe_lease(now, row, out),
+                    None => self.orders.lease = Lease::Unknown,
+                }
+                self.orders.write = None;
+            }
+            TableReply::Unavailable | TableReply::Rows(_) => self.orders.write = None,
+            TableReply::Lost => {
+                self.ask_table(TableRequest::Read(vec![self.lease_key()]), TableUse::LeaseRead, out);
+                self.orders.write = None;
+                self.orders.lost_write = Some(write);
+            }
+        }
+    }
+
+    fn take_lease(&mut self, write: &LeaseWrite, version: RowVersion, out: &mut Effects) {
+        let is_new = !matches!(self.orders.lease, Lease::Held { fence, .. } if fence == write.row.fence);
+        self.orders.lease = Lease::Held {
+            fence: write.row.fence,
+            version,
+            renewal: write.row.renewal,
+            until: write.started_at + self.settings.limits.lease_ms,
+            renewed_at: write.started_at,
+        };
+        if is_new {
+            out.count(Counter::LeaseTaken);
+            out.log(StateChange::LeaseHeld { region: self.settings.region.clone(), fence: write.row.fence });
+        }
+    }
+
+    /// Works out what engines are to hold, when it has been clear for long enough.
+    fn plan_orders(&mut self, now: TimeMs) {
+        if !matches!(self.orders.lease, Lease::Held { .. }) {
+            return;
+        }
+        for (pool, needs) in self.needed_models() {
+            let engines = self.engines_of(&pool);
+            if engines.is_empty() || engines.iter().any(|idx| self.endpoints.get(*idx).heard_at.is_none()) {
+                continue;
+            }
+            for (model, adapters) in &needs {
+                self.plan_model(now, &pool, model, adapters, &needs, &engines);
+            }
+        }
+    }
+
+    /// Models with their adapters that some allowlist permits in this region, by pool.
+    fn needed_models(&self) -> BTreeMap<PoolId, BTreeMap<ModelId, Vec<AdapterId>>> {
+        let mut needed: BTreeMap<PoolId, BTreeMap<ModelId, Vec<AdapterId>>> = BTreeMap::new();
+        let allowlists: Vec<_> = self.lists.allowlists().filter(|list| list.regions.contains(&self.settings.region)).collect();
+        for stage in self.settings.pipelines.iter().flat_map(|pipeline| &pipeline.stages) {
+            let Some(model) = &stage.model else {
+                continue;
+            };
+            let is_allowed = allowlists.iter().any(|list| list.models.contains(model) && list.stages.contains(&stage.id));
+            if !is_allowed {
+                continue;
+            }
+            let adapters = needed.entry(stage.pool.clone()).or_default().entry(model.clone()).or_default();
+            let adapter = stage.adapter.as_ref().filter(|adapter| !adapters.contains(adapter));
+            adapters.extend(adapter.cloned());
+        }
+        needed
+    }
+
+    fn engines_of(&self, pool: &PoolId) -> Vec<EndpointIdx> {
+        let all = self.endpoints.in_pool(pool, &self.settings.region);
+        all.iter().copied().filter(|idx| self.endpoints.get(*idx).is_open()).collect()
+    }
+
+    fn desired_models(&self, idx: EndpointIdx) -> &[ModelId] {
+        match self.orders.desired.get(&idx) {
+            Some(desired) => &desired.models,
+            None => &self.endpoints.get(idx).models,
+        }
+    }
+
+    fn plan_model(
+        &mut self,
+        now: TimeMs,
+        pool: &PoolId,
+        model: &ModelId,
+        adapters: &[AdapterId],
+        needs: &BTreeMap<ModelId, Vec<AdapterId>>,
+        engines: &[EndpointIdx],
+    ) {
+        let holders: Vec<_> = engines.iter().copied().filter(|idx| self.desired_models(*idx).contains(model)).collect();
+        let key = (pool.clone(), model.clone());
+        let is_short = holders.is_empty() || self.mean_load(&holders) > BUSY_LOAD;
+        if !is_short {
+            self.orders.short_since.remove(&key);
+            return;
+        }
+        let since = *self.orders.short_since.entry(key.clone()).or_insert(now);
+        let has_lasted = holders.is_empty() || now.since(since) >= self.settings.limits.order_hysteresis_ms;
+        let is_room = self.orders_in_progress() < self.settings.limits.orders_in_progress_max;
+        if !has_lasted || !is_room {
+            return;
+        }
+        let Some(engine) = self.engine_to_change(model, needs, engines, holders.is_empty()) else {
+            return;
+        };
+        self.orders.short_since.remove(&key);
+        let desired = Desired { models: vec![model.clone()], adapters: adapters.to_vec(), sent_at: None };
+        self.orders.desired.insert(engine, desired);
+    }
+
+    /// Engine that can be spared: idle, and not the last holder of anything that is needed.
+    fn engine_to_change(
+        &self,
+        model: &ModelId,
+        needs: &BTreeMap<ModelId, Vec<AdapterId>>,
+        engines: &[EndpointIdx],
+        is_urgent: bool,
+    ) -> Option<EndpointIdx> {
+        let can_spare = |idx: &EndpointIdx| {
+            let models = self.desired_models(*idx);
+            let is_last = |held: &ModelId| {
+                needs.contains_key(held)
+                    && engines.iter().filter(|other| self.desired_models(**other).contains(held)).count() <= 1
+            };
+            !models.contains(model) && !models.iter().any(is_last)
+        };
+        let load = |idx: &EndpointIdx| self.mean_load(&[*idx]);
+        let spare = engines.iter().copied().filter(can_spare).min_by(|a, b| load(a).total_cmp(&load(b)))?;
+        (is_urgent || load(&spare) < IDLE_LOAD).then_some(spare)
+    }
+
+    fn mean_load(&self, engines: &[EndpointIdx]) -> f32 {
+        let loads = engines.iter().map(|idx| {
+            let load = &self.endpoints.get(*idx).load;
+            (load.running + load.queued) as f32 / load.slots.max(1) as f32
+        });
+        loads.sum::<f32>() / engines.len().max(1) as f32
+    }
+
+    fn orders_in_progress(&self) -> usize {
+        self.orders.desired.iter().filter(|(idx, desired)| !self.is_reached(**idx, desired)).count()
+    }
+
+    fn is_reached(&self, idx: EndpointIdx, desired: &Desired) -> bool {
+        let endpoint = self.endpoints.get(idx);
+        same_set(&endpoint.models, &desired.models) && desired.adapters.iter().all(|adapter| endpoint.adapters.contains(adapter))
+    }
+
+    /// Sends orders to engines that do not report what they are to hold.
+    fn send_orders(&mut self, now: TimeMs, out: &mut Effects) {
+        let Lease::Held { fence, until, .. } = self.orders.lease else {
+            return;
+        };
+        let mut due: Vec<_> = self
+            .orders
+            .desired
+            .iter()
+            .filter(|(idx, desired)| {
+                !self.is_reached(**idx, desired) && desired.sent_at.is_none_or(|at| now.since(at) > RESEND_AFTER)
+            })
+            .map(|(idx, _)| *idx)
+            .collect();
+        due.sort();
+        for idx in due {
+            let op = self.new_op();
+            let endpoint = self.endpoints.get(idx);
+            let Some(desired) = self.orders.desired.get_mut(&idx) else {
+                continue;
+            };
+            desired.sent_at = Some(now);
+            let order = Order {
+                endpoint: endpoint.id.clone(),
+                fence,
+                models: desired.models.clone(),
+                adapters: desired.adapters.clone(),
+            };
+            let not_after = until.min(now + self.settings.limits.order_time_max_ms);
+            out.count(Counter::OrderSent);
+            out.push(Effect::Order { op, not_after, address: endpoint.address, order });
+            self.orders.sent.insert(op, idx);
+        }
+    }
+
+    /// Takes over an engine's reply to an order.
+    pub(crate) fn on_order_reply(&mut self, _now: TimeMs, op: OpId, reply: OrderReply, out: &mut Effects) {
+        let Some(idx) = self.orders.sent.remove(&op) else {
+            return;
+        };
+        match reply {
+            OrderReply::Taken | OrderReply::Lost => {}
+            OrderReply::Expired => {
+                if let Some(desired) = self.orders.desired.get_mut(&idx) {
+                    desired.sent_at = None;
+                }
+            }
+            OrderReply::Fenced => {
+                // Somebody holds a later number: this VM's lease is gone, whatever it believed.
+                out.count(Counter::OrderFenced);
+                self.orders.lease = Lease::Unknown;
+                self.orders.desired.clear();
+            }
+        }
+    }
+}
+
+fn same_set(a: &[ModelId], b: &[ModelId]) -> bool {
+    a.len() == b.len() && a.iter().all(|model| b.contains(model))
+}
--- /dev/null
+++ b/crates/boragepass_core/src/quarantine.rs
@@ -0,0 +1,239 @@
+//! Content that crashes the endpoints it runs on.
+//!
+//! What repeats is the content, not the request id, so verdicts go by digest. After the first loss
+//! the content is tested alone on one more endpoint while other VMs refuse it; a second loss puts
+//! it in quarantine everywhere. A test that comes to no end is taken over by whoever is asked next. Everything that ran on an endpoint when it was lost is a suspect,
+//! but only the one that is tested alone can be found guilty. An endpoint that is lost with many
+//! different contents in a short time is itself at fault, and what ran on it is not suspected.
+
+use boragepass_types::{ContentDigest, Hash64, SpanMs, TimeMs, WorkspaceId};
+
+use crate::endpoints::EndpointIdx;
+use crate::map::Map;
+use crate::message::{Verdict, VerdictKind};
+
+const ENDPOINT_FAULT_WINDOW: SpanMs = SpanMs(30_000);
+const ENDPOINT_FAULT_LOSSES: usize = 3;
+const LOSS_GROUP: SpanMs = SpanMs(200);
+const CASES_MAX: usize = 20_000;
+const HASH_MARGIN: SpanMs = SpanMs(5_000);
+
+/// Whether content may run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Clearance {
+    /// As any other.
+    Free,
+    /// Alone on an endpoint, as a test.
+    Alone,
+    /// Not here; another VM tests it.
+    TestedElsewhere(SpanMs),
+    /// Nowhere.
+    Quarantined(SpanMs),
+}
+
+/// What this VM knows of one content.
+#[derive(Debug, Clone)]
+struct Case {
+    workspace: WorkspaceId,
+    lost: Vec<EndpointIdx>,
+    lost_elsewhere: usize,
+    kind: CaseKind,
+    /// While another VM tests it.
+    tested_until: TimeMs,
+    /// When all of it is forgotten.
+    until: TimeMs,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum CaseKind {
+    TestedHere,
+    TestedElsewhere,
+    Quarantined,
+}
+
+/// Content in quarantine as operators see it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct QuarantineEntry {
+    /// The content.
+    pub digest: ContentDigest,
+    /// Workspace that sent it.
+    pub workspace: WorkspaceId,
+    /// Time until it is let go.
+    pub left_ms: SpanMs,
+}
+
+/// Consequence of a lost attempt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum LossVerdict {
+    /// First loss: test alone.
+    Test,
+    /// Second loss: quarantine.
+    Quarantine,
+    /// The endpoint is at fault.
+    EndpointFault,
+}
+
+/// Verdicts on contents.
+#[derive(Debug, Default)]
+pub(crate) struct Quarantine {
+    cases: Map<ContentDigest, Case>,
+    recent_losses: Map<EndpointIdx, Vec<TimeMs>>,
+}
+
+impl Quarantine {
+    /// Whether content may run.
+    pub(crate) fn clearance(&self, now: TimeMs, digest: ContentDigest) -> Clearance {
+        let Some(case) = self.cases.get(&digest).filter(|case| case.until > now) else {
+            return Clearance::Free;
+        };
+        match case.kind {
+            CaseKind::TestedElsewhere if case.tested_until > now => {
+                Clearance::TestedElsewhere(case.tested_until.since(now))
+            }
+            CaseKind::TestedHere | CaseKind::TestedElsewhere => Clearance::Alone,
+            CaseKind::Quarantined => Clearance::Quarantined(case.until.since(now)),
+        }
+    }
+
+    /// Judges the loss of an attempt. `was_alone` says that the attempt was a test.
+    pub(crate) fn on_loss(
+        &mut self,
+        now: TimeMs,
+        digest: ContentDigest,
+        workspace: &WorkspaceId,
+        endpoint: EndpointIdx,
+        was_alone: bool,
+        spans: VerdictSpans,
+    ) -> LossVerdict {
+        if self.is_endpoint_fault(now, endpoint) && !was_alone {
+            return LossVerdict::EndpointFault;
+        }
+        let case = self.cases.entry(digest).or_insert_with(|| Case {
+            workspace: workspace.clone(),
+            lost: Vec::new(),
+            lost_elsewhere: 0,
+            kind: CaseKind::TestedHere,
+            tested_until: now,
+            until: now + spans.quarantine,
+        });
+        if !case.lost.contains(&endpoint) {
+            case.lost.push(endpoint);
+        }
+        if case.kind == CaseKind::Quarantined {
+            return LossVerdict::Quarantine;
+        }
+        if case.lost.len() + case.lost_elsewhere > 1 {
+            case.kind = CaseKind::Quarantined;
+            case.until = now + spans.quarantine;
+            return LossVerdict::Quarantine;
+        }
+        case.kind = CaseKind::TestedHere;
+        case.until = now + spans.quarantine;
+        LossVerdict::Test
+    }
+
+    /// Clears content that ran to its end; says whether it was a suspect.
+    pub(crate) fn on_success(&mut self, digest: ContentDigest) -> bool {
+        let is_tested = self.cases.get(&digest).is_some_and(|case| case.kind != CaseKind::Quarantined);
+        if is_tested {
+            self.cases.remove(&digest);
+        }
+        is_tested
+    }
+
+    /// Takes over another VM's verdict; says whether it was news.
+    pub(crate) fn apply(&mut self, now: TimeMs, verdict: &Verdict, spans: VerdictSpans) -> bool {
+        let known = self.cases.get(&verdict.digest).map(|case| case.kind);
+        let kind = match (verdict.kind, known) {
+            (_, Some(CaseKind::Quarantined)) => return false,
+            (VerdictKind::Cleared, Some(CaseKind::TestedElsewhere)) => {
+                self.cases.remove(&verdict.digest);
+                return true;
+            }
+            (VerdictKind::UnderTrial, None) => CaseKind::TestedElsewhere,
+            (VerdictKind::Quarantined, _) => CaseKind::Quarantined,
+            (VerdictKind::Cleared | VerdictKind::UnderTrial, _) => return false,
+        };
+        let is_trial = kind == CaseKind::TestedElsewhere;
+        let case = Case {
+            workspace: verdict.workspace.clone(),
+            lost: Vec::new(),
+            lost_elsewhere: usize::from(is_trial),
+            kind,
+            tested_until: now + verdict.for_ms,
+            until: now + if is_trial { spans.quarantine } else { verdict.for_ms },
+        };
+        self.cases.insert(verdict.digest, case);
+        true
+    }
+
+    /// Verdicts in force, for a VM that may have missed some.
+    pub(crate) fn verdicts(&self, now: TimeMs) -> Vec<Verdict> {
+        self.quarantined(now)
+            .map(|(digest, case)| Verdict {
+                digest: *digest,
+                workspace: case.workspace.clone(),
+                kind: VerdictKind::Quarantined,
+                for_ms: case.until.since(now),
+            })
+            .collect()
+    }
+
+    /// Order-free hash of the quarantine, to find VMs that missed a verdict.
+    pub(crate) fn hash(&self, now: TimeMs) -> Hash64 {
+        let lasting = self.quarantined(now).filter(|(_, case)| case.until.since(now) > HASH_MARGIN);
+        Hash64(lasting.fold(0, |hash, (digest, _)| hash ^ digest.0 as u64))
+    }
+
+    /// Content in quarantine.
+    pub(crate) fn entries(&self, now: TimeMs) -> Vec<QuarantineEntry> {
+        let mut entries: Vec<_> = self
+            .quarantined(now)
+            .map(|(digest, case)| QuarantineEntry {
+                digest: *digest,
+                workspace: case.workspace.clone(),
+                left_ms: case.until.since(now),
+            })
+            .collect();
+        entries.sort_by_key(|entry| entry.digest);
+        entries
+    }
+
+    /// Lets content go on an operator's word; says how many entries went.
+    pub(crate) fn clear(&mut self, digest: Option<ContentDigest>) -> usize {
+        let before = self.cases.len();
+        self.cases.retain(|known, _| digest.is_some_and(|digest| digest != *known));
+        before - self.cases.len()
+    }
+
+    /// Drops what is over.
+    pub(crate) fn sweep(&mut self, now: TimeMs) {
+        self.cases.retain(|_, case| case.until > now);
+        self.recent_losses.retain(|_, losses| losses.iter().any(|at| now.since(*at) < ENDPOINT_FAULT_WINDOW));
+        if self.cases.len() > CASES_MAX {
+            self.cases.retain(|_, case| case.kind == CaseKind::Quarantined);
+        }
+    }
+
+    fn quarantined(&self, now: TimeMs) -> impl Iterator<Item = (&ContentDigest, &Case)> {
+        self.cases.iter().filter(move |(_, case)| case.kind == CaseKind::Quarantined && case.until > now)
+    }
+
+    /// Counts losses of an endpoint; those of one moment are one crash.
+    fn is_endpoint_fault(&mut self, now: TimeMs, endpoint: EndpointIdx) -> bool {
+        let losses = self.recent_losses.entry(endpoint).or_default();
+        losses.retain(|at| now.since(*at) < ENDPOINT_FAULT_WINDOW);
+        let is_same_crash = losses.last().is_some_and(|at| now.since(*at) < LOSS_GROUP);
+        if !is_same_crash {
+            losses.push(now);
+        }
+        losses.len() >= ENDPOINT_FAULT_LOSSES
+    }
+}
+
+/// How long verdicts stay in force.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct VerdictSpans {
+    pub(crate) trial: SpanMs,
+    pub(crate) quarantine: SpanMs,
+}
--- /dev/null
+++ b/crates/boragepass_core/src/request_table.rs
@@ -0,0 +1,198 @@
+//! Requests in progress and their attempts.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use boragepass_types::{
+    AttemptId, Bytes, CallId, Payload, Permille, Pipeline, Priority, Region, Request, RequestId, SpanMs, Stage,
+    StageId, TimeMs, WorkspaceId,
+};
+
+use crate::endpoints::EndpointIdx;
+use crate::event::AttemptTag;
+use crate::map::Map;
+use crate::platform::RowKey;
+use crate::queue::QueuePlace;
+
+/// Request in progress on this VM.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub(crate) struct RequestKey(pub(crate) u64);
+
+/// Caller that waits for a request.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Waiter {
+    pub(crate) call: CallId,
+    pub(crate) stream: bool,
+}
+
+/// What a request waits for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Phase {
+    /// Its claim.
+    Claiming,
+    /// An endpoint.
+    Queued(QueuePlace),
+    /// Its attempts.
+    Running,
+}
+
+/// Request in progress.
+#[derive(Debug)]
+pub(crate) struct Active {
+    pub(crate) request: Request,
+    pub(crate) pipeline: Arc<Pipeline>,
+    pub(crate) pipeline_index: usize,
+    pub(crate) priority: Priority,
+    pub(crate) attainment_weight: Permille,
+    pub(crate) entry_vms: u8,
+    pub(crate) regions: Arc<BTreeSet<Region>>,
+    pub(crate) waiters: Vec<Waiter>,
+    pub(crate) deadline_at: TimeMs,
+    pub(crate) phase: Phase,
+    pub(crate) stage_index: usize,
+    pub(crate) stage_started_at: TimeMs,
+    pub(crate) input: Payload,
+    /// Text of the running stream.
+    pub(crate) text: String,
+    /// Tokens of the running stream.
+    pub(crate) tokens: u32,
+    /// Attempts of this stage that are out.
+    pub(crate) attempts: Vec<AttemptId>,
+    /// Endpoints that failed this stage.
+    pub(crate) failed_on: Vec<EndpointIdx>,
+    pub(crate) attempts_made: u32,
+    /// Stages that ran at least in part.
+    pub(crate) ran: Vec<StageId>,
+    /// Row of the claim, if the pipeline needs one.
+    pub(crate) claim: Option<RowKey>,
+    /// Output of the stage that may not be repeated.
+    pub(crate) claimed_output: Option<Payload>,
+    /// Whether the content is tested alone.
+    pub(crate) is_suspect: bool,
+}
+
+impl Active {
+    /// Stage that runs or waits.
+    pub(crate) fn stage(&self) -> &Stage {
+        &self.pipeline.stages[self.stage_index]
+    }
+
+    /// Notes that a stage ran at least in part.
+    pub(crate) fn note_ran(&mut self, stage: &StageId) {
+        if !self.ran.contains(stage) {
+            self.ran.push(stage.clone());
+        }
+    }
+
+    /// Starts the next stage's books.
+    pub(crate) fn enter_stage(&mut self, now: TimeMs, index: usize, input: Payload) {
+        self.stage_index = index;
+        self.stage_started_at = now;
+        self.input = input;
+        self.text.clear();
+        self.tokens = 0;
+        self.failed_on.clear();
+        self.phase = Phase::Running;
+    }
+}
+
+/// Attempt that is out.
+#[derive(Debug)]
+pub(crate) struct Attempt {
+    pub(crate) request: RequestKey,
+    pub(crate) tag: AttemptTag,
+    pub(crate) endpoint: EndpointIdx,
+    pub(crate) sent_at: TimeMs,
+    pub(crate) first_token_at: Option<TimeMs>,
+    pub(crate) last_progress_at: TimeMs,
+    pub(crate) is_hedge: bool,
+    pub(crate) is_suspect: bool,
+    pub(crate) is_repeatable: bool,
+    pub(crate) cross_region: Bytes,
+}
+
+impl Attempt {
+    /// Time since it was sent.
+    pub(crate) fn took(&self, now: TimeMs) -> SpanMs {
+        now.since(self.sent_at)
+    }
+}
+
+/// All requests in progress.
+#[derive(Debug, Default)]
+pub(crate) struct RequestTable {
+    active: Map<RequestKey, Active>,
+    by_id: Map<(WorkspaceId, RequestId), RequestKey>,
+    by_call: Map<CallId, RequestKey>,
+    next: u64,
+}
+
+impl RequestTable {
+    /// Number of requests.
+    pub(crate) fn len(&self) -> usize {
+        self.active.len()
+    }
+
+    /// One request.
+    pub(crate) fn get(&self, key: RequestKey) -> Option<&Active> {
+        self.active.get(&key)
+    }
+
+    /// One request, to change it.
+    pub(crate) fn get_mut(&mut self, key: RequestKey) -> Option<&mut Active> {
+        self.active.get_mut(&key)
+    }
+
+    /// Request with a caller's id.
+    pub(crate) fn find(&self, workspace: &WorkspaceId, id: &RequestId) -> Option<RequestKey> {
+        self.by_id.get(&(workspace.clone(), id.clone())).copied()
+    }
+
+    /// All requests in the order in which they came.
+    pub(crate) fn keys(&self) -> Vec<RequestKey> {
+        let mut keys: Vec<_> = self.active.keys().copied().collect();
+        keys.sort();
+        keys
+    }
+
+    /// Adds a request.
+    pub(crate) fn insert(&mut self, active: Active) -> RequestKey {
+        let key = RequestKey(self.next);
+        self.next += 1;
+        self.by_id.insert((active.request.workspace.clone(), active.request.id.clone()), key);
+        for waiter in &active.waiters {
+            self.by_call.insert(waiter.call, key);
+        }
+        self.active.insert(key, active);
+        key
+    }
+
+    /// Adds a caller to a request.
+    pub(crate) fn join(&mut self, key: RequestKey, waiter: Waiter) {
+        if let Some(active) = self.active.get_mut(&key) {
+            active.waiters.push(waiter);
+            self.by_call.insert(waiter.call, key);
+        }
+    }
+
+    /// Drops a caller.
+    pub(crate) fn leave(&mut self, call: CallId) -> Option<RequestKey> {
+        let key = self.by_call.remove(&call)?;
+        let active = self.active.get_mut(&key)?;
+        active.waiters.retain(|waiter| waiter.call != call);
+        Some(key)
+    }
+
+    /// Takes a request out.
+    pub(crate) fn remove(&mut self, key: RequestKey) -> Option<Active> {
+        let active = self.active.remove(&key)?;
+        let id = (active.request.workspace.clone(), active.request.id.clone());
+        if self.by_id.get(&id) == Some(&key) {
+            self.by_id.remove(&id);
+        }
+        for waiter in &active.waiters {
+            self.by_call.remove(&waiter.call);
+        }
+        Some(active)
+    }
+}
--- /dev/null
+++ b/crates/boragepass_core/src/resume.rs
@@ -0,0 +1,140 @@
+//! Progress of other VMs' requests.
+//!
+//! A caller whose VM died sends its request to the next address of its answer. The VM there holds
+//! the results of the stages that were done, as bounded soft state, and goes on from them.
+
+use std::collections::VecDeque;
+
+use boragepass_types::{ContentDigest, Payload, RequestId, SpanMs, TimeMs, WorkspaceId};
+
+use crate::address::successor;
+use crate::counter::Counter;
+use crate::effect::Effects;
+use crate::explain::Decision;
+use crate::map::Map;
+use crate::message::{PeerMessage, Progress};
+use crate::node::Node;
+use crate::request_table::{Active, RequestKey};
+
+const KEEP: SpanMs = SpanMs(30_000);
+
+/// Bounded store of progress.
+#[derive(Debug, Default)]
+pub(crate) struct ProgressStore {
+    entries: Map<(WorkspaceId, RequestId), (TimeMs, Progress)>,
+    order: VecDeque<(WorkspaceId, RequestId)>,
+}
+
+impl ProgressStore {
+    /// Keeps the latest progress of a request.
+    pub(crate) fn insert(&mut self, now: TimeMs, progress: Progress, entries_max: usize) {
+        let key = (progress.workspace.clone(), progress.request.clone());
+        if self.entries.insert(key.clone(), (now, progress)).is_none() {
+            self.order.push_back(key);
+        }
+        while self.order.len() > entries_max {
+            if let Some(oldest) = self.order.pop_front() {
+                self.entries.remove(&oldest);
+            }
+        }
+    }
+
+    /// Progress of the same content under the same id.
+    pub(crate) fn find(&self, workspace: &WorkspaceId, id: &RequestId, digest: ContentDigest) -> Option<&Progress> {
+        let (_, progress) = self.entries.get(&(workspace.clone(), id.clone()))?;
+        (progress.digest == digest).then_some(progress)
+    }
+
+    /// Forgets a request.
+    pub(crate) fn remove(&mut self, workspace: &WorkspaceId, id: &RequestId) {
+        let key = (workspace.clone(), id.clone());
+        if self.entries.remove(&key).is_some() {
+            self.order.retain(|other| *other != key);
+        }
+    }
+
+    /// Drops what is too old.
+    pub(crate) fn sweep(&mut self, now: TimeMs) {
+        while let Some(oldest) = self.order.front() {
+            if self.entries.get(oldest).is_some_and(|(at, _)| now.since(*at) <= KEEP) {
+                return;
+            }
+            let oldest = self.order.pop_front();
+            oldest.and_then(|key| self.entries.remove(&key));
+        }
+    }
+}
+
+impl Node {
+    /// Tells the VM that the caller turns to next how far a request is.
+    pub(crate) fn send_progress(&mut self, _now: TimeMs, key: RequestKey, out: &mut Effects) {
+        let Some(active) = self.requests.get(key) else {
+            return;
+        };
+        let bytes = active.input.0.len() as u64;
+        if bytes > self.settings.limits.progress_bytes_max.0 {
+            return;
+        }
+        let next = successor(&self.membership, &active.request.workspace, active.entry_vms);
+        let Some(next) = next.cloned() else {
+            return;
+        };
+        let progress = Progress {
+            workspace: active.request.workspace.clone(),
+            request: active.request.id.clone(),
+            digest: active.request.digest,
+            stage: active.stage_index as u8,
+            input: active.input.clone(),
+            runner: self.settings.vm.clone(),
+        };
+        self.send_to(&next, PeerMessage::Progress(Box::new(progress)), out);
+    }
+
+    /// Tells it that the request is finished.
+    pub(crate) fn send_progress_done(&mut self, active: &Active, out: &mut Effects) {
+        if active.stage_index == 0 {
+            return;
+        }
+        let next = successor(&self.membership, &active.request.workspace, active.entry_vms);
+        if let Some(next) = next.cloned() {
+            let (workspace, request) = (active.request.workspace.clone(), active.request.id.clone());
+            self.send_to(&next, PeerMessage::ProgressDone { workspace, request }, out);
+        }
+    }
+
+    /// Goes on where another VM left off.
+    pub(crate) fn take_up_progress(&mut self, now: TimeMs, key: RequestKey, out: &mut Effects) {
+        let Some(active) = self.requests.get_mut(key) else {
+            return;
+        };
+        let request = &active.request;
+        let found = self.progress.find(&request.workspace, &request.id, request.digest);
+        let Some(progress) = found.filter(|found| usize::from(found.stage) < active.pipeline.stages.len()).cloned()
+        else {
+            return;
+        };
+        let stage = usize::from(progress.stage);
+        let skips_claimed = active.pipeline.stages[..stage].iter().any(|stage| !stage.repeatable);
+        if skips_claimed {
+            return;
+        }
+        for done in &active.pipeline.clone().stages[..stage] {
+            active.note_ran(&done.id);
+        }
+        active.enter_stage(now, stage, progress.input.clone());
+        let decision = Decision::TakenUp { from: progress.runner, stage: active.stage().id.clone() };
+        out.count(Counter::TakenUp);
+        self.tracer.note(now, &active.request.workspace, &active.request.id, decision);
+        let (workspace, id) = (active.request.workspace.clone(), active.request.id.clone());
+        self.progress.remove(&workspace, &id);
+    }
+
+    /// Output of the stage that may not be repeated, if another VM passed it on.
+    pub(crate) fn progress_past_claim(&self, key: RequestKey) -> Option<Payload> {
+        let active = self.requests.get(key)?;
+        let request = &active.request;
+        let claimed = active.pipeline.stages.iter().position(|stage| !stage.repeatable)?;
+        let progress = self.progress.find(&request.workspace, &request.id, request.digest)?;
+        (usize::from(progress.stage) == claimed + 1).then(|| progress.input.clone())
+    }
+}
--- /dev/null
+++ b/crates/boragepass_core/src/stage_flow.rs
@@ -0,0 +1,298 @@
+//! The way of a request through its stages: choose, dispatch, wait, next stage.
+
+use boragepass_types::{Bytes, Payload, SpanMs, StageKind, StreamId, TimeMs};
+
+use crate::counter::Counter;
+use crate::effect::{Dispatch, Effect, Effects, ResumePoint};
+use crate::event::AttemptTag;
+use crate::explain::{AttemptReason, Candidate, Decision};
+use crate::node::Node;
+use crate::prefix_cache::prefix_of;
+use crate::queue::QueuePlace;
+use crate::request_table::{Active, Attempt, Phase, RequestKey};
+use crate::routing::{Choice, Need, Router, Scored};
+use crate::timers::Timer;
+
+const QUEUE_LOOK_AHEAD: usize = 16;
+const FUTILE_PERCENT: u64 = 50;
+const HEDGE_FLOOR: SpanMs = SpanMs(5);
+
+impl Node {
+    /// Starts an admitted request, where another VM left off if that is known.
+    pub(crate) fn start_first_stage(&mut self, now: TimeMs, key: RequestKey, out: &mut Effects) {
+        self.take_up_progress(now, key, out);
+        self.run_stage(now, key, AttemptReason::First, out);
+    }
+
+    /// Chooses an endpoint for the stage at hand and dispatches, or queues.
+    pub(crate) fn run_stage(&mut self, now: TimeMs, key: RequestKey, reason: AttemptReason, out: &mut Effects) {
+        match self.route(now, key) {
+            Choice::Use { chosen, candidates } => self.dispatch(now, key, chosen, &candidates, reason, out),
+            Choice::Wait => self.enqueue(now, key, out),
+            Choice::Ask(endpoints) => {
+                for idx in endpoints {
+                    self.poll_endpoint(now, idx, out);
+                }
+                self.enqueue(now, key, out);
+            }
+            Choice::Nothing => self.give_up_without_endpoint(now, key, out),
+        }
+    }
+
+    /// Chooses an endpoint; endpoints that failed the request are asked again when no other is left.
+    fn route(&mut self, now: TimeMs, key: RequestKey) -> Choice {
+        let choice = self.choose(now, key);
+        let Some(active) = self.requests.get_mut(key) else {
+            return choice;
+        };
+        let may_ask_again = choice == Choice::Nothing && !active.failed_on.is_empty() && !active.is_suspect;
+        if !may_ask_again {
+            return choice;
+        }
+        active.failed_on.clear();
+        self.choose(now, key)
+    }
+
+    fn choose(&mut self, now: TimeMs, key: RequestKey) -> Choice {
+        let Some(active) = self.requests.get(key) else {
+            return Choice::Nothing;
+        };
+        let stage = active.stage();
+        let latency = &self.latency[active.pipeline_index];
+        let rest = latency.iter().skip(active.stage_index + 1).map(|stage| stage.whole.quantiles(now).p50);
+        let mut exclude = active.failed_on.clone();
+        exclude.extend(active.attempts.iter().filter_map(|id| self.attempts.get(id)).map(|attempt| attempt.endpoint));
+        let need = Need {
+            pool: &stage.pool,
+            model: stage.model.as_ref(),
+            adapter: stage.adapter.as_ref(),
+            regions: &active.regions,
+            exclude: &exclude,
+            prefix: (stage.kind == StageKind::Generate).then(|| prefix_of(&active.input.0)),
+            usual: latency[active.stage_index].whole.quantiles(now).p50,
+            rest: rest.fold(SpanMs(0), |sum, span| sum + span),
+            left: active.deadline_at.since(now),
+            bytes: Bytes(active.input.0.len() as u64),
+            attainment_weight: active.attainment_weight,
+            alone: active.is_suspect,
+        };
+        let router = Router {
+            endpoints: &self.endpoints,
+            prefixes: &self.prefixes,
+            home: &self.settings.region,
+            limits: &self.settings.limits,
+        };
+        router.choose(now, &need, &mut self.rng)
+    }
+
+    fn dispatch(
+        &mut self,
+        now: TimeMs,
+        key: RequestKey,
+        chosen: Scored,
+        candidates: &[Scored],
+        reason: AttemptReason,
+        out: &mut Effects,
+    ) {
+        let id = self.next_attempt;
+        self.next_attempt = id.next();
+        let Some(active) = self.requests.get_mut(key) else {
+            return;
+        };
+        let stage = active.stage().clone();
+        let endpoint = self.endpoints.get_mut(chosen.idx);
+        endpoint.in_flight += 1;
+        endpoint.load.sent_since += 1;
+        endpoint.suspects_in_flight += u32::from(active.is_suspect);
+        let is_abroad = endpoint.region != self.settings.region;
+        let tag = AttemptTag {
+            vm: self.settings.vm.clone(),
+            incarnation: self.settings.incarnation,
+            request: active.request.id.clone(),
+            stage: stage.id.clone(),
+            attempt: id,
+        };
+        let attempt = Attempt {
+            request: key,
+            tag: tag.clone(),
+            endpoint: chosen.idx,
+            sent_at: now,
+            first_token_at: None,
+            last_progress_at: now,
+            is_hedge: reason == AttemptReason::Hedge,
+            is_suspect: active.is_suspect,
+            is_repeatable: stage.repeatable,
+            cross_region: Bytes(if is_abroad { active.input.0.len() as u64 } else { 0 }),
+        };
+        let dispatch = Dispatch {
+            tag,
+            endpoint: endpoint.id.clone(),
+            address: endpoint.address,
+            kind: stage.kind,
+            model: stage.model.clone(),
+            adapter: stage.adapter.clone(),
+            priority: active.priority,
+            input: active.input.clone(),
+            stream: StreamId(id.0),
+            resume: resume_point(active),
+            left_ms: active.deadline_at.since(now),
+            idempotency_key: active.request.idempotency_key.clone().filter(|_| !stage.repeatable),
+        };
+        active.attempts.push(id);
+        active.attempts_made += 1;
+        active.phase = Phase::Running;
+        let not_after = active.deadline_at.min(now + self.settings.limits.dispatch_valid_ms);
+        let named = candidates.iter().map(|scored| Candidate {
+            endpoint: self.endpoints.get(scored.idx).id.clone(),
+            expected_ms: SpanMs(scored.expected_ms.max(0.0) as u64),
+        });
+        let decision = Decision::Routed {
+            stage: stage.id.clone(),
+            attempt: id,
+            reason,
+            endpoint: dispatch.endpoint.clone(),
+            candidates: named.collect(),
+        };
+        self.tracer.note(now, &active.request.workspace, &active.request.id, decision);
+        self.attempts.insert(id, attempt);
+        self.note_dispatch(now, id, key, reason, out);
+        out.push(Effect::Dispatch { not_after, dispatch: Box::new(dispatch) });
+    }
+
+    fn note_dispatch(
+        &mut self,
+        now: TimeMs,
+        id: boragepass_types::AttemptId,
+        key: RequestKey,
+        reason: AttemptReason,
+        out: &mut Effects,
+    ) {
+        out.count(Counter::Dispatched);
+        match reason {
+            AttemptReason::First => {
+                self.retry_budget.on_first_try();
+                self.hedge_budget.on_first_try();
+            }
+            AttemptReason::Retry => out.count(Counter::Retried),
+            AttemptReason::Hedge => out.count(Counter::Hedged),
+            AttemptReason::Resume => out.count(Counter::Resumed),
+        }
+        let Some(active) = self.requests.get(key).filter(|active| active.stage().repeatable) else {
+            return;
+        };
+        let first = &self.latency[active.pipeline_index][active.stage_index].first;
+        let patience = first.quantiles(now).p95.max(HEDGE_FLOOR);
+        self.timers.set(now + patience, Timer::AttemptSlow(id));
+    }
+
+    fn enqueue(&mut self, now: TimeMs, key: RequestKey, out: &mut Effects) {
+        let Some(active) = self.requests.get_mut(key) else {
+            return;
+        };
+        if !active.attempts.is_empty() {
+            return;
+        }
+        let place = QueuePlace::new(active.priority, active.stage_index, active.deadline_at, key);
+        active.phase = Phase::Queued(place);
+        let decision = Decision::Queued { stage: active.stage().id.clone() };
+        self.tracer.note(now, &active.request.workspace, &active.request.id, decision);
+        let queue = self.queues.entry(active.stage().pool.clone()).or_default();
+        let dropped = queue.push(place, self.settings.limits.queue_len_max);
+        if let Some(dropped) = dropped {
+            self.shed(now, dropped, out);
+        }
+    }
+
+    /// Dispatches what waits for a pool, as far as its endpoints allow.
+    pub(crate) fn serve_queue(&mut self, now: TimeMs, pool: &boragepass_types::PoolId, out: &mut Effects) {
+        let Some(queue) = self.queues.get(pool).filter(|queue| queue.len() > 0) else {
+            return;
+        };
+        for place in queue.first(QUEUE_LOOK_AHEAD) {
+            let key = place.request;
+            if self.is_futile(now, key) {
+                self.remove_from_queue(pool, &place);
+                self.shed(now, key, out);
+                continue;
+            }
+            match self.route(now, key) {
+                Choice::Use { chosen, candidates } => {
+                    self.remove_from_queue(pool, &place);
+                    let reason = self.reason_of(key);
+                    self.dispatch(now, key, chosen, &candidates, reason, out);
+                }
+                Choice::Nothing => {
+                    self.remove_from_queue(pool, &place);
+                    self.give_up_without_endpoint(now, key, out);
+                }
+                Choice::Wait => return,
+                Choice::Ask(endpoints) => {
+                    for idx in endpoints {
+                        self.poll_endpoint(now, idx, out);
+                    }
+                    return;
+                }
+            }
+        }
+    }
+
+    fn reason_of(&self, key: RequestKey) -> AttemptReason {
+        match self.requests.get(key) {
+            Some(active) if active.tokens > 0 => AttemptReason::Resume,
+            Some(active) if !active.failed_on.is_empty() => AttemptReason::Retry,
+            _ => AttemptReason::First,
+        }
+    }
+
+    fn remove_from_queue(&mut self, pool: &boragepass_types::PoolId, place: &QueuePlace) {
+        if let Some(queue) = self.queues.get_mut(pool) {
+            queue.remove(place);
+        }
+    }
+
+    /// Whether a request cannot make its deadline any more.
+    fn is_futile(&self, now: TimeMs, key: RequestKey) -> bool {
+        let Some(active) = self.requests.get(key) else {
+            return true;
+        };
+        let remaining = self.latency[active.pipeline_index].iter().skip(active.stage_index);
+        let usual = remaining.map(|stage| stage.whole.quantiles(now).p50).fold(SpanMs(0), |sum, span| sum + span);
+        usual.percent(FUTILE_PERCENT) > active.deadline_at.since(now)
+    }
+
+    /// Takes a request out of the queue it waits in.
+    pub(crate) fn leave_queue(&mut self, key: RequestKey) {
+        let Some(active) = self.requests.get(key) else {
+            return;
+        };
+        if let Phase::Queued(place) = active.phase {
+            let pool = active.stage().pool.clone();
+            self.remove_from_queue(&pool, &place);
+        }
+    }
+
+    /// Goes on to the next stage, or answers.
+    pub(crate) fn advance(&mut self, now: TimeMs, key: RequestKey, output: Payload, out: &mut Effects) {
+        let Some(active) = self.requests.get_mut(key) else {
+            return;
+        };
+        let stage = active.stage().clone();
+        active.note_ran(&stage.id);
+        if !stage.repeatable {
+            active.claimed_output = Some(output.clone());
+        }
+        let next = active.stage_index + 1;
+        if next == active.pipeline.stages.len() {
+            self.finish(now, key, boragepass_types::Outcome::Answered { output }, out);
+            return;
+        }
+        active.enter_stage(now, next, output);
+        self.send_progress(now, key, out);
+        self.run_stage(now, key, AttemptReason::First, out);
+    }
+}
+
+fn resume_point(active: &Active) -> Option<ResumePoint> {
+    let is_stream = active.stage().kind == StageKind::Generate && active.tokens > 0;
+    is_stream.then(|| ResumePoint { tokens: active.tokens, text: Payload::new(&active.text) })
+}
--- /dev/null
+++ b/crates/boragepass_core/src/usage.rs
@@ -0,0 +1,255 @@
+//! What requests used, and how many kept their deadline.
+//!
+//! A stage is counted once, for the attempt whose result was used. What other attempts cost is
+//! waste and counted apart.
+
+use std::collections::BTreeMap;
+
+use boragepass_types::{Bytes, Incarnation, OutcomeKind, PipelineId, SpanMs, StageId, TimeMs, VmId, WorkspaceId};
+
+const SLOTS: usize = 60;
+
+/// Window of the burn report.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, derive_more::Display)]
+pub enum BurnWindow {
+    /// Five minutes.
+    #[display("5m")]
+    FiveMinutes,
+    /// One hour.
+    #[display("1h")]
+    Hour,
+    /// Six hours.
+    #[display("6h")]
+    SixHours,
+    /// Three days.
+    #[display("3d")]
+    ThreeDays,
+}
+
+impl BurnWindow {
+    /// All windows, shortest first.
+    pub const ALL: [Self; 4] = [Self::FiveMinutes, Self::Hour, Self::SixHours, Self::ThreeDays];
+
+    /// Length of the window.
+    pub fn span(self) -> SpanMs {
+        match self {
+            Self::FiveMinutes => SpanMs(300_000),
+            Self::Hour => SpanMs(3_600_000),
+            Self::SixHours => SpanMs(21_600_000),
+            Self::ThreeDays => SpanMs(259_200_000),
+        }
+    }
+
+    fn slot_span(self) -> SpanMs {
+        SpanMs(self.span().0 / SLOTS as u64)
+    }
+}
+
+/// Requests of a window.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub struct Attainment {
+    /// Requests that count.
+    pub total: u64,
+    /// Of these, answered in full within the deadline.
+    pub met: u64,
+}
+
+impl Attainment {
+    /// Adds another VM's requests.
+    pub fn add(&mut self, other: Self) {
+        self.total += other.total;
+        self.met += other.met;
+    }
+}
+
+/// Ring of time slots.
+#[derive(Debug, Clone)]
+struct Ring {
+    slots: Vec<(u64, u32, u32)>,
+    slot_ms: u64,
+}
+
+impl Ring {
+    fn new(window: BurnWindow) -> Self {
+        Self { slots: Vec::new(), slot_ms: window.slot_span().0 }
+    }
+
+    fn note(&mut self, now: TimeMs, is_met: bool) {
+        let number = now.0 / self.slot_ms;
+        let oldest = number.saturating_sub(SLOTS as u64 - 1);
+        if self.slots.last().is_none_or(|(last, _, _)| *last != number) {
+            self.slots.retain(|(slot, _, _)| *slot >= oldest);
+            self.slots.push((number, 0, 0));
+        }
+        if let Some((_, total, met)) = self.slots.last_mut() {
+            *total += 1;
+            *met += u32::from(is_met);
+        }
+    }
+
+    fn sum(&self, now: TimeMs) -> Attainment {
+        let oldest = (now.0 / self.slot_ms).saturating_sub(SLOTS as u64 - 1);
+        let mut sum = Attainment::default();
+        for (_, total, met) in self.slots.iter().filter(|(slot, _, _)| *slot >= oldest) {
+            sum.add(Attainment { total: u64::from(*total), met: u64::from(*met) });
+        }
+        sum
+    }
+}
+
+/// Cost of one stage of a workspace.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub struct StageCost {
+    /// Attempts whose result was used.
+    pub used: u64,
+    /// Time those attempts took.
+    pub used_ms: SpanMs,
+    /// Attempts whose result was not used.
+    pub wasted: u64,
+    /// Time those attempts took.
+    pub wasted_ms: SpanMs,
+    /// Bytes that crossed regions.
+    pub cross_region: Bytes,
+}
+
+impl StageCost {
+    /// Adds another VM's cost.
+    pub fn add(&mut self, other: &Self) {
+        self.used += other.used;
+        self.used_ms += other.used_ms;
+        self.wasted += other.wasted;
+        self.wasted_ms += other.wasted_ms;
+        self.cross_region += other.cross_region;
+    }
+}
+
+/// Service level of one pipeline of a workspace.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ServiceLevel {
+    /// Workspace.
+    pub workspace: WorkspaceId,
+    /// Pipeline.
+    pub pipeline: PipelineId,
+    /// Requests of each window, in the order of [`BurnWindow::ALL`].
+    pub windows: [Attainment; 4],
+    /// Requests by outcome since the process started.
+    pub outcomes: BTreeMap<OutcomeKind, u64>,
+}
+
+/// Cost of one stage with its names.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct NamedCost {
+    /// Workspace.
+    pub workspace: WorkspaceId,
+    /// Stage.
+    pub stage: StageId,
+    /// Cost since the process started.
+    pub cost: StageCost,
+}
+
+/// Usage of one VM since its process started.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct UsageReport {
+    /// The VM.
+    pub vm: VmId,
+    /// Its incarnation; a report counts once for each.
+    pub incarnation: Incarnation,
+    /// Time that the report covers.
+    pub covers_ms: SpanMs,
+    /// Service levels.
+    pub levels: Vec<ServiceLevel>,
+    /// Costs.
+    pub costs: Vec<NamedCost>,
+}
+
+#[derive(Debug)]
+struct Level {
+    rings: Vec<Ring>,
+    outcomes: BTreeMap<OutcomeKind, u64>,
+}
+
+/// Usage of this VM.
+#[derive(Debug, Default)]
+pub(crate) struct Usage {
+    started_at: Option<TimeMs>,
+    levels: BTreeMap<(WorkspaceId, PipelineId), Level>,
+    costs: BTreeMap<WorkspaceId, BTreeMap<StageId, StageCost>>,
+}
+
+/// An attempt that ended, for the books.
+pub(crate) struct EndedAttempt {
+    pub(crate) took: SpanMs,
+    pub(crate) is_used: bool,
+    pub(crate) cross_region: Bytes,
+}
+
+impl Usage {
+    /// Notes when the process started.
+    pub(crate) fn start(&mut self, now: TimeMs) {
+        self.started_at.get_or_insert(now);
+    }
+
+    /// Notes an attempt that ended.
+    pub(crate) fn note_attempt(&mut self, workspace: &WorkspaceId, stage: &StageId, ended: &EndedAttempt) {
+        if !self.costs.contains_key(workspace) {
+            self.costs.insert(workspace.clone(), BTreeMap::new());
+        }
+        let stages = self.costs.get_mut(workspace).expect("the workspace was inserted above");
+        if !stages.contains_key(stage) {
+            stages.insert(stage.clone(), StageCost::default());
+        }
+        let cost = stages.get_mut(stage).expect("the stage was inserted above");
+        cost.cross_region += ended.cross_region;
+        if ended.is_used {
+            cost.used += 1;
+            cost.used_ms += ended.took;
+        } else {
+            cost.wasted += 1;
+            cost.wasted_ms += ended.took;
+        }
+    }
+
+    /// Notes an outcome; `counts` says whether it bears on the service level.
+    pub(crate) fn note_outcome(
+        &mut self,
+        now: TimeMs,
+        workspace: &WorkspaceId,
+        pipeline: &PipelineId,
+        kind: OutcomeKind,
+        counts: bool,
+    ) {
+        let level = self.levels.entry((workspace.clone(), pipeline.clone())).or_insert_with(|| Level {
+            rings: BurnWindow::ALL.into_iter().map(Ring::new).collect(),
+            outcomes: BTreeMap::new(),
+        });
+        *level.outcomes.entry(kind).or_default() += 1;
+        if counts {
+            let is_met = kind == OutcomeKind::Answered;
+            level.rings.iter_mut().for_each(|ring| ring.note(now, is_met));
+        }
+    }
+
+    /// Report of this VM.
+    pub(crate) fn report(&self, now: TimeMs, vm: &VmId, incarnation: Incarnation) -> UsageReport {
+        let levels = self.levels.iter().map(|((workspace, pipeline), level)| ServiceLevel {
+            workspace: workspace.clone(),
+            pipeline: pipeline.clone(),
+            windows: std::array::from_fn(|index| level.rings[index].sum(now)),
+            outcomes: level.outcomes.clone(),
+        });
+        let costs = self.costs.iter().flat_map(|(workspace, stages)| {
+            stages.iter().map(|(stage, cost)| NamedCost {
+                workspace: workspace.clone(),
+                stage: stage.clone(),
+                cost: *cost,
+            })
+        });
+        UsageReport {
+            vm: vm.clone(),
+            incarnation,
+            covers_ms: self.started_at.map_or(SpanMs(0), |at| now.since(at)),
+            levels: levels.collect(),
+            costs: costs.collect(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/boragepass_types/src/lib.rs
@@ -0,0 +1,30 @@
+//! Checked types that every other crate shares.
+//!
+//! Raw input is turned into these types once, with `TryFrom` or `FromStr`, and every problem is
+//! reported as a [`Finding`] that carries its place. No type here does I/O or reads a clock.
+
+mod access_key;
+mod allowlist;
+mod digest;
+mod finding;
+mod id;
+mod outcome;
+mod pipeline;
+mod plan;
+mod request;
+mod units;
+
+pub use access_key::{AccessKey, KeyHash, KeySalt};
+pub use allowlist::{Allowlist, RawAllowlist};
+pub use digest::{ContentDigest, Hash64, rendezvous_weight};
+pub use finding::{Finding, FindingKind, Findings, Place, nearest_known};
+pub use id::{
+    AdapterId, AttemptId, CallId, EndpointId, FailureDomain, FenceNumber, IdError, IdempotencyKey, Incarnation,
+    ListVersion, ModelId, OpId, PipelineId, PoolId, Region, RequestId, RowVersion, StageId, StreamId, VmId,
+    WorkspaceId,
+};
+pub use outcome::{FailureCause, NotRunReason, Outcome, OutcomeKind};
+pub use pipeline::{Pipeline, RawPipeline, RawStage, Stage, StageKind};
+pub use plan::{Plan, RawPlan};
+pub use request::{Payload, RawRequest, Request};
+pub use units::{Bytes, Permille, Priority, RatePerS, SpanMs, TimeMs};
--- /dev/null
+++ b/crates/boragepass_types/src/units.rs
@@ -0,0 +1,88 @@
+//! Times, sizes and rates.
+
+use std::str::FromStr;
+
+use derive_more::{Add, AddAssign, Display};
+
+use crate::IdError;
+
+macro_rules! units {
+    ($($(#[$doc:meta])* $name:ident($inner:ty)),+ $(,)?) => {$(
+        $(#[$doc])*
+        #[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Display)]
+        pub struct $name(pub $inner);
+
+        impl FromStr for $name {
+            type Err = IdError;
+
+            fn from_str(text: &str) -> Result<Self, Self::Err> {
+                text.parse().map(Self).map_err(|_| IdError::NotANumber)
+            }
+        }
+    )+};
+}
+
+units! {
+    /// Requests a second.
+    RatePerS(u32),
+    /// Thousandths of a whole.
+    Permille(u16),
+    /// Importance of a plan's requests; larger is served first.
+    Priority(u8),
+}
+
+/// Size in bytes.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Display, Add, AddAssign)]
+pub struct Bytes(pub u64);
+
+impl FromStr for Bytes {
+    type Err = IdError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        text.parse().map(Self).map_err(|_| IdError::NotANumber)
+    }
+}
+
+/// Length of time in milliseconds.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Display, Add, AddAssign)]
+#[display("{_0} ms")]
+pub struct SpanMs(pub u64);
+
+impl SpanMs {
+    /// This span times `percent` hundredths.
+    pub fn percent(self, percent: u64) -> Self {
+        Self(self.0 * percent / 100)
+    }
+
+    /// Difference, zero when `other` is longer.
+    pub fn saturating_sub(self, other: Self) -> Self {
+        Self(self.0.saturating_sub(other.0))
+    }
+}
+
+impl FromStr for SpanMs {
+    type Err = IdError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        text.parse().map(Self).map_err(|_| IdError::NotANumber)
+    }
+}
+
+/// Point on the process's monotonic clock, in milliseconds since an arbitrary start.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Display)]
+pub struct TimeMs(pub u64);
+
+impl TimeMs {
+    /// Time that passed since `earlier`, zero when `earlier` lies ahead.
+    pub fn since(self, earlier: Self) -> SpanMs {
+        SpanMs(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl std::ops::Add<SpanMs> for TimeMs {
+    type Output = Self;
+
+    fn add(self, span: SpanMs) -> Self {
+        Self(self.0.saturating_add(span.0))
+    }
+}
