Serve a request end to end on embedded stand-ins

Cause: the reducer had no edges. Change: wire types, settings, platform clients, daemon, stand-ins and demo.

--- /dev/null
+++ b/crates/boragepass/src/main.rs
@@ -0,0 +1,2 @@
+//! Operators command line.
+fn main() {}
--- a/crates/boragepass_core/src/admission.rs
+++ b/crates/boragepass_core/src/admission.rs
@@ -82,9 +82,9 @@
     fn join_or_replay(&mut self, now: TimeMs, call: CallId, request: &Request, out: &mut Effects) -> bool {
         let by_id = self.requests.find(&request.workspace, &request.id);
         let by_key = self.claim_key(request).and_then(|key| self.claims.request_of(&key));
-        let running = by_id.or(by_key).filter(|key| {
-            self.requests.get(*key).is_some_and(|active| active.request.digest == request.digest)
-        });
+        let running = by_id
+            .or(by_key)
+            .filter(|key| self.requests.get(*key).is_some_and(|active| active.request.digest == request.digest));
         if let Some(key) = running {
             out.count(Counter::Joined);
             self.requests.join(key, Waiter { call, stream: request.stream });
@@ -128,9 +128,8 @@
             return Err(NotRunReason::DeadlineTooShort { predicted, left });
         }
         let first_pool = &pipeline.stages[0].pool;
-        let waiting = self.queues.get(first_pool).map_or(0, |queue| {
-            queue.len_before(terms.plan.priority, 0, now + left)
-        });
+        let waiting =
+            self.queues.get(first_pool).map_or(0, |queue| queue.len_before(terms.plan.priority, 0, now + left));
         if waiting >= self.settings.limits.queue_len_max / QUEUE_SHARE_FOR_FIRST_STAGES {
             return Err(NotRunReason::Shed);
         }
@@ -160,7 +159,8 @@
         let view = self.membership.view;
         let workspace = &terms.plan.workspace;
         let lists = self.lists.version();
-        if let Some(known) = self.share_cache.get(workspace).filter(|known| (known.view, known.lists) == (view, lists)) {
+        if let Some(known) = self.share_cache.get(workspace).filter(|known| (known.view, known.lists) == (view, lists))
+        {
             return (known.vms, known.rank);
         }
         let allowed = terms.allowlist.as_ref().map(|list| &list.regions);
@@ -185,9 +185,10 @@
         let mut total = SpanMs(0);
         for (index, stage) in pipeline.stages.iter().enumerate().skip(first) {
             let usual = self.latency[pipeline_index][index].whole.quantiles(now).p50;
-            let waiting = self.queues.get(&stage.pool).map_or(0, |queue| {
-                queue.len_before(terms.plan.priority, index, deadline_at)
-            });
+            let waiting = self
+                .queues
+                .get(&stage.pool)
+                .map_or(0, |queue| queue.len_before(terms.plan.priority, index, deadline_at));
             let capacity = self.pool_capacity.get(&stage.pool).copied().unwrap_or(1.0).max(1.0);
             let wait_ms = waiting as f32 * usual.0 as f32 / capacity;
             total += usual;
--- a/crates/boragepass_core/src/attempt_flow.rs
+++ b/crates/boragepass_core/src/attempt_flow.rs
@@ -262,14 +262,7 @@
         }
     }
 
-    fn after_failure(
-        &mut self,
-        now: TimeMs,
-        key: RequestKey,
-        attempt: &Attempt,
-        end: AttemptEnd,
-        out: &mut Effects,
-    ) {
+    fn after_failure(&mut self, now: TimeMs, key: RequestKey, attempt: &Attempt, end: AttemptEnd, out: &mut Effects) {
         let quarantined = end == AttemptEnd::Lost && self.judge_loss(now, key, attempt, out);
         let Some(active) = self.requests.get_mut(key) else {
             return;
@@ -321,8 +314,7 @@
         };
         let (digest, workspace) = (active.request.digest, active.request.workspace.clone());
         let spans = self.settings.limits.verdict_spans();
-        let verdict =
-            self.quarantine.on_loss(now, digest, &workspace, attempt.endpoint, attempt.is_suspect, spans);
+        let verdict = self.quarantine.on_loss(now, digest, &workspace, attempt.endpoint, attempt.is_suspect, spans);
         match verdict {
             LossVerdict::EndpointFault => false,
             LossVerdict::Test => {
--- a/crates/boragepass_core/src/claim_flow.rs
+++ b/crates/boragepass_core/src/claim_flow.rs
@@ -26,7 +26,9 @@
                 ClaimOutput::Read { job, key } => {
                     self.ask_table(TableRequest::Read(vec![key]), TableUse::ClaimRead(job), out);
                 }
-                ClaimOutput::Granted { request, stage_output } => self.on_claim_granted(now, request, stage_output, out),
+                ClaimOutput::Granted { request, stage_output } => {
+                    self.on_claim_granted(now, request, stage_output, out)
+                }
                 ClaimOutput::Refused { request, why } => self.on_claim_refused(now, request, why, out),
                 ClaimOutput::AskOwner { request, key, version, owner } => {
                     self.ask_owner(now, request, key, version, &owner, out);
@@ -225,8 +227,7 @@
         }
         let record = self.membership.get(&owner.vm).map(|member| member.record.clone());
         let is_live = record.as_ref().is_some_and(|record| {
-            record.incarnation == owner.incarnation
-                && matches!(record.state, MemberState::Alive | MemberState::Leaving)
+            record.incarnation == owner.incarnation && matches!(record.state, MemberState::Alive | MemberState::Leaving)
         });
         if let Some(record) = record.filter(|_| is_live) {
             self.send_to(&record, PeerMessage::ClaimQuery { key, version }, out);
--- a/crates/boragepass_core/src/claims.rs
+++ b/crates/boragepass_core/src/claims.rs
@@ -148,7 +148,6 @@
         outputs
     }
 
-    #[allow(clippy::too_many_arguments)]
     fn write_held(
         &mut self,
         now: TimeMs,
@@ -164,7 +163,6 @@
         self.start(now, key, expect, row, Purpose::Acquire, Some(request), outputs);
     }
 
-    #[allow(clippy::too_many_arguments)]
     fn start(
         &mut self,
         now: TimeMs,
@@ -352,9 +350,8 @@
                 }
             }
             Purpose::Release | Purpose::Settle => {
-                let marked = row.as_ref().filter(|row| {
-                    claim_row(row).is_some_and(|claim| claim.state == ClaimState::Unknown)
-                });
+                let marked =
+                    row.as_ref().filter(|row| claim_row(row).is_some_and(|claim| claim.state == ClaimState::Unknown));
                 if let Some(row) = marked {
                     // Only the owner knows better than `unknown`.
                     job.write.expect = Expect::Version(row.version);
@@ -416,8 +413,7 @@
             Some(ClaimState::Held { stage_output, .. }) => stage_output,
             _ => None,
         };
-        let is_free = status == ClaimStatus::WillNotRun
-            || (status == ClaimStatus::NotKnown && stage_output.is_some());
+        let is_free = status == ClaimStatus::WillNotRun || (status == ClaimStatus::NotKnown && stage_output.is_some());
         if is_free {
             let expect = Expect::Version(version);
             self.write_held(now, asking.request, key.clone(), asking.digest, expect, stage_output, &mut outputs);
--- a/crates/boragepass_core/src/explain.rs
+++ b/crates/boragepass_core/src/explain.rs
@@ -93,9 +93,6 @@
     /// A tombstone stops a delayed write.
     #[display("claim given up with a tombstone")]
     Tombstone,
-    /// The claim was released.
-    #[display("claim released")]
-    Released,
 }
 
 /// One decision.
@@ -225,10 +222,8 @@
             self.order.push_back(key.clone());
             self.drop_oldest();
         }
-        let trace = self
-            .traces
-            .entry(key)
-            .or_insert_with(|| Trace { started_at: now, decisions: Vec::new(), left_out: 0 });
+        let trace =
+            self.traces.entry(key).or_insert_with(|| Trace { started_at: now, decisions: Vec::new(), left_out: 0 });
         if trace.decisions.len() == DECISIONS_PER_REQUEST_MAX {
             trace.left_out += 1;
             return;
--- a/crates/boragepass_core/src/finish.rs
+++ b/crates/boragepass_core/src/finish.rs
@@ -203,8 +203,7 @@
         };
         let is_out = !active.attempts.is_empty() && !active.stage().repeatable;
         if is_out {
-            let outcome =
-                Outcome::Unknown { stage: active.stage().id.clone(), retry_after_ms: Some(RETRY_LATER) };
+            let outcome = Outcome::Unknown { stage: active.stage().id.clone(), retry_after_ms: Some(RETRY_LATER) };
             self.finish(now, key, outcome, out);
             return;
         }
--- a/crates/boragepass_core/src/list_commit.rs
+++ b/crates/boragepass_core/src/list_commit.rs
@@ -120,12 +120,8 @@
             id: id.clone(),
             value: RowValue::Change(Box::new(change.clone())),
         };
-        let head_row = RowWrite {
-            key: RowKey::Head,
-            expect: Expect::Any,
-            id: id.clone(),
-            value: RowValue::Head(change.version),
-        };
+        let head_row =
+            RowWrite { key: RowKey::Head, expect: Expect::Any, id: id.clone(), value: RowValue::Head(change.version) };
         let mut writes = vec![version_row, head_row];
         let current_key = match &change.edit {
             ListEdit::SetPlan(plan) => Some(RowKey::Plan(plan.workspace.clone())),
--- a/crates/boragepass_core/src/membership.rs
+++ b/crates/boragepass_core/src/membership.rs
@@ -8,9 +8,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
-use boragepass_types::{
-    FailureDomain, Incarnation, ListVersion, Region, SpanMs, TimeMs, VmId, rendezvous_weight,
-};
+use boragepass_types::{FailureDomain, Incarnation, ListVersion, Region, SpanMs, TimeMs, VmId, rendezvous_weight};
 
 use crate::platform::{VmEntry, VmState};
 use crate::settings::NodeSettings;
@@ -194,7 +192,12 @@
     }
 
     /// Takes over what somebody says of a VM.
-    pub(crate) fn apply_record(&mut self, now: TimeMs, record: &MemberRecord, is_own_word: bool) -> Option<MemberChange> {
+    pub(crate) fn apply_record(
+        &mut self,
+        now: TimeMs,
+        record: &MemberRecord,
+        is_own_word: bool,
+    ) -> Option<MemberChange> {
         if record.vm == self.me.vm {
             self.refute(record);
             return None;
@@ -325,15 +328,10 @@
     /// that comes back is found again.
     pub(crate) fn relays_of(&self, domain: &FailureDomain) -> Vec<&Member> {
         let rank = |member: &&Member| rendezvous_weight(domain.as_str(), member.record.vm.as_str());
-        let in_domain = |member: &&Member| {
-            member.record.failure_domain == *domain && member.listed != Some(VmState::Gone)
-        };
-        let mut up: Vec<_> = self
-            .members
-            .values()
-            .filter(in_domain)
-            .filter(|member| member.record.state != MemberState::Dead)
-            .collect();
+        let in_domain =
+            |member: &&Member| member.record.failure_domain == *domain && member.listed != Some(VmState::Gone);
+        let mut up: Vec<_> =
+            self.members.values().filter(in_domain).filter(|member| member.record.state != MemberState::Dead).collect();
         if up.is_empty() {
             up = self.members.values().filter(in_domain).collect();
         }
@@ -348,8 +346,7 @@
         let domain = self.me.failure_domain.as_str();
         let mine = rendezvous_weight(domain, self.me.vm.as_str());
         let ahead = self.domain_peers().filter(|member| {
-            member.record.state != MemberState::Listed
-                && rendezvous_weight(domain, member.record.vm.as_str()) > mine
+            member.record.state != MemberState::Listed && rendezvous_weight(domain, member.record.vm.as_str()) > mine
         });
         ahead.count() < RELAYS
     }
--- a/crates/boragepass_core/src/order.rs
+++ b/crates/boragepass_core/src/order.rs
@@ -149,12 +149,7 @@
     fn write_lease(&mut self, now: TimeMs, expect: Expect, fence: FenceNumber, renewal: u64, out: &mut Effects) {
         let op = self.new_op();
         let id = WriteId { vm: self.settings.vm.clone(), incarnation: self.settings.incarnation, op };
-        let row = LeaseRow {
-            holder: self.settings.vm.clone(),
-            incarnation: self.settings.incarnation,
-            fence,
-            renewal,
-        };
+        let row = LeaseRow { holder: self.settings.vm.clone(), incarnation: self.settings.incarnation, fence, renewal };
         self.orders.write = Some(LeaseWrite { id: id.clone(), row: row.clone(), started_at: now });
         let write = RowWrite { key: self.lease_key(), expect, id, value: RowValue::Lease(row) };
         self.ask_table(TableRequest::Commit(vec![write]), TableUse::LeaseWrite, out);
@@ -254,12 +249,14 @@
     /// Models with their adapters that some allowlist permits in this region, by pool.
     fn needed_models(&self) -> BTreeMap<PoolId, BTreeMap<ModelId, Vec<AdapterId>>> {
         let mut needed: BTreeMap<PoolId, BTreeMap<ModelId, Vec<AdapterId>>> = BTreeMap::new();
-        let allowlists: Vec<_> = self.lists.allowlists().filter(|list| list.regions.contains(&self.settings.region)).collect();
+        let allowlists: Vec<_> =
+            self.lists.allowlists().filter(|list| list.regions.contains(&self.settings.region)).collect();
         for stage in self.settings.pipelines.iter().flat_map(|pipeline| &pipeline.stages) {
             let Some(model) = &stage.model else {
                 continue;
             };
-            let is_allowed = allowlists.iter().any(|list| list.models.contains(model) && list.stages.contains(&stage.id));
+            let is_allowed =
+                allowlists.iter().any(|list| list.models.contains(model) && list.stages.contains(&stage.id));
             if !is_allowed {
                 continue;
             }
@@ -347,7 +344,8 @@
 
     fn is_reached(&self, idx: EndpointIdx, desired: &Desired) -> bool {
         let endpoint = self.endpoints.get(idx);
-        same_set(&endpoint.models, &desired.models) && desired.adapters.iter().all(|adapter| endpoint.adapters.contains(adapter))
+        same_set(&endpoint.models, &desired.models)
+            && desired.adapters.iter().all(|adapter| endpoint.adapters.contains(adapter))
     }
 
     /// Sends orders to engines that do not report what they are to hold.
--- a/crates/boragepass_core/src/platform.rs
+++ b/crates/boragepass_core/src/platform.rs
@@ -3,8 +3,7 @@
 use std::net::SocketAddr;
 
 use boragepass_types::{
-    AdapterId, EndpointId, FailureDomain, FenceNumber, Hash64, ModelId, OpId, PoolId, Region, RowVersion,
-    SpanMs, VmId,
+    AdapterId, EndpointId, FailureDomain, FenceNumber, Hash64, ModelId, OpId, PoolId, Region, RowVersion, SpanMs, VmId,
 };
 
 use crate::claim_row::ClaimRow;
--- a/crates/boragepass_core/src/routing.rs
+++ b/crates/boragepass_core/src/routing.rs
@@ -96,11 +96,8 @@
 impl Router<'_> {
     /// Chooses an endpoint.
     pub(crate) fn choose(&self, now: TimeMs, need: &Need<'_>, rng: &mut SmallRng) -> Choice {
-        let home = if need.regions.contains(self.home) {
-            self.sample(now, need, self.home, rng)
-        } else {
-            Sample::default()
-        };
+        let home =
+            if need.regions.contains(self.home) { self.sample(now, need, self.home, rng) } else { Sample::default() };
         let best_home = best(&home.candidates);
         if let Some(chosen) = best_home
             && chosen.expected_ms + need.rest.0 as f32 <= need.left.0 as f32
--- a/crates/boragepass_core/src/shares.rs
+++ b/crates/boragepass_core/src/shares.rs
@@ -44,10 +44,11 @@
         let rate = f64::from(plan.rate_per_s.0) / vms.max(1) as f64;
         let burst = (rate * BURST_MS / MS_PER_S).max(1.0);
         let in_flight_max = part_of(plan.in_flight_max, vms, rank).max(1);
-        let share = self
-            .by_workspace
-            .entry(plan.workspace.clone())
-            .or_insert_with(|| Share { tokens: burst, filled_at: now, in_progress: 0 });
+        let share = self.by_workspace.entry(plan.workspace.clone()).or_insert_with(|| Share {
+            tokens: burst,
+            filled_at: now,
+            in_progress: 0,
+        });
         let gained = now.since(share.filled_at).0 as f64 * rate / MS_PER_S;
         share.tokens = (share.tokens + gained).min(burst);
         share.filled_at = now;
--- a/crates/boragepass_fakes/src/lib.rs
+++ b/crates/boragepass_fakes/src/lib.rs
@@ -0,0 +1,25 @@
+//! Small stand-ins for what the platform and the endpoints are, with faults that a call switches on.
+//!
+//! They serve the tests, the demo and the benches. None of them decides anything for the system.
+
+mod caller;
+mod endpoint;
+mod fake_http;
+mod object_store;
+mod slots;
+mod stage_output;
+mod table;
+mod table_server;
+mod vm_list;
+mod workload;
+mod world;
+
+pub use caller::{Caller, CallerAnswer};
+pub use endpoint::{EndpointFaults, FakeEndpoint, FakeEndpointSettings};
+pub use object_store::FakeObjectStore;
+pub use stage_output::{expected_answer, stage_output};
+pub use table::{TableFaults, TableState};
+pub use table_server::FakeTable;
+pub use vm_list::FakeVmList;
+pub use workload::{OPERATOR_KEY, PEER_KEY, allowlist, caller_key, pipelines, plan};
+pub use world::{World, WorldSettings};
--- /dev/null
+++ b/crates/boragepass_fakes/src/table_server.rs
@@ -0,0 +1,64 @@
+//! The table service over HTTP.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use boragepass_core::{TableReply, TableRequest};
+use boragepass_server::Tasks;
+use boragepass_wire::{WireTableReply, WireTableRequest};
+use http_types::{Request, Response, StatusCode};
+
+use crate::fake_http::{json, serve};
+use crate::table::{TableFaults, TableState};
+
+/// Table service on loopback.
+#[derive(Clone, Default)]
+pub struct FakeTable {
+    /// Rows.
+    pub state: Arc<Mutex<TableState>>,
+    /// Faults.
+    pub faults: Arc<Mutex<TableFaults>>,
+    tasks: Tasks,
+}
+
+impl FakeTable {
+    /// Starts the service.
+    pub async fn start(&self, address: SocketAddr) -> std::io::Result<SocketAddr> {
+        let table = self.clone();
+        serve(address, &self.tasks, move |request| answer(table.clone(), request)).await
+    }
+
+    /// Switches faults.
+    pub fn set_faults(&self, change: impl FnOnce(&mut TableFaults)) {
+        change(&mut self.faults.lock().expect("no holder of this lock panics"));
+    }
+
+    fn apply(&self, request: &TableRequest) -> Option<TableReply> {
+        let reply = self.state.lock().expect("no holder of this lock panics").apply(request);
+        let is_commit = matches!(request, TableRequest::Commit(_));
+        let mut faults = self.faults.lock().expect("no holder of this lock panics");
+        if is_commit && faults.lose_replies > 0 {
+            faults.lose_replies -= 1;
+            return None;
+        }
+        Some(reply)
+    }
+}
+
+async fn answer(table: FakeTable, mut request: Request) -> Option<Response> {
+    let faults = table.faults.lock().expect("no holder of this lock panics").clone();
+    if faults.delay_ms > 0 {
+        async_std::task::sleep(Duration::from_millis(faults.delay_ms)).await;
+    }
+    if faults.is_down {
+        return Some(Response::new(StatusCode::ServiceUnavailable));
+    }
+    let body = request.body_string().await.ok()?;
+    let wire = serde_json::from_str::<WireTableRequest>(&body).ok();
+    let Some(parsed) = wire.and_then(|wire| TableRequest::try_from(wire).ok()) else {
+        return Some(Response::new(StatusCode::BadRequest));
+    };
+    let reply = table.apply(&parsed)?;
+    Some(json(StatusCode::Ok, &WireTableReply::from(&reply)))
+}
--- /dev/null
+++ b/crates/boragepass_fakes/src/world.rs
@@ -0,0 +1,206 @@
+//! A whole installation on loopback: platform, endpoints and daemons in one process.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use async_std::task;
+use boragepass_core::{
+    Limits, ListChange, ListEdit, RowKey, RowValue, RowWrite, TableRequest, VmEntry, VmState, WriteId,
+};
+use boragepass_platform::HttpClient;
+use boragepass_server::{Daemon, StartError};
+use boragepass_settings::{HttpLimits, Settings};
+use boragepass_types::{AccessKey, Incarnation, ListVersion, OpId, Pipeline};
+use boragepass_wire::{WireOperatorReply, WireStatus};
+use http_types::Method;
+
+use crate::endpoint::{FakeEndpoint, FakeEndpointSettings};
+use crate::object_store::FakeObjectStore;
+use crate::table_server::FakeTable;
+use crate::vm_list::FakeVmList;
+use crate::workload::{OPERATOR_KEY, PEER_KEY, pipelines};
+
+const OPERATOR_WITHIN: Duration = Duration::from_secs(10);
+const READY_WITHIN: Duration = Duration::from_secs(20);
+
+/// Size and timing of an installation.
+#[derive(Debug, Clone)]
+pub struct WorldSettings {
+    /// Limits of the daemons.
+    pub limits: Limits,
+    /// Lag of the VM list.
+    pub list_lag_ms: u64,
+    /// Pipelines.
+    pub pipelines: Vec<Arc<Pipeline>>,
+}
+
+impl Default for WorldSettings {
+    fn default() -> Self {
+        Self { limits: Limits::default(), list_lag_ms: 0, pipelines: pipelines() }
+    }
+}
+
+/// Installation on loopback.
+pub struct World {
+    /// Table service.
+    pub table: FakeTable,
+    /// Object store.
+    pub objects: FakeObjectStore,
+    /// VM list.
+    pub vm_list: FakeVmList,
+    /// Endpoints.
+    pub endpoints: Vec<FakeEndpoint>,
+    settings: WorldSettings,
+    table_address: SocketAddr,
+    objects_address: SocketAddr,
+    vm_list_address: SocketAddr,
+    client: HttpClient,
+}
+
+/// Loopback with a port that the system chooses.
+pub(crate) fn any_port() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+impl World {
+    /// Starts the platform.
+    pub async fn start(settings: WorldSettings) -> std::io::Result<Self> {
+        let table = FakeTable::default();
+        let objects = FakeObjectStore::default();
+        let vm_list = FakeVmList::with_lag(Duration::from_millis(settings.list_lag_ms));
+        let table_address = table.start(any_port()).await?;
+        let objects_address = objects.start(any_port()).await?;
+        let vm_list_address = vm_list.start(any_port()).await?;
+        Ok(Self {
+            table,
+            objects,
+            vm_list,
+            endpoints: Vec::new(),
+            settings,
+            table_address,
+            objects_address,
+            vm_list_address,
+            client: HttpClient::default(),
+        })
+    }
+
+    /// Commits a change before any daemon runs.
+    pub fn seed_list(&self, edit: ListEdit) {
+        let mut state = self.table.state.lock().expect("no holder of this lock panics");
+        let head = state.row(&RowKey::Head).map(|row| row.value.clone());
+        let version = match head {
+            Some(RowValue::Head(version)) => version.next(),
+            _ => ListVersion(1),
+        };
+        let vm = "seed".parse().expect("the name is valid");
+        let id = WriteId { vm, incarnation: Incarnation(1), op: OpId(version.0) };
+        let write = |key, value| RowWrite { key, expect: boragepass_core::Expect::Any, id: id.clone(), value };
+        let change = RowValue::Change(Box::new(ListChange { version, edit }));
+        let writes = vec![write(RowKey::Change(version), change), write(RowKey::Head, RowValue::Head(version))];
+        state.apply(&TableRequest::Commit(writes));
+    }
+
+    /// Starts an endpoint and lists it.
+    pub async fn add_endpoint(
+        &mut self,
+        settings: FakeEndpointSettings,
+        pool: &str,
+        region: &str,
+    ) -> std::io::Result<FakeEndpoint> {
+        let checks_fence = settings.checks_fence;
+        let endpoint = FakeEndpoint::new(settings);
+        let address = endpoint.start(any_port()).await?;
+        let parsed = || {
+            Some(VmEntry::Endpoint {
+                endpoint: endpoint.name().parse().ok()?,
+                pool: pool.parse().ok()?,
+                region: region.parse().ok()?,
+                failure_domain: format!("{region}-a").parse().ok()?,
+                address,
+                checks_fence,
+                state: VmState::Live,
+            })
+        };
+        self.vm_list.put(parsed().expect("the names of the stand-ins are valid"));
+        self.endpoints.push(endpoint.clone());
+        Ok(endpoint)
+    }
+
+    /// Starts a daemon and lists it.
+    pub async fn add_daemon(&self, vm: &str, region: &str, failure_domain: &str) -> Result<Daemon, StartError> {
+        let settings = Settings {
+            vm: vm.parse().expect("the names of the stand-ins are valid"),
+            region: region.parse().expect("the names of the stand-ins are valid"),
+            failure_domain: failure_domain.parse().expect("the names of the stand-ins are valid"),
+            callers: any_port(),
+            operators: any_port(),
+            peers: any_port(),
+            table: self.table_address,
+            objects: self.objects_address,
+            vm_list: self.vm_list_address,
+            operator_key: AccessKey::new(OPERATOR_KEY),
+            peer_key: AccessKey::new(PEER_KEY),
+            metrics: None,
+            http: HttpLimits::default(),
+            limits: self.settings.limits.clone(),
+            pipelines: self.settings.pipelines.clone(),
+        };
+        let entry = (settings.vm.clone(), settings.region.clone(), settings.failure_domain.clone());
+        let daemon = Daemon::start(settings).await?;
+        self.vm_list.put(VmEntry::Entry {
+            vm: entry.0,
+            region: entry.1,
+            failure_domain: entry.2,
+            peer_address: daemon.peers,
+            caller_address: daemon.callers,
+            state: VmState::Live,
+        });
+        Ok(daemon)
+    }
+
+    /// Sends an operator's command.
+    pub async fn operate(
+        &self,
+        daemon: &Daemon,
+        method: Method,
+        path: &str,
+        body: String,
+    ) -> Option<WireOperatorReply> {
+        let exchange =
+            self.client.exchange_with_key(daemon.operators, method, path, body, OPERATOR_WITHIN, OPERATOR_KEY);
+        let (_, text) = exchange.await.ok()?;
+        serde_json::from_str(&text).ok()
+    }
+
+    /// State of the fleet as a daemon sees it.
+    pub async fn status(&self, daemon: &Daemon) -> Option<WireStatus> {
+        match self.operate(daemon, Method::Get, "/v1/status", String::new()).await? {
+            WireOperatorReply::Status(status) => Some(status),
+            _ => None,
+        }
+    }
+
+    /// Waits until a daemon's status satisfies a condition; false when it takes too long.
+    pub async fn wait_for(&self, daemon: &Daemon, is_met: impl Fn(&WireStatus) -> bool) -> bool {
+        let started = Instant::now();
+        while started.elapsed() < READY_WITHIN {
+            if self.status(daemon).await.is_some_and(|status| is_met(&status)) {
+                return true;
+            }
+            task::sleep(Duration::from_millis(20)).await;
+        }
+        false
+    }
+
+    /// Waits until a daemon admits and knows all endpoints and `vms` VMs.
+    pub async fn wait_ready(&self, daemon: &Daemon, vms: usize) -> bool {
+        let endpoints = self.endpoints.len();
+        self.wait_for(daemon, |status| {
+            let known = status.endpoints.iter().filter(|endpoint| endpoint.age_ms.is_some()).count();
+            let alive = status.vms.iter().filter(|vm| vm.state == "alive").count();
+            status.admits && known >= endpoints && alive >= vms
+        })
+        .await
+    }
+}
--- /dev/null
+++ b/crates/boragepass_platform/src/object_store.rs
@@ -0,0 +1,42 @@
+//! The object store: `GET` and `PUT /v1/objects/lists-snapshot`.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use boragepass_core::{ObjectReply, ObjectRequest, Snapshot};
+use boragepass_wire::WireSnapshot;
+use http_types::{Method, StatusCode};
+
+use crate::HttpClient;
+
+const WITHIN: Duration = Duration::from_secs(5);
+const PATH: &str = "/v1/objects/lists-snapshot";
+
+/// Asks the object store.
+pub async fn ask_objects(client: &HttpClient, address: SocketAddr, request: &ObjectRequest) -> ObjectReply {
+    match request {
+        ObjectRequest::GetSnapshot => match client.exchange(address, Method::Get, PATH, String::new(), WITHIN).await {
+            Ok((StatusCode::Ok, text)) => parse_snapshot(&text),
+            Ok((StatusCode::NotFound, _)) => ObjectReply::Snapshot(None),
+            _ => ObjectReply::Unavailable,
+        },
+        ObjectRequest::PutSnapshot(snapshot) => {
+            let Ok(body) = serde_json::to_string(&WireSnapshot::from(snapshot.as_ref())) else {
+                return ObjectReply::Unavailable;
+            };
+            match client.exchange(address, Method::Put, PATH, body, WITHIN).await {
+                Ok((StatusCode::Ok, _)) => ObjectReply::Stored,
+                _ => ObjectReply::Unavailable,
+            }
+        }
+    }
+}
+
+fn parse_snapshot(text: &str) -> ObjectReply {
+    let wire = serde_json::from_str::<WireSnapshot>(text);
+    match wire.ok().and_then(|wire| Snapshot::try_from(wire).ok()) {
+        Some(snapshot) => ObjectReply::Snapshot(Some(Arc::new(snapshot))),
+        None => ObjectReply::Unavailable,
+    }
+}
--- /dev/null
+++ b/crates/boragepass_settings/src/raw.rs
@@ -0,0 +1,98 @@
+//! INI text as sections and entries with their lines.
+
+use boragepass_types::{FindingKind, Findings, Place};
+use ini::{Ini, ParseOption};
+
+/// Entry of a section.
+#[derive(Debug, Clone)]
+pub(crate) struct RawEntry {
+    pub(crate) key: String,
+    pub(crate) value: String,
+    pub(crate) line: usize,
+}
+
+/// Section with its entries.
+#[derive(Debug, Clone)]
+pub(crate) struct RawSection {
+    pub(crate) name: String,
+    pub(crate) line: usize,
+    pub(crate) entries: Vec<RawEntry>,
+}
+
+/// Whole file.
+#[derive(Debug, Clone)]
+pub(crate) struct RawSettings {
+    pub(crate) path: String,
+    pub(crate) sections: Vec<RawSection>,
+}
+
+/// Where sections and keys stand; the INI library gives values without lines.
+#[derive(Debug, Default)]
+struct Lines {
+    sections: Vec<(String, usize)>,
+    keys: Vec<(String, String, usize)>,
+}
+
+impl Lines {
+    fn of(text: &str) -> Self {
+        let mut lines = Self::default();
+        let mut section = String::new();
+        for (index, line) in text.lines().enumerate() {
+            let line = line.trim();
+            if let Some(name) = line.strip_prefix('[').and_then(|rest| rest.split(']').next()) {
+                section = name.trim().to_owned();
+                lines.sections.push((section.clone(), index + 1));
+            } else if !line.starts_with([';', '#'])
+                && let Some((key, _)) = line.split_once('=')
+            {
+                lines.keys.push((section.clone(), key.trim().to_owned(), index + 1));
+            }
+        }
+        lines
+    }
+
+    fn section(&self, name: &str) -> usize {
+        self.sections.iter().find(|(other, _)| other == name).map_or(1, |(_, line)| *line)
+    }
+
+    /// Takes the next line on which a key of a section stands.
+    fn take_key(&mut self, section: &str, key: &str) -> Option<usize> {
+        let index = self.keys.iter().position(|(in_section, name, _)| in_section == section && name == key)?;
+        Some(self.keys.remove(index).2)
+    }
+}
+
+impl RawSettings {
+    /// Parses INI text.
+    pub(crate) fn parse(path: &str, text: &str) -> Result<Self, Findings> {
+        let mut lines = Lines::of(text);
+        let option = ParseOption { enabled_quote: true, enabled_escape: false, ..ParseOption::default() };
+        let ini = Ini::load_from_str_opt(text, option).map_err(|error| {
+            let mut findings = Findings::default();
+            let place = Place::Line { path: path.to_owned(), line: error.line + 1 };
+            findings.push(place, FindingKind::Syntax(error.msg.to_string()), None);
+            findings
+        })?;
+        let mut sections: Vec<RawSection> = Vec::new();
+        for (name, properties) in ini.iter() {
+            let name = name.unwrap_or_default().trim().to_owned();
+            if name.is_empty() && properties.is_empty() {
+                continue;
+            }
+            let line = lines.section(&name);
+            let entries = properties.iter().map(|(key, value)| RawEntry {
+                key: key.to_owned(),
+                value: value.trim().to_owned(),
+                line: lines.take_key(&name, key).unwrap_or(line),
+            });
+            let entries: Vec<_> = entries.collect();
+            sections.push(RawSection { name, line, entries });
+        }
+        Ok(Self { path: path.to_owned(), sections })
+    }
+
+    /// Place of a line.
+    pub(crate) fn place(&self, line: usize) -> Place {
+        Place::Line { path: self.path.clone(), line }
+    }
+}
--- /dev/null
+++ b/crates/boragepass_wire/src/members.rs
@@ -0,0 +1,172 @@
+//! Heartbeats and loads.
+
+use boragepass_core::{Heartbeat, Holdings, MemberRecord, MemberState, SharedLoad};
+use boragepass_types::{Hash64, Incarnation, ListVersion, SpanMs};
+use serde::{Deserialize, Serialize};
+
+use crate::WireError;
+use crate::error::{field, fields, texts, try_all};
+
+/// State of a VM on the wire.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum WireMemberState {
+    /// Listed, never heard.
+    Listed,
+    /// Serves.
+    Alive,
+    /// Drains.
+    Leaving,
+    /// Not heard any more.
+    Dead,
+}
+
+impl From<MemberState> for WireMemberState {
+    fn from(state: MemberState) -> Self {
+        match state {
+            MemberState::Listed => Self::Listed,
+            MemberState::Alive => Self::Alive,
+            MemberState::Leaving => Self::Leaving,
+            MemberState::Dead => Self::Dead,
+        }
+    }
+}
+
+impl From<WireMemberState> for MemberState {
+    fn from(state: WireMemberState) -> Self {
+        match state {
+            WireMemberState::Listed => Self::Listed,
+            WireMemberState::Alive => Self::Alive,
+            WireMemberState::Leaving => Self::Leaving,
+            WireMemberState::Dead => Self::Dead,
+        }
+    }
+}
+
+/// Record of a VM on the wire.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WireRecord {
+    vm: String,
+    incarnation: u64,
+    epoch: u32,
+    state: WireMemberState,
+    region: String,
+    failure_domain: String,
+    peer_address: std::net::SocketAddr,
+    caller_address: std::net::SocketAddr,
+    lists: u64,
+}
+
+impl From<&MemberRecord> for WireRecord {
+    fn from(record: &MemberRecord) -> Self {
+        Self {
+            vm: record.vm.to_string(),
+            incarnation: record.incarnation.0,
+            epoch: record.epoch,
+            state: record.state.into(),
+            region: record.region.to_string(),
+            failure_domain: record.failure_domain.to_string(),
+            peer_address: record.peer_address,
+            caller_address: record.caller_address,
+            lists: record.lists.0,
+        }
+    }
+}
+
+impl TryFrom<WireRecord> for MemberRecord {
+    type Error = WireError;
+
+    fn try_from(wire: WireRecord) -> Result<Self, Self::Error> {
+        Ok(Self {
+            vm: field("vm", &wire.vm)?,
+            incarnation: Incarnation(wire.incarnation),
+            epoch: wire.epoch,
+            state: wire.state.into(),
+            region: field("region", &wire.region)?,
+            failure_domain: field("failure_domain", &wire.failure_domain)?,
+            peer_address: wire.peer_address,
+            caller_address: wire.caller_address,
+            lists: ListVersion(wire.lists),
+        })
+    }
+}
+
+/// Heartbeat on the wire.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WireHeartbeat {
+    sender: WireRecord,
+    quarantine_hash: u64,
+    records: Vec<WireRecord>,
+}
+
+impl From<&Heartbeat> for WireHeartbeat {
+    fn from(heartbeat: &Heartbeat) -> Self {
+        Self {
+            sender: (&heartbeat.sender).into(),
+            quarantine_hash: heartbeat.quarantine_hash.0,
+            records: heartbeat.records.iter().map(Into::into).collect(),
+        }
+    }
+}
+
+impl TryFrom<WireHeartbeat> for Heartbeat {
+    type Error = WireError;
+
+    fn try_from(wire: WireHeartbeat) -> Result<Self, Self::Error> {
+        Ok(Self {
+            sender: wire.sender.try_into()?,
+            quarantine_hash: Hash64(wire.quarantine_hash),
+            records: try_all(wire.records)?,
+        })
+    }
+}
+
+/// Load of an endpoint on the wire.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WireLoad {
+    endpoint: u64,
+    running: u32,
+    queued: u32,
+    slots: u32,
+    age_ms: u64,
+    leaving: bool,
+    holdings: Option<(Vec<String>, Vec<String>)>,
+}
+
+impl From<&SharedLoad> for WireLoad {
+    fn from(load: &SharedLoad) -> Self {
+        let holdings = load.holdings.as_ref();
+        Self {
+            endpoint: load.endpoint.0,
+            running: load.running,
+            queued: load.queued,
+            slots: load.slots,
+            age_ms: load.age_ms.0,
+            leaving: load.leaving,
+            holdings: holdings.map(|holdings| (texts(&holdings.models), texts(&holdings.adapters))),
+        }
+    }
+}
+
+impl TryFrom<WireLoad> for SharedLoad {
+    type Error = WireError;
+
+    fn try_from(wire: WireLoad) -> Result<Self, Self::Error> {
+        let holdings = match wire.holdings {
+            Some((models, adapters)) => {
+                let (models, adapters) = (fields("models", &models)?, fields("adapters", &adapters)?);
+                Some(Holdings { models, adapters })
+            }
+            None => None,
+        };
+        Ok(Self {
+            endpoint: Hash64(wire.endpoint),
+            running: wire.running,
+            queued: wire.queued,
+            slots: wire.slots,
+            age_ms: SpanMs(wire.age_ms),
+            leaving: wire.leaving,
+            holdings,
+        })
+    }
+}
