Add the operators' command line

Cause: operators had no tool. Change: boragepass with plan, allow, status, burn, cost, explain, quarantine, settings and key-hash; quarantine entries are let go on all VMs, since the exchange of verdicts would bring them back otherwise.

--- /dev/null
+++ b/crates/boragepass/src/burn_page.rs
@@ -0,0 +1,73 @@
+//! The burn report as a self-contained page with a plot for each workspace and pipeline.
+
+use boragepass_core::BurnWindow;
+use plotters::prelude::{
+    BLACK, ChartBuilder, IntoDrawingArea, IntoSegmentedCoord, RED, Rectangle, SVGBackend, SegmentValue, WHITE,
+};
+use plotters::style::{Color, RGBColor};
+
+use crate::burn::{BurnReport, BurnRow};
+
+const PLOT_SIZE: (u32, u32) = (420, 220);
+const BAR: RGBColor = RGBColor(60, 110, 170);
+const LOWEST_TOP: f64 = 1.5;
+
+/// Page in HTML.
+pub(crate) fn page(report: &BurnReport) -> Result<String, String> {
+    let mut body = String::new();
+    for row in &report.rows {
+        body.push_str(&format!("<h2>{} / {}</h2>\n", escape(&row.workspace), escape(&row.pipeline)));
+        body.push_str(&plot(row).map_err(|error| format!("cannot draw {}: {error}", row.workspace))?);
+    }
+    let missing = if report.silent.is_empty() {
+        String::new()
+    } else {
+        format!("<p><b>Missing, because they did not answer: {}</b></p>\n", escape(&report.silent.join(", ")))
+    };
+    Ok(format!(
+        "<!doctype html>\n<html lang=\"en\"><head><meta charset=\"utf-8\"><title>Service-level burn</title>\
+         <style>body{{font-family:sans-serif;margin:2em}}</style></head>\n<body><h1>Service-level burn</h1>\n\
+         <p>Failures over the failures that the objective allows. Above 1 the objective is missed if it lasts.</p>\n\
+         <p>From {} VMs; the youngest has counted for {} s.</p>\n{missing}{body}<pre>{}</pre></body></html>\n",
+        report.vms.len(),
+        report.covers_ms / 1_000,
+        escape(&report.text()),
+    ))
+}
+
+fn escape(text: &str) -> String {
+    text.replace('&', "&amp;").replace('<', "&lt;").replace('>', "&gt;")
+}
+
+fn plot(row: &BurnRow) -> Result<String, Box<dyn std::error::Error>> {
+    let mut svg = String::new();
+    {
+        let area = SVGBackend::with_string(&mut svg, PLOT_SIZE).into_drawing_area();
+        area.fill(&WHITE)?;
+        let burns: Vec<f64> = BurnWindow::ALL
+            .iter()
+            .map(|window| row.burn.get(&window.to_string()).copied().flatten().unwrap_or(0.0))
+            .collect();
+        let top = burns.iter().copied().fold(LOWEST_TOP, f64::max) * 1.1;
+        let mut chart = ChartBuilder::on(&area)
+            .margin(8)
+            .x_label_area_size(24)
+            .y_label_area_size(36)
+            .build_cartesian_2d((0..BurnWindow::ALL.len() - 1).into_segmented(), 0.0..top)?;
+        let label = |value: &SegmentValue<usize>| match value {
+            SegmentValue::CenterOf(index) => BurnWindow::ALL.get(*index).map(ToString::to_string).unwrap_or_default(),
+            SegmentValue::Exact(_) | SegmentValue::Last => String::new(),
+        };
+        chart.configure_mesh().disable_x_mesh().x_label_formatter(&label).axis_style(BLACK).draw()?;
+        chart.draw_series(burns.iter().enumerate().map(|(index, burn)| {
+            let corners = [(SegmentValue::Exact(index), 0.0), (SegmentValue::Exact(index + 1), *burn)];
+            let mut bar = Rectangle::new(corners, BAR.filled());
+            bar.set_margin(0, 0, 12, 12);
+            bar
+        }))?;
+        let limit = [(SegmentValue::Exact(0), 1.0), (SegmentValue::Last, 1.0)];
+        chart.draw_series(std::iter::once(plotters::prelude::PathElement::new(limit, RED)))?;
+        area.present()?;
+    }
+    Ok(svg)
+}
--- /dev/null
+++ b/crates/boragepass/src/settings_commands.rs
@@ -0,0 +1,41 @@
+//! `boragepass settings` and `boragepass key-hash`, which call no VM.
+
+use std::io::Read;
+
+use boragepass_types::{AccessKey, KeyHash, KeySalt};
+
+use crate::Output;
+
+/// `settings check FILE` or `settings reference`.
+pub(crate) fn settings(words: &[String]) -> Output {
+    let words: Vec<_> = words.iter().map(String::as_str).collect();
+    match words.as_slice() {
+        ["check", file] => check(file),
+        ["reference"] => Output::done(boragepass_settings::reference()),
+        _ => Output::bad_input("settings takes `check FILE` or `reference`"),
+    }
+}
+
+fn check(file: &str) -> Output {
+    let text = match std::fs::read_to_string(file) {
+        Ok(text) => text,
+        Err(error) => return Output::bad_input(format!("{file}: {error}")),
+    };
+    match boragepass_settings::parse(file, &text) {
+        Ok(settings) => Output::done(format!("{file}: no findings, VM {}", settings.vm)),
+        Err(findings) => Output::bad_input(findings.to_string()),
+    }
+}
+
+/// `key-hash --salt TEXT`.
+pub(crate) fn key_hash(salt: &str) -> Output {
+    let mut key = String::new();
+    if let Err(error) = std::io::stdin().read_to_string(&mut key) {
+        return Output::bad_input(format!("standard input: {error}"));
+    }
+    let key = key.trim();
+    if key.is_empty() {
+        return Output::bad_input("standard input holds no key");
+    }
+    Output::done(KeyHash::of(&KeySalt(salt.to_owned()), &AccessKey::new(key)).to_string())
+}
--- a/crates/boragepass_core/src/message.rs
+++ b/crates/boragepass_core/src/message.rs
@@ -145,6 +145,8 @@
     Cleared,
     /// Two endpoints were lost.
     Quarantined,
+    /// An operator let it go.
+    Released,
 }
 
 /// Claim on its way to the VM that commits it.
--- a/crates/boragepass_core/src/operator_flow.rs
+++ b/crates/boragepass_core/src/operator_flow.rs
@@ -1,9 +1,9 @@
 //! Operators' commands.
 
-use boragepass_types::{CallId, TimeMs};
+use boragepass_types::{CallId, ContentDigest, SpanMs, TimeMs};
 
 use crate::effect::Effects;
-use crate::message::Question;
+use crate::message::{Question, VerdictKind};
 use crate::node::Node;
 use crate::operator::{EndpointStatus, OperatorCommand, OperatorReply, Status, VmStatus};
 use crate::platform::VmState;
@@ -28,11 +28,23 @@
             }
             OperatorCommand::Status => OperatorReply::Status(Box::new(self.status(now))),
             OperatorCommand::Quarantine => OperatorReply::Quarantine(self.quarantine.entries(now)),
-            OperatorCommand::QuarantineClear(digest) => OperatorReply::Cleared(self.quarantine.clear(digest)),
+            OperatorCommand::QuarantineClear(digest) => OperatorReply::Cleared(self.clear_quarantine(now, digest, out)),
         };
         self.reply_operator(call, reply, out);
     }
 
+    /// Lets content go on all VMs.
+    fn clear_quarantine(&mut self, now: TimeMs, digest: Option<ContentDigest>, out: &mut Effects) -> usize {
+        let entries = self.quarantine.entries(now);
+        let chosen: Vec<_> =
+            entries.into_iter().filter(|entry| digest.is_none_or(|digest| digest == entry.digest)).collect();
+        for entry in &chosen {
+            self.quarantine.release(now, entry.digest);
+            self.spread_verdict(now, entry.digest, &entry.workspace, VerdictKind::Released, SpanMs(0), out);
+        }
+        chosen.len()
+    }
+
     fn status(&self, now: TimeMs) -> Status {
         let me = &self.membership.me;
         let others = self.membership.members().map(|member| &member.record);
--- a/crates/boragepass_core/src/quarantine.rs
+++ b/crates/boragepass_core/src/quarantine.rs
@@ -16,6 +16,7 @@
 const ENDPOINT_FAULT_LOSSES: usize = 3;
 const LOSS_GROUP: SpanMs = SpanMs(200);
 const CASES_MAX: usize = 20_000;
+const RELEASE_SETTLES: SpanMs = SpanMs(10_000);
 const HASH_MARGIN: SpanMs = SpanMs(5_000);
 
 /// Whether content may run.
@@ -49,6 +50,8 @@
     TestedHere,
     TestedElsewhere,
     Quarantined,
+    /// Let go by an operator a moment ago; verdicts that are still under way do not count.
+    Released,
 }
 
 /// Content in quarantine as operators see it.
@@ -91,6 +94,7 @@
                 Clearance::TestedElsewhere(case.tested_until.since(now))
             }
             CaseKind::TestedHere | CaseKind::TestedElsewhere => Clearance::Alone,
+            CaseKind::Released => Clearance::Free,
             CaseKind::Quarantined => Clearance::Quarantined(case.until.since(now)),
         }
     }
@@ -116,6 +120,10 @@
             tested_until: now,
             until: now + spans.quarantine,
         });
+        if case.kind == CaseKind::Released {
+            case.lost.clear();
+            case.lost_elsewhere = 0;
+        }
         if !case.lost.contains(&endpoint) {
             case.lost.push(endpoint);
         }
@@ -134,7 +142,9 @@
 
     /// Clears content that ran to its end; says whether it was a suspect.
     pub(crate) fn on_success(&mut self, digest: ContentDigest) -> bool {
-        let is_tested = self.cases.get(&digest).is_some_and(|case| case.kind != CaseKind::Quarantined);
+        let is_tested = self.cases.get(&digest).is_some_and(|case| {
+            matches!(case.kind, CaseKind::TestedHere | CaseKind::TestedElsewhere)
+        });
         if is_tested {
             self.cases.remove(&digest);
         }
@@ -145,7 +155,8 @@
     pub(crate) fn apply(&mut self, now: TimeMs, verdict: &Verdict, spans: VerdictSpans) -> bool {
         let known = self.cases.get(&verdict.digest).map(|case| case.kind);
         let kind = match (verdict.kind, known) {
-            (_, Some(CaseKind::Quarantined)) => return false,
+            (VerdictKind::Released, _) => return self.release(now, verdict.digest),
+            (_, Some(CaseKind::Quarantined | CaseKind::Released)) => return false,
             (VerdictKind::Cleared, Some(CaseKind::TestedElsewhere)) => {
                 self.cases.remove(&verdict.digest);
                 return true;
@@ -199,11 +210,14 @@
         entries
     }
 
-    /// Lets content go on an operator's word; says how many entries went.
-    pub(crate) fn clear(&mut self, digest: Option<ContentDigest>) -> usize {
-        let before = self.cases.len();
-        self.cases.retain(|known, _| digest.is_some_and(|digest| digest != *known));
-        before - self.cases.len()
+    /// Lets content go on an operator's word; says whether it was held.
+    pub(crate) fn release(&mut self, now: TimeMs, digest: ContentDigest) -> bool {
+        let Some(case) = self.cases.get_mut(&digest).filter(|case| case.kind != CaseKind::Released) else {
+            return false;
+        };
+        case.kind = CaseKind::Released;
+        case.until = now + RELEASE_SETTLES;
+        true
     }
 
     /// Drops what is over.
--- a/crates/boragepass_wire/src/messages.rs
+++ b/crates/boragepass_wire/src/messages.rs
@@ -49,6 +49,7 @@
     UnderTrial,
     Cleared,
     Quarantined,
+    Released,
 }
 
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -182,6 +183,7 @@
             VerdictKind::UnderTrial => WireVerdictKind::UnderTrial,
             VerdictKind::Cleared => WireVerdictKind::Cleared,
             VerdictKind::Quarantined => WireVerdictKind::Quarantined,
+            VerdictKind::Released => WireVerdictKind::Released,
         };
         Self {
             digest: verdict.digest.to_string(),
@@ -200,6 +202,7 @@
             WireVerdictKind::UnderTrial => VerdictKind::UnderTrial,
             WireVerdictKind::Cleared => VerdictKind::Cleared,
             WireVerdictKind::Quarantined => VerdictKind::Quarantined,
+            WireVerdictKind::Released => VerdictKind::Released,
         };
         Ok(Self {
             digest: field::<ContentDigest>("digest", &wire.digest)?,
