--- a/crates/boragepass_core/src/claim_flow.rs
+++ b/crates/boragepass_core/src/claim_flow.rs
@@ -4,7 +4,7 @@
 
 use crate::claim_batch::{Answered, Waiting};
 use crate::claim_row::ClaimOwner;
-use crate::claims::{ClaimOutput, ClaimRefusal, Claims};
+use crate::claims::{ClaimOutput, ClaimRefusal, Claims, WriteRoute};
 use crate::counter::Counter;
 use crate::effect::Effects;
 use crate::explain::{AttemptReason, ClaimStep, Decision};
@@ -15,6 +15,8 @@
 use crate::request_table::{Phase, RequestKey};
 use crate::timers::Timer;
 
+/// Share of the claim's time after which a committer that is silent is passed over.
+const SILENCE_PERCENT: u64 = 25;
 const RETRY_LATER: SpanMs = SpanMs(1_000);
 
 impl Node {
@@ -22,7 +24,7 @@
     pub(crate) fn carry_out_claims(&mut self, now: TimeMs, outputs: Vec<ClaimOutput>, out: &mut Effects) {
         for output in outputs {
             match output {
-                ClaimOutput::Write(write) => self.send_claim(now, write, out),
+                ClaimOutput::Write { write, route } => self.send_claim(now, write, route, out),
                 ClaimOutput::Read { job, key } => {
                     self.ask_table(TableRequest::Read(vec![key]), TableUse::ClaimRead(job), out);
                 }
@@ -48,9 +50,9 @@
     }
 
     /// Hands a claim to the VM that commits it, which may be this one.
-    fn send_claim(&mut self, now: TimeMs, write: ClaimWrite, out: &mut Effects) {
+    fn send_claim(&mut self, now: TimeMs, write: ClaimWrite, route: WriteRoute, out: &mut Effects) {
         let committer = self.committer_of(&write.key).filter(|record| record.vm != self.settings.vm).cloned();
-        match committer {
+        match committer.filter(|_| route == WriteRoute::Committer) {
             Some(record) => self.send_to(&record, PeerMessage::ClaimWrites(vec![write]), out),
             None => {
                 let origin = self.settings.vm.clone();
@@ -156,7 +158,7 @@
     /// Takes up claims whose writes are unsettled.
     pub(crate) fn clean_up_claims(&mut self, now: TimeMs, out: &mut Effects) {
         self.timers.set(now + Claims::cleanup_interval(), Timer::ClaimCleanup);
-        let outputs = self.claims.clean_up(now, self.settings.limits.claim_timeout_ms);
+        let outputs = self.claims.clean_up(now, self.settings.limits.claim_timeout_ms.percent(SILENCE_PERCENT));
         self.carry_out_claims(now, outputs, out);
     }
 
--- a/crates/boragepass_core/src/claims.rs
+++ b/crates/boragepass_core/src/claims.rs
@@ -17,13 +17,14 @@
 use crate::request_table::RequestKey;
 
 const JOBS_MAX: usize = 20_000;
-const CLEANUP_INTERVAL: SpanMs = SpanMs(500);
+const WAIT: SpanMs = SpanMs(500);
+const CLEANUP_INTERVAL: SpanMs = SpanMs(100);
 
 /// What the node has to do.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum ClaimOutput {
-    /// Commit a write.
-    Write(ClaimWrite),
+    /// Commit a write, through a committer or from here.
+    Write { write: ClaimWrite, route: WriteRoute },
     /// Read a row for a job.
     Read { job: OpId, key: RowKey },
     /// The request holds its claim.
@@ -36,6 +37,15 @@
     Step { request: RequestKey, step: ClaimStep },
 }
 
+/// Who commits a write.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum WriteRoute {
+    /// The VM that groups the claims of several.
+    Committer,
+    /// This VM, since a committer may have died with an earlier write.
+    Here,
+}
+
 /// Why a request does not get its claim.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum ClaimRefusal {
@@ -104,6 +114,14 @@
     }
 }
 
+/// Output of the stage that an earlier owner finished.
+fn done_stage(write: &ClaimWrite) -> Option<Payload> {
+    match &write.row.state {
+        ClaimState::Held { stage_output, .. } => stage_output.clone(),
+        _ => None,
+    }
+}
+
 /// Whether a row is still as a write expected it, so that the write may yet land.
 fn may_land(expect: Expect, row: Option<&Row>) -> bool {
     match (expect, row) {
@@ -177,7 +195,10 @@
         self.next_op = op.next();
         let id = WriteId { vm: self.owner.vm.clone(), incarnation: self.owner.incarnation, op };
         let write = ClaimWrite { key, expect, id, row };
-        outputs.push(ClaimOutput::Write(write.clone()));
+        let is_first_try = purpose != Purpose::Acquire || expect == Expect::Absent;
+        let is_tombstone = matches!(purpose, Purpose::Tombstone { .. });
+        let route = if is_first_try && !is_tombstone { WriteRoute::Committer } else { WriteRoute::Here };
+        outputs.push(ClaimOutput::Write { write: write.clone(), route });
         if self.jobs.len() < JOBS_MAX || request.is_some() {
             self.jobs.insert(op, Job { write, purpose, phase: Phase::Writing, started_at: now, request });
         }
@@ -205,11 +226,27 @@
     fn on_committed(&mut self, now: TimeMs, job: Job, version: RowVersion, outputs: &mut Vec<ClaimOutput>) {
         match job.purpose {
             Purpose::Acquire => self.grant(now, job.request, &job.write, version, outputs),
-            Purpose::Tombstone { .. } => self.refuse(job.request, ClaimRefusal::Unavailable, outputs),
+            Purpose::Tombstone { original } => self.acquire_anew(now, job.request, &original, version, outputs),
             Purpose::Release | Purpose::Settle | Purpose::MarkUnknown => {}
         }
     }
 
+    /// Goes on from a tombstone, if the request still waits.
+    fn acquire_anew(
+        &mut self,
+        now: TimeMs,
+        request: Option<RequestKey>,
+        original: &ClaimWrite,
+        version: RowVersion,
+        outputs: &mut Vec<ClaimOutput>,
+    ) {
+        if let Some(request) = request {
+            let stage_output = done_stage(original);
+            let (key, digest) = (original.key.clone(), original.row.digest);
+            self.write_held(now, request, key, digest, Expect::Version(version), stage_output, outputs);
+        }
+    }
+
     fn grant(
         &mut self,
         now: TimeMs,
@@ -218,10 +255,7 @@
         version: RowVersion,
         outputs: &mut Vec<ClaimOutput>,
     ) {
-        let stage_output = match &write.row.state {
-            ClaimState::Held { stage_output, .. } => stage_output.clone(),
-            _ => None,
-        };
+        let stage_output = done_stage(write);
         let Some(request) = request else {
             self.write_release(now, write.key.clone(), write.row.digest, version, stage_output, outputs);
             return;
@@ -312,11 +346,9 @@
         if let Some(request) = job.request {
             outputs.push(ClaimOutput::Step { request, step: ClaimStep::Tombstone });
         }
-        let state = match &job.write.row.state {
-            ClaimState::Held { stage_output: Some(output), .. } => {
-                ClaimState::StageDone { stage_output: output.clone() }
-            }
-            _ => ClaimState::Released,
+        let state = match done_stage(&job.write) {
+            Some(stage_output) => ClaimState::StageDone { stage_output },
+            None => ClaimState::Released,
         };
         let row = ClaimRow { digest: job.write.row.digest, state };
         let (key, expect) = (job.write.key.clone(), job.write.expect);
@@ -327,7 +359,7 @@
     fn write_again(&mut self, now: TimeMs, mut job: Job, outputs: &mut Vec<ClaimOutput>) {
         job.phase = Phase::Writing;
         job.started_at = now;
-        outputs.push(ClaimOutput::Write(job.write.clone()));
+        outputs.push(ClaimOutput::Write { write: job.write.clone(), route: WriteRoute::Here });
         self.jobs.insert(job.write.id.op, job);
     }
 
@@ -499,7 +531,7 @@
             .jobs
             .iter()
             .filter(|(_, job)| match job.phase {
-                Phase::Waiting => true,
+                Phase::Waiting => now.since(job.started_at) > WAIT,
                 Phase::Writing | Phase::Reading => now.since(job.started_at) > timeout,
             })
             .map(|(op, _)| *op)
--- /dev/null
+++ b/crates/boragepass_core/tests/agreement.rs
@@ -0,0 +1,367 @@
+//! Lists, claims and orders under faults, against the brief's invariants.
+//!
+//! Several reducers in two regions share a table service that goes down, loses replies and lets
+//! writes land late, while VMs die, freeze, restart and regions lose each other. The oracle knows
+//! only what operators, callers and engines saw and what stands in the table.
+
+mod support;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use boragepass_core::{Limits, ListEdit, OperatorCommand, OperatorReply, RowKey, RowValue};
+use boragepass_fakes::{allowlist, plan};
+use boragepass_types::{CallId, ListVersion, Outcome, Plan, SpanMs};
+use proptest::prelude::{BoxedStrategy, Just, Strategy, prop_oneof};
+use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
+use support::{Fleet, NodeState, SimEndpoint};
+
+const REGIONS: [&str; 2] = ["lagos", "abuja"];
+const NODES: usize = 4;
+const DEADLINE_MS: u64 = 3_000;
+const FIRST_RATE: u32 = 10_000;
+const SETTLE_MS: u64 = 120_000;
+
+/// What can happen.
+#[derive(Debug, Clone)]
+enum Step {
+    Commit { node: usize },
+    CommitFor { node: usize, version_back: u64 },
+    CommitTwice { first: usize, second: usize },
+    Book { node: usize, key: u8 },
+    TableDown,
+    TableUp,
+    LoseReplies { count: u32 },
+    DelayCommits { count: u32 },
+    Kill { node: usize },
+    Restart { node: usize },
+    Pause { node: usize, ms: u64 },
+    SlowExecutor { node: usize, ms: u64 },
+    Cut,
+    Heal,
+    ForgetModels { engine: usize },
+    Advance { ms: u64 },
+}
+
+/// Any step is possible at any time.
+struct AnyStep;
+
+impl ReferenceStateMachine for AnyStep {
+    type State = ();
+    type Transition = Step;
+
+    fn init_state() -> BoxedStrategy<Self::State> {
+        Just(()).boxed()
+    }
+
+    fn transitions(_state: &Self::State) -> BoxedStrategy<Self::Transition> {
+        let node = || 0..NODES;
+        prop_oneof![
+            6 => node().prop_map(|node| Step::Commit { node }),
+            2 => (node(), 0_u64..3).prop_map(|(node, version_back)| Step::CommitFor { node, version_back }),
+            3 => (node(), node()).prop_map(|(first, second)| Step::CommitTwice { first, second }),
+            8 => (node(), 0_u8..4).prop_map(|(node, key)| Step::Book { node, key }),
+            2 => Just(Step::TableDown),
+            3 => Just(Step::TableUp),
+            3 => (1_u32..3).prop_map(|count| Step::LoseReplies { count }),
+            3 => (1_u32..3).prop_map(|count| Step::DelayCommits { count }),
+            2 => node().prop_map(|node| Step::Kill { node }),
+            3 => node().prop_map(|node| Step::Restart { node }),
+            2 => (node(), 100_u64..20_000).prop_map(|(node, ms)| Step::Pause { node, ms }),
+            1 => (node(), 0_u64..3_000).prop_map(|(node, ms)| Step::SlowExecutor { node, ms }),
+            1 => Just(Step::Cut),
+            2 => Just(Step::Heal),
+            1 => (0_usize..3).prop_map(|engine| Step::ForgetModels { engine }),
+            8 => (1_u64..300).prop_map(|ms| Step::Advance { ms }),
+            5 => (300_u64..8_000).prop_map(|ms| Step::Advance { ms }),
+        ]
+        .boxed()
+    }
+
+    fn apply(state: Self::State, _transition: &Self::Transition) -> Self::State {
+        state
+    }
+}
+
+/// Change that an operator asked for, told apart by its rate.
+struct Asked {
+    call: CallId,
+    rate: u32,
+}
+
+struct Agreement {
+    fleet: Fleet,
+    next_id: u32,
+    asked: Vec<Asked>,
+    accepted: ListVersion,
+    versions: BTreeMap<(usize, u64), ListVersion>,
+}
+
+fn new_fleet() -> Fleet {
+    let limits = Limits { lease_ms: SpanMs(4_000), order_time_max_ms: SpanMs(500), ..Limits::default() };
+    let mut fleet = Fleet::new(11, limits);
+    fleet.seed_list(ListEdit::SetPlan(plan("lampu-lestari", DEADLINE_MS, FIRST_RATE)));
+    fleet.seed_list(ListEdit::SetAllowlist(allowlist("lampu-lestari", &REGIONS)));
+    for region in REGIONS {
+        for pool in ["encoders", "payouts", "members", "engines", "engines", "engines"] {
+            let number = fleet.endpoints.len();
+            let held = if number % 2 == 0 { "assistant-3b" } else { "contract-7b" };
+            fleet.add_endpoint(SimEndpoint::new(number, pool, region, &[held], number % 3 == 0));
+        }
+    }
+    for number in 0..NODES {
+        let region = REGIONS[number / 2];
+        fleet.add_node(&format!("vm-{number}"), region, &format!("{region}-{number}"));
+    }
+    fleet.advance(5_000);
+    fleet
+}
+
+impl Agreement {
+    fn commit(&mut self, node: usize, expect: Option<ListVersion>) {
+        let rate = FIRST_RATE + 1 + self.asked.len() as u32;
+        let edit = ListEdit::SetPlan(plan("lampu-lestari", DEADLINE_MS, rate));
+        let call = self.fleet.operate(node, OperatorCommand::Commit { expect, edit });
+        self.asked.push(Asked { call, rate });
+    }
+
+    fn apply_step(&mut self, step: Step) {
+        match step {
+            Step::Commit { node } => self.commit(node, None),
+            Step::CommitFor { node, version_back } => {
+                let head = self.fleet.head();
+                self.commit(node, Some(ListVersion(head.0.saturating_sub(version_back))));
+            }
+            Step::CommitTwice { first, second } => {
+                self.commit(first, None);
+                self.commit(second, None);
+            }
+            Step::Book { node, key } => {
+                let id = format!("b{}", self.next_id);
+                self.next_id += 1;
+                let (input, key) = (format!("pickup {key}"), format!("key-{key}"));
+                self.fleet.submit_keyed(node, "lampu-lestari", "pickup-booking", &id, &input, Some(&key));
+            }
+            Step::TableDown => self.fleet.table_faults.is_down = true,
+            Step::TableUp => self.fleet.table_faults.is_down = false,
+            Step::LoseReplies { count } => self.fleet.table_faults.lose_replies += count,
+            Step::DelayCommits { count } => self.fleet.table_faults.delay_commits += count,
+            Step::Kill { node } => self.fleet.kill(node),
+            Step::Restart { node } => {
+                if self.fleet.node_state(node) == NodeState::Down {
+                    self.fleet.executor_delay_ms.remove(&node);
+                    self.fleet.restart(node);
+                }
+            }
+            Step::Pause { node, ms } => self.fleet.pause(node, ms),
+            Step::SlowExecutor { node, ms } => {
+                self.fleet.executor_delay_ms.insert(node, if ms < 1_000 { 0 } else { ms });
+            }
+            Step::Cut => {
+                self.fleet.cut.insert((REGIONS[0].to_owned(), REGIONS[1].to_owned()));
+                self.fleet.cut.insert((REGIONS[1].to_owned(), REGIONS[0].to_owned()));
+            }
+            Step::Heal => self.fleet.cut.clear(),
+            Step::ForgetModels { engine } => {
+                let engines = self.fleet.endpoints.iter_mut().filter(|known| !known.models.is_empty());
+                if let Some(known) = engines.skip(engine).step_by(3).next() {
+                    known.models = vec!["something-else".parse().unwrap()];
+                }
+            }
+            Step::Advance { ms } => self.fleet.advance(ms),
+        }
+        self.look_at_nodes();
+    }
+
+    /// Asks every node that runs for its version and its plan.
+    fn look_at_nodes(&mut self) {
+        for reply in self.fleet.operator_replies.values() {
+            if let OperatorReply::Committed { version, waiting_for } = reply
+                && waiting_for.is_empty()
+            {
+                self.accepted = self.accepted.max(*version);
+            }
+        }
+        for node in 0..NODES {
+            if self.fleet.node_state(node) != NodeState::Up {
+                continue;
+            }
+            if self.fleet.executor_delay_ms.get(&node).is_some_and(|ms| *ms > 0) {
+                continue;
+            }
+            let Some(status) = self.fleet.status(node) else {
+                continue;
+            };
+            let Some(version) = status.lists else {
+                continue;
+            };
+            let process = (node, self.fleet.incarnation(node).0);
+            let before = self.versions.insert(process, version).unwrap_or(version);
+            assert!(version >= before, "vm-{node} went back from version {before} to {version}");
+            let accepted = self.accepted;
+            assert!(!status.admits || version >= accepted, "vm-{node} admits under {version}, {accepted} is accepted");
+            let call = self.fleet.operate(node, OperatorCommand::Plans);
+            if let Some(OperatorReply::Plans(version, plans)) = self.fleet.operator_replies.remove(&call) {
+                let found: Vec<_> = plans.iter().map(|plan| plan.rate_per_s.0).collect();
+                assert_eq!(found, rates_at(&self.fleet, version), "vm-{node} enforces something else at {version}");
+            }
+        }
+    }
+}
+
+/// Plan in the table at a version.
+fn plan_at(fleet: &Fleet, version: ListVersion) -> Option<Plan> {
+    let mut current = None;
+    for number in 1..=version.0 {
+        let row = fleet.table.row(&RowKey::Change(ListVersion(number)));
+        if let Some(RowValue::Change(change)) = row.map(|row| &row.value)
+            && let ListEdit::SetPlan(plan) = &change.edit
+        {
+            current = Some(plan.clone());
+        }
+    }
+    current
+}
+
+fn rates_at(fleet: &Fleet, version: ListVersion) -> Vec<u32> {
+    plan_at(fleet, version).into_iter().map(|plan| plan.rate_per_s.0).collect()
+}
+
+/// Versions at which a rate was committed.
+fn versions_of(fleet: &Fleet, rate: u32) -> Vec<ListVersion> {
+    (1..=fleet.head().0 + 64)
+        .map(ListVersion)
+        .filter(|version| {
+            let row = fleet.table.row(&RowKey::Change(*version));
+            matches!(row.map(|row| &row.value), Some(RowValue::Change(change))
+                if matches!(&change.edit, ListEdit::SetPlan(plan) if plan.rate_per_s.0 == rate))
+        })
+        .collect()
+}
+
+/// Operators are told the truth about their changes.
+fn check_operators(system: &Agreement) {
+    for asked in &system.asked {
+        let stands = versions_of(&system.fleet, asked.rate);
+        assert!(stands.len() <= 1, "one change was committed as {stands:?}");
+        match system.fleet.operator_replies.get(&asked.call) {
+            Some(OperatorReply::Committed { version, .. }) => {
+                assert_eq!(stands, vec![*version], "told committed as {version}");
+            }
+            Some(reply @ (OperatorReply::Conflict { .. } | OperatorReply::Unavailable | OperatorReply::NoLists)) => {
+                assert!(stands.is_empty(), "told {reply:?}, but it stands at {stands:?}");
+            }
+            Some(OperatorReply::Unsettled { version }) => {
+                assert!(stands.is_empty() || stands == vec![*version], "told unsettled at {version}, is {stands:?}");
+            }
+            other => assert!(other.is_none(), "unexpected answer {other:?}"),
+        }
+    }
+}
+
+/// A booking runs at most once, and everyone who is told its answer is told the same.
+fn check_claims(fleet: &Fleet) {
+    let mut runs = BTreeMap::<_, u32>::new();
+    for key in fleet.runs.iter().filter_map(|run| run.key.as_ref()) {
+        *runs.entry(key.clone()).or_default() += 1;
+    }
+    for (key, count) in &runs {
+        assert!(*count <= 1, "key {key} ran {count} times");
+    }
+    let mut answers = BTreeMap::<_, BTreeSet<String>>::new();
+    for record in fleet.calls.values() {
+        if let (Some(key), Some((_, Outcome::Answered { output }))) =
+            (&record.request.idempotency_key, record.outcomes.first())
+        {
+            answers.entry(key.clone()).or_default().insert(output.to_string());
+        }
+    }
+    for (key, outputs) in &answers {
+        assert_eq!(outputs.len(), 1, "key {key} was answered in several ways");
+        assert!(runs.contains_key(key), "key {key} was answered but never ran");
+    }
+}
+
+/// `not_run` is true of the booking of that call.
+fn check_refusals(fleet: &Fleet) {
+    for record in fleet.calls.values() {
+        if let Some((_, Outcome::NotRun { reason, .. })) = record.outcomes.first() {
+            let ran = fleet
+                .runs
+                .iter()
+                .any(|run| run.tag.request == record.request.id && run.tag.incarnation == record.incarnation);
+            assert!(!ran, "{} was told `not run: {reason}`, but something ran", record.request.id);
+        }
+    }
+}
+
+/// Once a holder's order has arrived in a region, no earlier holder's order arrives.
+fn check_orders(fleet: &Fleet) {
+    let mut highest = BTreeMap::<_, u64>::new();
+    for (at, endpoint, order, _) in &fleet.orders {
+        let region = endpoint / 6;
+        let seen = highest.entry(region).or_default();
+        assert!(order.fence.0 >= *seen, "at {at} an order with fence {} arrived after {seen}", order.fence);
+        *seen = order.fence.0;
+    }
+}
+
+struct AgreementTest;
+
+impl StateMachineTest for AgreementTest {
+    type SystemUnderTest = Agreement;
+    type Reference = AnyStep;
+
+    fn init_test(_state: &()) -> Self::SystemUnderTest {
+        let fleet = new_fleet();
+        Agreement { fleet, next_id: 0, asked: Vec::new(), accepted: ListVersion(0), versions: BTreeMap::new() }
+    }
+
+    fn apply(mut system: Self::SystemUnderTest, _state: &(), step: Step) -> Self::SystemUnderTest {
+        system.apply_step(step);
+        system
+    }
+
+    fn check_invariants(system: &Self::SystemUnderTest, _state: &()) {
+        check_operators(system);
+        check_claims(&system.fleet);
+        check_refusals(&system.fleet);
+        check_orders(&system.fleet);
+    }
+
+    /// Everything comes back: all lists agree, engines hold what is needed.
+    fn teardown(mut system: Self::SystemUnderTest, state: ()) {
+        system.fleet.table_faults = support::SimTableFaults::default();
+        system.fleet.cut.clear();
+        system.fleet.executor_delay_ms.clear();
+        for node in 0..NODES {
+            if system.fleet.node_state(node) == NodeState::Down {
+                system.fleet.restart(node);
+            }
+        }
+        for _ in 0..SETTLE_MS / 5_000 {
+            system.fleet.advance(5_000);
+            system.look_at_nodes();
+            Self::check_invariants(&system, &state);
+        }
+        let head = system.fleet.head();
+        for node in 0..NODES {
+            let status = system.fleet.status(node).expect("the node runs");
+            assert_eq!(status.lists, Some(head), "vm-{node} did not catch up");
+            assert!(status.admits, "vm-{node} does not admit");
+        }
+        for region in 0..REGIONS.len() {
+            let engines = &system.fleet.endpoints[region * 6 + 3..region * 6 + 6];
+            for model in ["assistant-3b", "contract-7b"] {
+                let is_held = engines.iter().any(|engine| engine.models.iter().any(|held| held.as_str() == model));
+                assert!(is_held, "no engine of {} holds {model}", REGIONS[region]);
+            }
+        }
+    }
+}
+
+prop_state_machine! {
+    #![proptest_config(support::config(200))]
+
+    #[test]
+    fn agreements_hold_under_faults(sequential 1..50 => AgreementTest);
+}
--- a/crates/boragepass_core/tests/decisions.rs
+++ b/crates/boragepass_core/tests/decisions.rs
@@ -329,7 +329,7 @@
 }
 
 prop_state_machine! {
-    #![proptest_config(support::config(48))]
+    #![proptest_config(support::config(256))]
 
     #[test]
     fn invariants_hold_under_faults(sequential 1..60 => DecisionsTest);
--- a/crates/boragepass_core/tests/support/endpoints.rs
+++ b/crates/boragepass_core/tests/support/endpoints.rs
@@ -111,16 +111,18 @@
     /// Replies to a dispatch in the order in which they come.
     pub(crate) fn replies(&mut self, dispatch: &Dispatch) -> Vec<(Option<AttemptTag>, StageReply)> {
         let mut tag = dispatch.tag.clone();
+        let mut input = dispatch.input.to_string();
         if self.foreign_replies > 0 {
             self.foreign_replies -= 1;
             tag.attempt = tag.attempt.next();
+            input.push_str(" of another request");
         }
         if self.lose_replies > 0 {
             self.lose_replies -= 1;
             return vec![(None, StageReply::Lost)];
         }
         let stage = dispatch.tag.stage.as_str();
-        let output = stage_output(dispatch.kind, stage, &dispatch.input.0, TOKENS);
+        let output = stage_output(dispatch.kind, stage, &input, TOKENS);
         let mut replies = if dispatch.kind == StageKind::Generate {
             stream(&output, dispatch.resume.as_ref().map_or(0, |point| point.tokens))
         } else {
--- a/crates/boragepass_core/tests/support/mod.rs
+++ b/crates/boragepass_core/tests/support/mod.rs
@@ -2,13 +2,13 @@
 //!
 //! Nothing here knows how the reducers decide. Faults are switched on by the tests.
 
-#![allow(dead_code, reason = "each test uses its part")]
+#![allow(dead_code, unused_imports, reason = "each test uses its part")]
 
 mod endpoints;
 mod fleet;
 
 pub(crate) use endpoints::SimEndpoint;
-pub(crate) use fleet::{Fleet, NodeState};
+pub(crate) use fleet::{Fleet, NodeState, SimTableFaults};
 
 use proptest::test_runner::{Config, RngSeed};
 
--- a/crates/boragepass_types/src/outcome.rs
+++ b/crates/boragepass_types/src/outcome.rs
@@ -42,7 +42,7 @@
     Quarantined,
     /// another VM is testing whether the content crashes endpoints
     UnderTrial,
-    /// the claim could not be written
+    /// the claim could not be written; nothing of this send ran
     ClaimUnavailable,
     /// another request holds the key
     ClaimHeld,
