--- a/crates/boragepass_core/tests/agreement.rs
+++ b/crates/boragepass_core/tests/agreement.rs
@@ -4,6 +4,8 @@
 //! writes land late, while VMs die, freeze, restart and regions lose each other. The oracle knows
 //! only what operators, callers and engines saw and what stands in the table.
 
+#![allow(clippy::unwrap_used, reason = "a test fails where it panics")]
+
 mod support;
 
 use std::collections::{BTreeMap, BTreeSet};
--- a/crates/boragepass_core/tests/decisions.rs
+++ b/crates/boragepass_core/tests/decisions.rs
@@ -4,6 +4,8 @@
 //! under another name, and VMs stop, freeze and restart. The oracle knows only what callers and
 //! endpoints saw.
 
+#![allow(clippy::unwrap_used, reason = "a test fails where it panics")]
+
 mod support;
 
 use std::collections::{BTreeMap, BTreeSet};
--- a/crates/boragepass_fakes/tests/failures.rs
+++ b/crates/boragepass_fakes/tests/failures.rs
@@ -1,5 +1,7 @@
 //! Each failure of the brief, brought about over real sockets.
 
+#![allow(clippy::unwrap_used, reason = "a test fails where it panics")]
+
 mod support;
 
 use std::time::Duration;
