--- a/crates/boragepass_core/tests/agreement.rs
+++ b/crates/boragepass_core/tests/agreement.rs
@@ -106,8 +106,8 @@
     for region in REGIONS {
         for pool in ["encoders", "payouts", "members", "engines", "engines", "engines"] {
             let number = fleet.endpoints.len();
-            let held = if number % 2 == 0 { "assistant-3b" } else { "contract-7b" };
-            fleet.add_endpoint(SimEndpoint::new(number, pool, region, &[held], number % 3 == 0));
+            let held = if number.is_multiple_of(2) { "assistant-3b" } else { "contract-7b" };
+            fleet.add_endpoint(SimEndpoint::new(number, pool, region, &[held], number.is_multiple_of(3)));
         }
     }
     for number in 0..NODES {
@@ -351,11 +351,11 @@
             assert_eq!(status.lists, Some(head), "vm-{node} did not catch up");
             assert!(status.admits, "vm-{node} does not admit");
         }
-        for region in 0..REGIONS.len() {
+        for (region, name) in REGIONS.iter().enumerate() {
             let engines = &system.fleet.endpoints[region * 6 + 3..region * 6 + 6];
             for model in ["assistant-3b", "contract-7b"] {
                 let is_held = engines.iter().any(|engine| engine.models.iter().any(|held| held.as_str() == model));
-                assert!(is_held, "no engine of {} holds {model}", REGIONS[region]);
+                assert!(is_held, "no engine of {name} holds {model}");
             }
         }
     }
--- a/crates/boragepass_core/tests/decisions.rs
+++ b/crates/boragepass_core/tests/decisions.rs
@@ -113,7 +113,7 @@
         for _ in 0..count {
             let number = fleet.endpoints.len();
             let mut endpoint =
-                SimEndpoint::new(number, pool, REGION, &["contract-7b", "assistant-3b"], number % 2 == 0);
+                SimEndpoint::new(number, pool, REGION, &["contract-7b", "assistant-3b"], number.is_multiple_of(2));
             if pool == "engines" {
                 endpoint.crash_on = Some("poisoned".to_owned());
             }
@@ -324,9 +324,8 @@
         system.fleet.advance(80_000);
         Self::check_invariants(&system, &state);
         check_all_answered(&system.fleet);
-        for node in system.drained.iter().filter(|node| system.fleet.node_state(**node) == NodeState::Up) {
-            panic!("node {node} did not end its drain");
-        }
+        let undrained = system.drained.iter().find(|node| system.fleet.node_state(**node) == NodeState::Up);
+        assert_eq!(undrained, None, "a node did not end its drain");
     }
 }
 
