Move the virtual fleet to the stand-ins

Cause: the benches at 400 nodes need the driver that the stateful tests had to themselves. Change: boragepass_fakes has virtual_fleet, with cost by node; wakes and addresses are indexed.

--- a/crates/boragepass_core/tests/agreement.rs
+++ b/crates/boragepass_core/tests/agreement.rs
@@ -11,11 +11,11 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use boragepass_core::{Limits, ListEdit, OperatorCommand, OperatorReply, RowKey, RowValue};
+use boragepass_fakes::virtual_fleet::{Fleet, NodeState, SimEndpoint, SimTableFaults};
 use boragepass_fakes::{allowlist, plan};
 use boragepass_types::{CallId, ListVersion, Outcome, Plan, SpanMs};
 use proptest::prelude::{BoxedStrategy, Just, Strategy, prop_oneof};
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
-use support::{Fleet, NodeState, SimEndpoint};
 
 const REGIONS: [&str; 2] = ["lagos", "abuja"];
 const NODES: usize = 4;
@@ -332,7 +332,7 @@
 
     /// Everything comes back: all lists agree, engines hold what is needed.
     fn teardown(mut system: Self::SystemUnderTest, state: ()) {
-        system.fleet.table_faults = support::SimTableFaults::default();
+        system.fleet.table_faults = SimTableFaults::default();
         system.fleet.cut.clear();
         system.fleet.executor_delay_ms.clear();
         for node in 0..NODES {
--- a/crates/boragepass_core/tests/decisions.rs
+++ b/crates/boragepass_core/tests/decisions.rs
@@ -11,11 +11,11 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use boragepass_core::{Limits, ListEdit};
+use boragepass_fakes::virtual_fleet::{Fleet, NodeState, SimEndpoint};
 use boragepass_fakes::{allowlist, expected_answer, pipelines, plan};
 use boragepass_types::{CallId, Outcome, TimeMs};
 use proptest::prelude::{BoxedStrategy, Just, Strategy, prop_oneof};
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
-use support::{Fleet, NodeState, SimEndpoint};
 
 const REGION: &str = "lagos";
 const DEADLINE_MS: u64 = 2_000;
--- a/crates/boragepass_core/tests/support/mod.rs
+++ b/crates/boragepass_core/tests/support/mod.rs
@@ -1,14 +1,4 @@
-//! Several reducers with small fakes at their interfaces, in virtual time and from one seed.
-//!
-//! Nothing here knows how the reducers decide. Faults are switched on by the tests.
-
-#![allow(dead_code, unused_imports, reason = "each test uses its part")]
-
-mod endpoints;
-mod fleet;
-
-pub(crate) use endpoints::SimEndpoint;
-pub(crate) use fleet::{Fleet, NodeState, SimTableFaults};
+//! Seed and number of cases of the stateful tests.
 
 use proptest::test_runner::{Config, RngSeed};
 
--- a/crates/boragepass_fakes/src/lib.rs
+++ b/crates/boragepass_fakes/src/lib.rs
@@ -10,6 +10,7 @@
 mod stage_output;
 mod table;
 mod table_server;
+pub mod virtual_fleet;
 mod vm_list;
 mod workload;
 mod world;
--- a/crates/boragepass_core/tests/support/endpoints.rs
+++ b/crates/boragepass_fakes/src/virtual_fleet/endpoint.rs
@@ -2,65 +2,65 @@
 
 use std::net::SocketAddr;
 
+use crate::stage_output;
 use boragepass_core::{AttemptTag, Dispatch, LoadReport, StageReply, VmEntry, VmState};
-use boragepass_fakes::stage_output;
 use boragepass_types::{IdempotencyKey, ModelId, Payload, SpanMs, StageKind, TimeMs};
 
 /// Tokens of a generated text.
-pub(crate) const TOKENS: u32 = 8;
+const TOKENS: u32 = 8;
 const CHUNK: u32 = 4;
 
 /// Stage that began to run.
 #[derive(Debug, Clone)]
-pub(crate) struct Run {
+pub struct Run {
     /// Attempt.
-    pub(crate) tag: AttemptTag,
+    pub tag: AttemptTag,
     /// Key of a stage that may not be repeated.
-    pub(crate) key: Option<IdempotencyKey>,
+    pub key: Option<IdempotencyKey>,
     /// Endpoint by index.
-    pub(crate) endpoint: usize,
+    pub endpoint: usize,
     /// When it began.
-    pub(crate) at: TimeMs,
+    pub at: TimeMs,
     /// Whether the endpoint crashed on it.
-    pub(crate) crashed: bool,
+    pub crashed: bool,
 }
 
 /// Endpoint in virtual time.
 #[derive(Debug, Clone)]
-pub(crate) struct SimEndpoint {
+pub struct SimEndpoint {
     /// Entry in the VM list.
-    pub(crate) entry: VmEntry,
+    pub entry: VmEntry,
     /// Address.
-    pub(crate) address: SocketAddr,
+    pub address: SocketAddr,
     /// Time of a stage.
-    pub(crate) stage_ms: u64,
+    pub stage_ms: u64,
     /// Until when it is down.
-    pub(crate) down_until: TimeMs,
+    pub down_until: TimeMs,
     /// Raised with every crash; work of an earlier life is gone.
-    pub(crate) life: u32,
+    pub life: u32,
     /// Whether it reports that it takes no new work, and since when.
-    pub(crate) leaving_since: Option<TimeMs>,
+    pub leaving_since: Option<TimeMs>,
     /// Word that crashes it.
-    pub(crate) crash_on: Option<String>,
+    pub crash_on: Option<String>,
     /// Replies to send twice.
-    pub(crate) double_replies: u32,
+    pub double_replies: u32,
     /// Replies to send under another attempt's name.
-    pub(crate) foreign_replies: u32,
+    pub foreign_replies: u32,
     /// Replies to lose after the work was done.
-    pub(crate) lose_replies: u32,
+    pub lose_replies: u32,
     /// Work in progress.
-    pub(crate) running: u32,
+    pub running: u32,
     /// Models it holds.
-    pub(crate) models: Vec<ModelId>,
+    pub models: Vec<ModelId>,
     /// Highest fencing number it has seen.
-    pub(crate) highest_fence: u64,
+    pub highest_fence: u64,
     /// Whether it refuses orders with an old number.
-    pub(crate) checks_fence: bool,
+    pub checks_fence: bool,
 }
 
 impl SimEndpoint {
     /// Endpoint of a pool.
-    pub(crate) fn new(number: usize, pool: &str, region: &str, models: &[&str], checks_fence: bool) -> Self {
+    pub fn new(number: usize, pool: &str, region: &str, models: &[&str], checks_fence: bool) -> Self {
         let address = SocketAddr::from(([10, 1, (number / 250) as u8, (number % 250) as u8], 80));
         let entry = VmEntry::Endpoint {
             endpoint: format!("{pool}-{number}").parse().unwrap(),
@@ -90,12 +90,12 @@
     }
 
     /// Whether it is up.
-    pub(crate) fn is_up(&self, now: TimeMs) -> bool {
+    pub fn is_up(&self, now: TimeMs) -> bool {
         self.down_until <= now
     }
 
     /// Load report.
-    pub(crate) fn report(&self) -> LoadReport {
+    pub fn report(&self) -> LoadReport {
         LoadReport {
             running: self.running,
             queued: 0,
@@ -109,7 +109,7 @@
     }
 
     /// Replies to a dispatch in the order in which they come.
-    pub(crate) fn replies(&mut self, dispatch: &Dispatch) -> Vec<(Option<AttemptTag>, StageReply)> {
+    pub fn replies(&mut self, dispatch: &Dispatch) -> Vec<(Option<AttemptTag>, StageReply)> {
         let mut tag = dispatch.tag.clone();
         let mut input = dispatch.input.to_string();
         if self.foreign_replies > 0 {
--- a/crates/boragepass_core/tests/support/fleet.rs
+++ b/crates/boragepass_fakes/src/virtual_fleet/fleet.rs
@@ -1,29 +1,34 @@
 //! Nodes, their messages, the platform and the callers in virtual time.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
 
+use crate::{TableState, caller_key, pipelines};
 use boragepass_core::{
     Counter, Dispatch, Effect, Event, Limits, ListChange, ListEdit, Node, NodeSettings, ObjectReply, ObjectRequest,
     OperatorCommand, OperatorReply, Order, OrderReply, PeerMessage, RowKey, RowValue, RowWrite, Snapshot, StageReply,
     StateChange, Status, TableReply, TableRequest, VmEntry, VmListReply, VmState, WriteId,
 };
-use boragepass_fakes::{TableState, caller_key, pipelines};
 use boragepass_types::{
-    AccessKey, AttemptId, CallId, Incarnation, ListVersion, OpId, Outcome, RawRequest, Request, TimeMs, VmId,
+    AccessKey, AttemptId, CallId, Incarnation, ListVersion, OpId, Outcome, Pipeline, RawRequest, Request, TimeMs, VmId,
 };
+use boragepass_wire::{decode_message, encode_message};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-use super::endpoints::{Run, SimEndpoint};
+use super::endpoint::{Run, SimEndpoint};
 
 const START_MS: u64 = 1_000_000;
+/// Length of a frame, head of an h2 DATA frame.
+const FRAMING_BYTES: usize = 4 + 9;
 const NETWORK_MS: u64 = 1;
 const TABLE_MS: u64 = 3;
 
 /// Whether a node's process runs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum NodeState {
+pub enum NodeState {
     /// It runs.
     Up,
     /// It is frozen until a time.
@@ -32,8 +37,28 @@
     Down,
 }
 
+/// What a node has cost so far.
+#[derive(Debug, Default, Clone, Copy)]
+pub struct NodeCost {
+    /// Messages sent to other VMs.
+    pub messages_out: u64,
+    /// Messages received from other VMs.
+    pub messages_in: u64,
+    /// Bytes sent, with framing.
+    pub bytes_out: u64,
+    /// Bytes received, with framing.
+    pub bytes_in: u64,
+    /// Time spent in the reducer and the codec.
+    pub work: Duration,
+    /// Transactions asked of the table service.
+    pub table_writes: u64,
+    /// Reads asked of the table service.
+    pub table_reads: u64,
+}
+
 struct Slot {
     node: Node,
+    cost: NodeCost,
     vm: VmId,
     incarnation: Incarnation,
     state: NodeState,
@@ -44,17 +69,17 @@
 
 /// Call of a caller.
 #[derive(Debug, Clone)]
-pub(crate) struct Call {
+pub struct Call {
     /// Node that was asked.
-    pub(crate) node: usize,
+    pub node: usize,
     /// Its incarnation.
-    pub(crate) incarnation: Incarnation,
+    pub incarnation: Incarnation,
     /// Request.
-    pub(crate) request: Request,
+    pub request: Request,
     /// When.
-    pub(crate) at: TimeMs,
+    pub at: TimeMs,
     /// Answers with their times; more than one is a fault.
-    pub(crate) outcomes: Vec<(TimeMs, Outcome)>,
+    pub outcomes: Vec<(TimeMs, Outcome)>,
 }
 
 enum Delivery {
@@ -68,32 +93,32 @@
 
 /// Faults of the table service.
 #[derive(Debug, Default, Clone)]
-pub(crate) struct SimTableFaults {
-    pub(crate) is_down: bool,
-    pub(crate) lose_replies: u32,
+pub struct SimTableFaults {
+    pub is_down: bool,
+    pub lose_replies: u32,
     /// Commits to hold back for a long time, their reply lost.
-    pub(crate) delay_commits: u32,
+    pub delay_commits: u32,
 }
 
 /// Everything.
-pub(crate) struct Fleet {
-    pub(crate) now: TimeMs,
-    pub(crate) rng: SmallRng,
-    pub(crate) endpoints: Vec<SimEndpoint>,
-    pub(crate) table: TableState,
-    pub(crate) table_faults: SimTableFaults,
-    pub(crate) calls: BTreeMap<CallId, Call>,
-    pub(crate) operator_replies: BTreeMap<CallId, OperatorReply>,
-    pub(crate) runs: Vec<Run>,
-    pub(crate) orders: Vec<(TimeMs, usize, Order, bool)>,
-    pub(crate) counters: BTreeMap<Counter, u64>,
-    pub(crate) log: Vec<(TimeMs, VmId, StateChange)>,
-    pub(crate) messages: u64,
+pub struct Fleet {
+    pub now: TimeMs,
+    pub rng: SmallRng,
+    pub endpoints: Vec<SimEndpoint>,
+    pub table: TableState,
+    pub table_faults: SimTableFaults,
+    pub calls: BTreeMap<CallId, Call>,
+    pub operator_replies: BTreeMap<CallId, OperatorReply>,
+    pub runs: Vec<Run>,
+    pub orders: Vec<(TimeMs, usize, Order, bool)>,
+    pub counters: BTreeMap<Counter, u64>,
+    pub log: Vec<(TimeMs, VmId, StateChange)>,
+    pub messages: u64,
     /// Pairs of regions that do not hear each other.
-    pub(crate) cut: BTreeSet<(String, String)>,
+    pub cut: BTreeSet<(String, String)>,
     /// Time for which the executor of each node holds effects back.
-    pub(crate) executor_delay_ms: BTreeMap<usize, u64>,
-    snapshot: Option<std::sync::Arc<Snapshot>>,
+    pub executor_delay_ms: BTreeMap<usize, u64>,
+    snapshot: Option<Arc<Snapshot>>,
     slots: Vec<Slot>,
     queue: BTreeMap<(TimeMs, u64), Delivery>,
     next: u64,
@@ -102,11 +127,18 @@
     limits: Limits,
     canceled: BTreeSet<(Incarnation, AttemptId)>,
     list_log: Vec<VmEntry>,
+    by_vm: HashMap<VmId, usize>,
+    by_address: HashMap<SocketAddr, usize>,
+    wakes: BTreeSet<(TimeMs, usize)>,
+    wake_of: Vec<Option<TimeMs>>,
+    measures_cost: bool,
+    paused: usize,
+    pipelines: Vec<Arc<Pipeline>>,
 }
 
 impl Fleet {
     /// Fleet without nodes.
-    pub(crate) fn new(seed: u64, limits: Limits) -> Self {
+    pub fn new(seed: u64, limits: Limits) -> Self {
         Self {
             now: TimeMs(START_MS),
             rng: SmallRng::seed_from_u64(seed),
@@ -131,11 +163,18 @@
             limits,
             canceled: BTreeSet::new(),
             list_log: Vec::new(),
+            by_vm: HashMap::new(),
+            by_address: HashMap::new(),
+            wakes: BTreeSet::new(),
+            wake_of: Vec::new(),
+            measures_cost: false,
+            paused: 0,
+            pipelines: pipelines(),
         }
     }
 
     /// Commits a change before any node runs.
-    pub(crate) fn seed_list(&mut self, edit: ListEdit) {
+    pub fn seed_list(&mut self, edit: ListEdit) {
         let version = self.head().next();
         let id = WriteId { vm: "seed".parse().unwrap(), incarnation: Incarnation(0), op: OpId(version.0) };
         let write = |key, value| RowWrite { key, expect: boragepass_core::Expect::Any, id: id.clone(), value };
@@ -145,7 +184,7 @@
     }
 
     /// Version of the lists in the table.
-    pub(crate) fn head(&self) -> ListVersion {
+    pub fn head(&self) -> ListVersion {
         match self.table.row(&RowKey::Head).map(|row| &row.value) {
             Some(RowValue::Head(version)) => *version,
             _ => ListVersion(0),
@@ -153,19 +192,21 @@
     }
 
     /// Adds an endpoint.
-    pub(crate) fn add_endpoint(&mut self, endpoint: SimEndpoint) -> usize {
+    pub fn add_endpoint(&mut self, endpoint: SimEndpoint) -> usize {
         self.list_log.push(endpoint.entry.clone());
+        self.by_address.insert(endpoint.address, self.endpoints.len());
         self.endpoints.push(endpoint);
         self.endpoints.len() - 1
     }
 
     /// Adds a node and starts it.
-    pub(crate) fn add_node(&mut self, vm: &str, region: &str, failure_domain: &str) -> usize {
+    pub fn add_node(&mut self, vm: &str, region: &str, failure_domain: &str) -> usize {
         let index = self.slots.len();
         let incarnation = self.take_incarnation();
         let node = self.new_node(index, vm, region, failure_domain, incarnation);
         self.slots.push(Slot {
             node,
+            cost: NodeCost::default(),
             vm: vm.parse().unwrap(),
             incarnation,
             state: NodeState::Up,
@@ -173,6 +214,8 @@
             failure_domain: failure_domain.to_owned(),
             exited: false,
         });
+        self.by_vm.insert(self.slots[index].vm.clone(), index);
+        self.wake_of.push(None);
         self.list_node(index, VmState::Live);
         self.feed(index, Event::Tick);
         index
@@ -192,14 +235,14 @@
             failure_domain: failure_domain.parse().unwrap(),
             peer_address: node_address(index, 1),
             caller_address: node_address(index, 2),
-            pipelines: pipelines(),
+            pipelines: self.pipelines.clone(),
             limits: self.limits.clone(),
             seed: incarnation.0,
         })
     }
 
     /// Changes a node's entry in the VM list.
-    pub(crate) fn list_node(&mut self, index: usize, state: VmState) {
+    pub fn list_node(&mut self, index: usize, state: VmState) {
         let slot = &self.slots[index];
         self.list_log.push(VmEntry::Entry {
             vm: slot.vm.clone(),
@@ -212,49 +255,55 @@
     }
 
     /// Number of nodes.
-    pub(crate) fn node_count(&self) -> usize {
+    pub fn node_count(&self) -> usize {
         self.slots.len()
     }
 
     /// State of a node.
-    pub(crate) fn node_state(&self, index: usize) -> NodeState {
+    pub fn node_state(&self, index: usize) -> NodeState {
         self.slots[index].state
     }
 
     /// Whether a node asked to end.
-    pub(crate) fn has_exited(&self, index: usize) -> bool {
+    pub fn has_exited(&self, index: usize) -> bool {
         self.slots[index].exited
     }
 
     /// VM of a node.
-    pub(crate) fn vm(&self, index: usize) -> &VmId {
+    pub fn vm(&self, index: usize) -> &VmId {
         &self.slots[index].vm
     }
 
     /// Incarnation of a node.
-    pub(crate) fn incarnation(&self, index: usize) -> Incarnation {
+    pub fn incarnation(&self, index: usize) -> Incarnation {
         self.slots[index].incarnation
     }
 
     /// Requests in progress at a node.
-    pub(crate) fn in_progress(&self, index: usize) -> usize {
+    pub fn in_progress(&self, index: usize) -> usize {
         self.slots[index].node.in_progress()
     }
 
     /// Ends a node's process at once.
-    pub(crate) fn kill(&mut self, index: usize) {
+    pub fn kill(&mut self, index: usize) {
+        if matches!(self.slots[index].state, NodeState::Paused(_)) {
+            self.paused -= 1;
+        }
         self.slots[index].state = NodeState::Down;
+        self.note_wake(index);
     }
 
     /// Freezes a node's process.
-    pub(crate) fn pause(&mut self, index: usize, ms: u64) {
+    pub fn pause(&mut self, index: usize, ms: u64) {
         if self.slots[index].state == NodeState::Up {
             self.slots[index].state = NodeState::Paused(TimeMs(self.now.0 + ms));
+            self.paused += 1;
+            self.note_wake(index);
         }
     }
 
     /// Starts a node that is down, with nothing that it knew.
-    pub(crate) fn restart(&mut self, index: usize) {
+    pub fn restart(&mut self, index: usize) {
         let incarnation = self.take_incarnation();
         let (vm, region) = (self.slots[index].vm.to_string(), self.slots[index].region.clone());
         let failure_domain = self.slots[index].failure_domain.clone();
@@ -269,7 +318,7 @@
     }
 
     /// Crashes an endpoint for a while.
-    pub(crate) fn crash_endpoint(&mut self, index: usize, down_ms: u64) {
+    pub fn crash_endpoint(&mut self, index: usize, down_ms: u64) {
         let endpoint = &mut self.endpoints[index];
         endpoint.life += 1;
         endpoint.running = 0;
@@ -292,7 +341,7 @@
     }
 
     /// Marks an endpoint as leaving in the VM list and in its reports.
-    pub(crate) fn leave_endpoint(&mut self, index: usize) {
+    pub fn leave_endpoint(&mut self, index: usize) {
         let now = self.now;
         let endpoint = &mut self.endpoints[index];
         endpoint.leaving_since.get_or_insert(now);
@@ -303,12 +352,12 @@
     }
 
     /// Sends a request to a node.
-    pub(crate) fn submit(&mut self, node: usize, workspace: &str, pipeline: &str, id: &str, input: &str) -> CallId {
+    pub fn submit(&mut self, node: usize, workspace: &str, pipeline: &str, id: &str, input: &str) -> CallId {
         self.submit_keyed(node, workspace, pipeline, id, input, None)
     }
 
     /// Sends a request that may not be repeated.
-    pub(crate) fn submit_keyed(
+    pub fn submit_keyed(
         &mut self,
         node: usize,
         workspace: &str,
@@ -341,14 +390,14 @@
     }
 
     /// Sends an operator's command to a node.
-    pub(crate) fn operate(&mut self, node: usize, command: OperatorCommand) -> CallId {
+    pub fn operate(&mut self, node: usize, command: OperatorCommand) -> CallId {
         let call = self.new_call();
         self.feed(node, Event::Operator { call, command });
         call
     }
 
     /// State of the fleet as a node sees it; `None` while it does not run.
-    pub(crate) fn status(&mut self, node: usize) -> Option<Box<Status>> {
+    pub fn status(&mut self, node: usize) -> Option<Box<Status>> {
         let call = self.operate(node, OperatorCommand::Status);
         match self.operator_replies.remove(&call) {
             Some(OperatorReply::Status(status)) => Some(status),
@@ -357,12 +406,12 @@
     }
 
     /// Asks a node to stop as planned.
-    pub(crate) fn terminate(&mut self, node: usize) {
+    pub fn terminate(&mut self, node: usize) {
         self.feed(node, Event::Terminate);
     }
 
     /// Lets time pass.
-    pub(crate) fn advance(&mut self, ms: u64) {
+    pub fn advance(&mut self, ms: u64) {
         let until = TimeMs(self.now.0 + ms);
         loop {
             let delivery_at = self.queue.first_key_value().map(|((at, _), _)| *at);
@@ -377,7 +426,9 @@
                 break;
             }
             self.now = self.now.max(next);
-            self.resume_paused();
+            if self.paused > 0 {
+                self.resume_paused();
+            }
             match (delivery_at, wake) {
                 (Some(at), _) if at <= next => self.deliver_first(),
                 (_, Some((at, node))) if at <= next => self.feed(node, Event::Tick),
@@ -389,18 +440,32 @@
     }
 
     fn next_wake(&self) -> Option<(TimeMs, usize)> {
-        let wakes = self.slots.iter().enumerate().filter_map(|(index, slot)| match slot.state {
-            NodeState::Up => slot.node.next_wake().map(|at| (at.max(self.now), index)),
-            NodeState::Paused(until) => Some((until.max(self.now), index)),
+        self.wakes.first().map(|(at, node)| ((*at).max(self.now), *node))
+    }
+
+    /// Notes when a node has to be woken.
+    fn note_wake(&mut self, node: usize) {
+        if let Some(old) = self.wake_of[node].take() {
+            self.wakes.remove(&(old, node));
+        }
+        let slot = &self.slots[node];
+        let wake = match slot.state {
+            NodeState::Up => slot.node.next_wake(),
+            NodeState::Paused(until) => Some(until),
             NodeState::Down => None,
-        });
-        wakes.min()
+        };
+        if let Some(at) = wake {
+            self.wakes.insert((at, node));
+            self.wake_of[node] = Some(at);
+        }
     }
 
     fn resume_paused(&mut self) {
-        for slot in &mut self.slots {
-            if matches!(slot.state, NodeState::Paused(until) if until <= self.now) {
-                slot.state = NodeState::Up;
+        for index in 0..self.slots.len() {
+            if matches!(self.slots[index].state, NodeState::Paused(until) if until <= self.now) {
+                self.slots[index].state = NodeState::Up;
+                self.paused -= 1;
+                self.note_wake(index);
             }
         }
     }
@@ -456,7 +521,7 @@
     }
 
     /// Hands an event to a node and carries out what it asks for.
-    pub(crate) fn feed(&mut self, node: usize, event: Event) {
+    pub fn feed(&mut self, node: usize, event: Event) {
         let slot = &mut self.slots[node];
         match slot.state {
             NodeState::Up => {}
@@ -467,7 +532,12 @@
             }
             NodeState::Down => return,
         }
+        let started = self.measures_cost.then(Instant::now);
         let effects = slot.node.handle(self.now, event);
+        if let Some(started) = started {
+            slot.cost.work += started.elapsed();
+        }
+        self.note_wake(node);
         let delay_ms = self.executor_delay_ms.get(&node).copied().unwrap_or(0);
         if delay_ms > 0 {
             let incarnation = self.slots[node].incarnation;
@@ -507,6 +577,11 @@
                 self.canceled.insert((incarnation, attempt));
             }
             Effect::Table { op, request } => {
+                let cost = &mut self.slots[node].cost;
+                match &request {
+                    TableRequest::Commit(_) => cost.table_writes += 1,
+                    TableRequest::Read(_) => cost.table_reads += 1,
+                }
                 self.deliver(TABLE_MS, Delivery::ToTable { node, incarnation, op, request });
             }
             Effect::Object { op, request } => self.ask_objects(node, incarnation, op, request),
@@ -516,7 +591,7 @@
                 self.deliver(TABLE_MS, Delivery::ToNode { node, incarnation, event: Event::VmList(reply) });
             }
             Effect::PollLoad { endpoint, address, asked_at } => {
-                let known = self.endpoints.iter().find(|known| known.address == address);
+                let known = self.by_address.get(&address).map(|index| &self.endpoints[*index]);
                 let report = known.filter(|known| known.is_up(self.now)).map(SimEndpoint::report);
                 let event = Event::Load { endpoint, asked_at, report };
                 self.deliver(2 * NETWORK_MS, Delivery::ToNode { node, incarnation, event });
@@ -536,6 +611,7 @@
             Effect::Exit => {
                 self.slots[node].exited = true;
                 self.slots[node].state = NodeState::Down;
+                self.note_wake(node);
             }
             Effect::Token { .. } | Effect::AddressAnswer { .. } => {}
         }
@@ -546,7 +622,7 @@
     }
 
     fn send(&mut self, node: usize, incarnation: Incarnation, to: &VmId, message: PeerMessage) {
-        let Some(target) = self.slots.iter().position(|slot| slot.vm == *to) else {
+        let Some(target) = self.by_vm.get(to).copied() else {
             return;
         };
         let (from_region, to_region) = (self.slots[node].region.clone(), self.slots[target].region.clone());
@@ -555,6 +631,7 @@
             return;
         }
         self.messages += 1;
+        let message = if self.measures_cost { self.encode_and_decode(node, target, &message) } else { message };
         let extra_ms = if from_region == to_region { 0 } else { self.limits.region_delay_ms.0 };
         let travel = self.travel(extra_ms);
         let event = Event::Peer { from: self.slots[node].vm.clone(), incarnation, message };
@@ -562,6 +639,38 @@
         self.deliver(travel, Delivery::ToNode { node: target, incarnation: target_incarnation, event });
     }
 
+    /// Takes a message through the codec and books its cost on both sides.
+    fn encode_and_decode(&mut self, from: usize, to: usize, message: &PeerMessage) -> PeerMessage {
+        let started = Instant::now();
+        let bytes = encode_message(message).expect("messages of the reducer are encodable");
+        let encoded_after = started.elapsed();
+        let decoded = decode_message(&bytes).expect("encoded messages are decodable");
+        let decoded_after = started.elapsed();
+        let len = (bytes.len() + FRAMING_BYTES) as u64;
+        let sender = &mut self.slots[from].cost;
+        sender.messages_out += 1;
+        sender.bytes_out += len;
+        sender.work += encoded_after;
+        let receiver = &mut self.slots[to].cost;
+        receiver.messages_in += 1;
+        receiver.bytes_in += len;
+        receiver.work += decoded_after - encoded_after;
+        decoded
+    }
+
+    /// Starts to measure what nodes cost.
+    pub fn measure_cost(&mut self) {
+        self.measures_cost = true;
+        for slot in &mut self.slots {
+            slot.cost = NodeCost::default();
+        }
+    }
+
+    /// What a node has cost since the measurement began.
+    pub fn cost(&self, node: usize) -> NodeCost {
+        self.slots[node].cost
+    }
+
     fn ask_objects(&mut self, node: usize, incarnation: Incarnation, op: OpId, request: ObjectRequest) {
         let reply = match request {
             _ if self.table_faults.is_down => ObjectReply::Unavailable,
@@ -608,7 +717,7 @@
         dispatch: Box<Dispatch>,
     ) {
         let attempt = dispatch.tag.attempt;
-        let Some(index) = self.endpoints.iter().position(|known| known.address == dispatch.address) else {
+        let Some(index) = self.by_address.get(&dispatch.address).copied() else {
             return;
         };
         debug_assert!(self.now.0 <= not_after.0 + self.limits.region_delay_ms.0 + 5);
@@ -650,7 +759,7 @@
     }
 
     fn arrive_order(&mut self, node: usize, incarnation: Incarnation, op: OpId, address: SocketAddr, order: &Order) {
-        let Some(index) = self.endpoints.iter().position(|known| known.address == address) else {
+        let Some(index) = self.by_address.get(&address).copied() else {
             return;
         };
         let now = self.now;
