--- a/crates/boragepass_fakes/src/virtual_fleet/endpoint.rs
+++ b/crates/boragepass_fakes/src/virtual_fleet/endpoint.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use super::name;
 use crate::stage_output;
 use boragepass_core::{AttemptTag, Dispatch, LoadReport, StageReply, VmEntry, VmState};
 use boragepass_types::{IdempotencyKey, ModelId, Payload, SpanMs, StageKind, TimeMs};
@@ -63,10 +64,10 @@
     pub fn new(number: usize, pool: &str, region: &str, models: &[&str], checks_fence: bool) -> Self {
         let address = SocketAddr::from(([10, 1, (number / 250) as u8, (number % 250) as u8], 80));
         let entry = VmEntry::Endpoint {
-            endpoint: format!("{pool}-{number}").parse().unwrap(),
-            pool: pool.parse().unwrap(),
-            region: region.parse().unwrap(),
-            failure_domain: format!("{region}-a").parse().unwrap(),
+            endpoint: name(&format!("{pool}-{number}")),
+            pool: name(pool),
+            region: name(region),
+            failure_domain: name(&format!("{region}-a")),
             address,
             checks_fence,
             state: VmState::Live,
@@ -83,7 +84,7 @@
             foreign_replies: 0,
             lose_replies: 0,
             running: 0,
-            models: models.iter().map(|model| model.parse().unwrap()).collect(),
+            models: models.iter().map(|model| name(model)).collect(),
             highest_fence: 0,
             checks_fence,
         }
--- a/crates/boragepass_fakes/src/virtual_fleet/fleet.rs
+++ b/crates/boragepass_fakes/src/virtual_fleet/fleet.rs
@@ -19,6 +19,7 @@
 use rand::{Rng, SeedableRng};
 
 use super::endpoint::{Run, SimEndpoint};
+use super::name;
 
 const START_MS: u64 = 1_000_000;
 /// Length of a frame, head of an h2 DATA frame.
@@ -176,7 +177,7 @@
     /// Commits a change before any node runs.
     pub fn seed_list(&mut self, edit: ListEdit) {
         let version = self.head().next();
-        let id = WriteId { vm: "seed".parse().unwrap(), incarnation: Incarnation(0), op: OpId(version.0) };
+        let id = WriteId { vm: name("seed"), incarnation: Incarnation(0), op: OpId(version.0) };
         let write = |key, value| RowWrite { key, expect: boragepass_core::Expect::Any, id: id.clone(), value };
         let change = RowValue::Change(Box::new(ListChange { version, edit }));
         let writes = vec![write(RowKey::Change(version), change), write(RowKey::Head, RowValue::Head(version))];
@@ -207,7 +208,7 @@
         self.slots.push(Slot {
             node,
             cost: NodeCost::default(),
-            vm: vm.parse().unwrap(),
+            vm: name(vm),
             incarnation,
             state: NodeState::Up,
             region: region.to_owned(),
@@ -229,10 +230,10 @@
 
     fn new_node(&self, index: usize, vm: &str, region: &str, failure_domain: &str, incarnation: Incarnation) -> Node {
         Node::new(NodeSettings {
-            vm: vm.parse().unwrap(),
+            vm: name(vm),
             incarnation,
-            region: region.parse().unwrap(),
-            failure_domain: failure_domain.parse().unwrap(),
+            region: name(region),
+            failure_domain: name(failure_domain),
             peer_address: node_address(index, 1),
             caller_address: node_address(index, 2),
             pipelines: self.pipelines.clone(),
@@ -246,8 +247,8 @@
         let slot = &self.slots[index];
         self.list_log.push(VmEntry::Entry {
             vm: slot.vm.clone(),
-            region: slot.region.parse().unwrap(),
-            failure_domain: slot.failure_domain.parse().unwrap(),
+            region: name(&slot.region),
+            failure_domain: name(&slot.failure_domain),
             peer_address: node_address(index, 1),
             caller_address: node_address(index, 2),
             state,
@@ -375,7 +376,7 @@
             idempotency_key: key.map(ToOwned::to_owned),
             stream: false,
         });
-        let request = request.unwrap();
+        let request = request.expect("the requests of the tests are valid");
         let call = self.new_call();
         let (at, incarnation) = (self.now, self.slots[node].incarnation);
         self.calls.insert(call, Call { node, incarnation, request: request.clone(), at, outcomes: Vec::new() });
--- a/crates/boragepass_fakes/src/virtual_fleet/mod.rs
+++ b/crates/boragepass_fakes/src/virtual_fleet/mod.rs
@@ -7,3 +7,11 @@
 
 pub use endpoint::{Run, SimEndpoint};
 pub use fleet::{Call, Fleet, NodeCost, NodeState, SimTableFaults};
+
+/// Identifier with a text that is known to be valid.
+fn name<T: std::str::FromStr>(text: &str) -> T
+where
+    T::Err: std::fmt::Debug,
+{
+    text.parse().expect("the names of the stand-ins are valid")
+}
