Measure path, decisions, attainment, agreement and slopes

Cause: no figure backed any decision. Change: boragepass-bench with five measurements; claims are paced so that the fleet's committers stay within 200 transactions a second. The test of agreements now finds claims that are stuck: without tombstones it failed to notice before.

--- /dev/null
+++ b/crates/boragepass_bench/src/slopes.rs
@@ -0,0 +1,307 @@
+//! Slopes of state, messages and processor time, and what they come to at the size of letter 1.
+
+use std::time::Instant;
+
+use boragepass_core::{Event, Node, PeerMessage};
+use boragepass_fakes::virtual_fleet::Fleet;
+use boragepass_types::{AccessKey, CallId, Incarnation, RawRequest, Request, TimeMs};
+use serde::Serialize;
+
+use crate::agreement::{claims_at_rate, settled_fleet};
+use crate::decisions::{node_settings, plan_change, ready_node, snapshot};
+use crate::process::heap_bytes;
+
+const VMS: f64 = 400.0;
+const ENDPOINTS: f64 = 1_300.0;
+const REGIONS: usize = 8;
+const DOMAINS: usize = 22;
+const WORKSPACES: f64 = 4_200.0;
+const CHANGES_PER_DAY: f64 = 2_800.0;
+const SECONDS_PER_DAY: f64 = 86_400.0;
+/// Workspaces that the busiest VM serves, over the mean.
+const SKEW: f64 = 3.0;
+
+const CORE_SHARE_MAX: f64 = 0.031;
+const MEMORY_MAX: f64 = 32.0 * 1_048_576.0;
+const BYTES_PER_S_MAX: f64 = 21.0 * 1_024.0;
+const TABLE_READS_MAX: f64 = 1_000.0;
+const TABLE_WRITES_MAX: f64 = 300.0;
+const IN_FORCE_MAX_S: f64 = 6.0;
+
+/// One measured slope.
+#[derive(Debug, Clone, Serialize)]
+pub struct Slope {
+    /// What grows.
+    pub of: &'static str,
+    /// Against what.
+    pub against: &'static str,
+    /// Sizes and values.
+    pub points: Vec<(f64, f64)>,
+    /// Growth for one more, by least squares.
+    pub slope: f64,
+    /// Value at size zero.
+    pub base: f64,
+}
+
+/// Slopes, and totals for the worst-placed VM at the size of letter 1.
+#[derive(Debug, Clone, Serialize)]
+pub struct SlopeFigures {
+    /// Measured slopes.
+    pub slopes: Vec<Slope>,
+    /// Share of a core for control.
+    pub control_core_share: f64,
+    /// Memory for control.
+    pub control_memory_bytes: f64,
+    /// Bytes sent and received a second for control.
+    pub control_bytes_per_s: f64,
+    /// Reads of the table service a second, whole fleet.
+    pub table_reads_per_s: f64,
+    /// Transactions of the table service a second, whole fleet, claims included.
+    pub table_writes_per_s: f64,
+    /// Time from a commit to in force everywhere.
+    pub config_in_force_s: f64,
+    /// Processor time for one message between VMs over sockets, both sides together.
+    pub link_us_per_message: f64,
+    /// Targets that are exceeded.
+    pub exceeded: Vec<String>,
+}
+
+fn fit(of: &'static str, against: &'static str, points: Vec<(f64, f64)>) -> Slope {
+    let count = points.len() as f64;
+    let mean_x = points.iter().map(|point| point.0).sum::<f64>() / count;
+    let mean_y = points.iter().map(|point| point.1).sum::<f64>() / count;
+    let covariance: f64 = points.iter().map(|point| (point.0 - mean_x) * (point.1 - mean_y)).sum();
+    let variance: f64 = points.iter().map(|point| (point.0 - mean_x).powi(2)).sum();
+    let slope = covariance / variance;
+    Slope { of, against, points, slope, base: mean_y - slope * mean_x }
+}
+
+/// Heap that something keeps.
+fn heap_of<T>(make: impl FnOnce() -> T) -> (T, f64) {
+    let before = heap_bytes();
+    let kept = make();
+    (kept, heap_bytes().saturating_sub(before) as f64)
+}
+
+const START: TimeMs = TimeMs(1_000_000);
+
+fn heap_against_endpoints() -> Slope {
+    let points = [100, 500, 1_300].map(|count| {
+        let (_node, heap) = heap_of(|| ready_node(START, count, 1));
+        (count as f64, heap)
+    });
+    fit("heap bytes of a node", "endpoints", points.to_vec())
+}
+
+fn heap_against_workspaces() -> Slope {
+    let points = [500, 2_000, 4_200].map(|count| {
+        let (_node, heap) = heap_of(|| {
+            let lists = std::sync::Arc::new(snapshot(count));
+            let mut node = ready_node(START, 1, 1);
+            let (from, incarnation) = ("vm-2".parse().expect("the name is valid"), Incarnation(1));
+            let mut lists = std::sync::Arc::unwrap_or_clone(lists);
+            lists.version = lists.version.next();
+            let message = PeerMessage::Snapshot(lists.into());
+            node.handle(START, Event::Peer { from, incarnation, message });
+            node
+        });
+        (count as f64, heap)
+    });
+    fit("heap bytes of a node", "workspaces", points.to_vec())
+}
+
+fn heap_against_vms() -> Slope {
+    let points = [50, 150, 400].map(|count| {
+        let (_node, heap) = heap_of(|| {
+            let mut node = Node::new(node_settings("vm-0"));
+            let entries = (1..count).map(|number| boragepass_core::VmEntry::Entry {
+                vm: format!("vm-{number}").parse().expect("the names of the bench are valid"),
+                region: "lagos".parse().expect("the name is valid"),
+                failure_domain: format!("domain-{}", number % DOMAINS).parse().expect("the names are valid"),
+                peer_address: ([10, 0, (number / 250) as u8, (number % 250) as u8], 1).into(),
+                caller_address: ([10, 0, (number / 250) as u8, (number % 250) as u8], 2).into(),
+                state: boragepass_core::VmState::Live,
+            });
+            let entries = entries.collect();
+            node.handle(START, Event::VmList(boragepass_core::VmListReply::Changes { version: 1, entries }));
+            node
+        });
+        (count as f64, heap)
+    });
+    fit("heap bytes of a node", "VMs", points.to_vec())
+}
+
+fn heap_against_requests() -> Slope {
+    let points = [100_u64, 500, 2_000].map(|count| {
+        let mut node = ready_node(START, 20, 5);
+        let now = START;
+        let ((), heap) = heap_of(|| {
+            for number in 0..count {
+                submit(&mut node, now, number);
+            }
+        });
+        (count as f64, heap)
+    });
+    fit("heap bytes of a node", "requests in flight", points.to_vec())
+}
+
+fn submit(node: &mut Node, now: TimeMs, number: u64) {
+    let raw = RawRequest {
+        workspace: format!("workspace-{}", number % 5),
+        pipeline: "contract-review".to_owned(),
+        request_id: format!("r{number}"),
+        input: format!("contract {number} {}", "x".repeat(1_000)),
+        deadline_ms: None,
+        idempotency_key: None,
+        stream: false,
+    };
+    let key = AccessKey::new(&boragepass_fakes::caller_key(&raw.workspace));
+    let request = Request::try_from(raw).expect("the requests of the bench are valid");
+    node.handle(now, Event::Submit { call: CallId(number), key, request });
+}
+
+fn time_against_changes() -> Slope {
+    let points = [100_u64, 400, 1_600].map(|count| {
+        let mut node = ready_node(START, 20, 50);
+        let began = Instant::now();
+        for number in 0..count {
+            let change = Box::new(plan_change(2 + number, number as usize % 50));
+            let (from, incarnation) = ("vm-2".parse().expect("the name is valid"), Incarnation(1));
+            node.handle(START, Event::Peer { from, incarnation, message: PeerMessage::Change(change) });
+        }
+        (count as f64, began.elapsed().as_secs_f64() * 1e6)
+    });
+    fit("microseconds of a node", "configuration changes", points.to_vec())
+}
+
+/// Busiest node of a fleet in virtual time.
+struct Busiest {
+    bytes_per_s: f64,
+    messages_per_s: f64,
+    work_share: f64,
+    reads_per_s: f64,
+    writes_per_s: f64,
+}
+
+fn busiest(fleet: &mut Fleet, vms: usize) -> Busiest {
+    const MEASURED_MS: u64 = 10_000;
+    fleet.measure_cost();
+    fleet.advance(MEASURED_MS);
+    let span = MEASURED_MS as f64 / 1_000.0;
+    let costs: Vec<_> = (0..vms).map(|node| fleet.cost(node)).collect();
+    let largest = |of: &dyn Fn(&boragepass_fakes::virtual_fleet::NodeCost) -> f64| {
+        costs.iter().map(of).fold(0.0, f64::max) / span
+    };
+    Busiest {
+        bytes_per_s: largest(&|cost| (cost.bytes_in + cost.bytes_out) as f64),
+        messages_per_s: largest(&|cost| (cost.messages_in + cost.messages_out) as f64),
+        work_share: largest(&|cost| cost.work.as_secs_f64()),
+        reads_per_s: costs.iter().map(|cost| cost.table_reads).sum::<u64>() as f64 / span,
+        writes_per_s: costs.iter().map(|cost| cost.table_writes).sum::<u64>() as f64 / span,
+    }
+}
+
+fn fleet_slopes(slopes: &mut Vec<Slope>) -> (Busiest, f64, f64) {
+    let mut bytes = Vec::new();
+    let mut messages = Vec::new();
+    let mut work = Vec::new();
+    let mut last = None;
+    for vms in [100, 200, 400] {
+        let endpoints = (ENDPOINTS as usize) * vms / VMS as usize;
+        let mut fleet = settled_fleet(vms, REGIONS, DOMAINS, endpoints, 5);
+        let figures = busiest(&mut fleet, vms);
+        bytes.push((vms as f64, figures.bytes_per_s));
+        messages.push((vms as f64, figures.messages_per_s));
+        work.push((vms as f64, figures.work_share));
+        let in_force = in_force_s(&mut fleet);
+        last = Some((figures, in_force, claims_at_rate(&mut fleet, vms).transactions_per_s));
+    }
+    slopes.push(fit("control bytes a second of the busiest node", "VMs", bytes));
+    slopes.push(fit("control messages a second of the busiest node", "VMs", messages));
+    slopes.push(fit("core share of reducer and codec of the busiest node", "VMs", work));
+    last.expect("at least one size was measured")
+}
+
+fn in_force_s(fleet: &mut Fleet) -> f64 {
+    let mut longest = 0;
+    for change in 0..5_u32 {
+        let edit = boragepass_core::ListEdit::SetPlan(boragepass_fakes::plan("workspace-0", 6_000, 3_000 + change));
+        let began = fleet.now;
+        let command = boragepass_core::OperatorCommand::Commit { expect: None, edit };
+        let call = fleet.operate((change as usize * 71) % fleet.node_count(), command);
+        while !fleet.operator_replies.contains_key(&call) {
+            fleet.advance(10);
+        }
+        longest = longest.max(fleet.now.since(began).0);
+    }
+    longest as f64 / 1_000.0
+}
+
+/// Usage books of a node that serves `workspaces` workspaces.
+fn usage_heap(workspaces: usize) -> f64 {
+    let mut node = ready_node(START, 20, workspaces);
+    let (_, heap) = heap_of(|| {
+        for number in 0..workspaces as u64 {
+            let raw = RawRequest {
+                workspace: format!("workspace-{number}"),
+                pipeline: "pickup-booking".to_owned(),
+                request_id: format!("u{number}"),
+                input: "pickup".to_owned(),
+                deadline_ms: None,
+                idempotency_key: None,
+                stream: false,
+            };
+            let key = AccessKey::new(&boragepass_fakes::caller_key(&raw.workspace));
+            let request = Request::try_from(raw).expect("the requests of the bench are valid");
+            node.handle(START, Event::Submit { call: CallId(number), key, request });
+        }
+    });
+    heap
+}
+
+/// Measures slopes and totals. `link_us_per_message` is the cost of a message over sockets.
+pub fn slopes(link_us_per_message: f64) -> SlopeFigures {
+    let mut slopes = vec![
+        heap_against_endpoints(),
+        heap_against_workspaces(),
+        heap_against_vms(),
+        heap_against_requests(),
+        time_against_changes(),
+    ];
+    let usage = [100, 400, 1_000].map(|count| (count as f64, usage_heap(count)));
+    slopes.push(fit("heap bytes of usage and limits", "workspaces served", usage.to_vec()));
+    let (busiest, in_force, claim_writes_per_s) = fleet_slopes(&mut slopes);
+    let at = |index: usize, size: f64| slopes[index].slope * size;
+    let workspaces_served = WORKSPACES * 2.0 * REGIONS as f64 / VMS * SKEW;
+    let control_memory_bytes =
+        slopes[0].base + at(0, ENDPOINTS) + at(1, WORKSPACES) + at(2, VMS) + at(5, workspaces_served);
+    let changes_per_s = CHANGES_PER_DAY / SECONDS_PER_DAY;
+    let link_share = busiest.messages_per_s * link_us_per_message / 2.0 / 1e6;
+    let control_core_share = busiest.work_share + link_share + changes_per_s * slopes[4].slope / 1e6;
+    let mut figures = SlopeFigures {
+        control_core_share,
+        control_memory_bytes,
+        control_bytes_per_s: busiest.bytes_per_s,
+        table_reads_per_s: busiest.reads_per_s,
+        table_writes_per_s: busiest.writes_per_s + claim_writes_per_s + changes_per_s,
+        config_in_force_s: in_force,
+        link_us_per_message,
+        exceeded: Vec::new(),
+        slopes,
+    };
+    figures.exceeded = exceeded(&figures);
+    figures
+}
+
+fn exceeded(figures: &SlopeFigures) -> Vec<String> {
+    let checks = [
+        ("control_core_share", figures.control_core_share, CORE_SHARE_MAX),
+        ("control_memory_bytes", figures.control_memory_bytes, MEMORY_MAX),
+        ("control_bytes_per_s", figures.control_bytes_per_s, BYTES_PER_S_MAX),
+        ("table_reads_per_s", figures.table_reads_per_s, TABLE_READS_MAX),
+        ("table_writes_per_s", figures.table_writes_per_s, TABLE_WRITES_MAX),
+        ("config_in_force_s", figures.config_in_force_s, IN_FORCE_MAX_S),
+    ];
+    let over = checks.into_iter().filter(|(_, value, target)| value > target);
+    over.map(|(name, value, target)| format!("{name} is {value:.4}, target {target:.4}")).collect()
+}
--- a/crates/boragepass_core/src/claim_batch.rs
+++ b/crates/boragepass_core/src/claim_batch.rs
@@ -5,7 +5,7 @@
 
 use std::collections::{BTreeSet, VecDeque};
 
-use boragepass_types::{OpId, VmId};
+use boragepass_types::{OpId, TimeMs, VmId};
 
 use crate::map::Map;
 use crate::message::{ClaimWrite, ClaimWriteReply, ClaimWriteResult};
@@ -32,6 +32,8 @@
     waiting: VecDeque<Waiting>,
     in_flight: Map<OpId, Vec<Waiting>>,
     pub(crate) is_timer_set: bool,
+    /// When the last transaction was sent.
+    pub(crate) flushed_at: Option<TimeMs>,
 }
 
 impl ClaimBatch {
--- a/crates/boragepass_core/src/claim_flow.rs
+++ b/crates/boragepass_core/src/claim_flow.rs
@@ -17,6 +17,7 @@
 
 /// Share of the claim's time after which a committer that is silent is passed over.
 const SILENCE_PERCENT: u64 = 25;
+const MS_PER_S: u64 = 1_000;
 const RETRY_LATER: SpanMs = SpanMs(1_000);
 
 impl Node {
@@ -85,17 +86,37 @@
         if self.claim_batch.len() >= self.settings.limits.claim_batch_max {
             self.flush_claims(now, out);
         } else if !self.claim_batch.is_timer_set {
-            self.claim_batch.is_timer_set = true;
-            self.timers.set(now + self.settings.limits.claim_batch_ms, Timer::ClaimFlush);
+            self.set_flush_timer(now);
         }
     }
 
+    /// The first claim waits a few milliseconds for others, or longer where transactions would
+    /// otherwise exceed this committer's part of the fleet's budget.
+    fn set_flush_timer(&mut self, now: TimeMs) {
+        self.claim_batch.is_timer_set = true;
+        let soon = now + self.settings.limits.claim_batch_ms;
+        let paced = self.claim_batch.flushed_at.map_or(soon, |at| at + self.flush_interval());
+        self.timers.set(soon.max(paced), Timer::ClaimFlush);
+    }
+
+    /// Time between transactions of one committer.
+    fn flush_interval(&self) -> SpanMs {
+        let mut by_region = std::collections::BTreeMap::<_, usize>::new();
+        for record in self.membership.serving() {
+            *by_region.entry(&record.region).or_default() += 1;
+        }
+        let limit = self.settings.limits.claim_committers;
+        let committers: usize = by_region.values().map(|vms| (*vms).min(limit)).sum();
+        SpanMs(committers as u64 * MS_PER_S / self.settings.limits.claim_writes_per_s)
+    }
+
     /// Commits the claims that wait.
     pub(crate) fn flush_claims(&mut self, now: TimeMs, out: &mut Effects) {
         self.claim_batch.is_timer_set = false;
         if self.claim_batch.len() == 0 {
             return;
         }
+        self.claim_batch.flushed_at = Some(now);
         let op = self.new_op();
         let writes = self.claim_batch.take(op, self.settings.limits.claim_batch_max);
         out.count(Counter::ClaimBatch);
@@ -104,8 +125,7 @@
         out.count(Counter::TableRequest);
         out.push(crate::effect::Effect::Table { op, request: TableRequest::Commit(writes) });
         if self.claim_batch.len() > 0 {
-            self.claim_batch.is_timer_set = true;
-            self.timers.set(now + self.settings.limits.claim_batch_ms, Timer::ClaimFlush);
+            self.set_flush_timer(now);
         }
     }
 
--- a/crates/boragepass_core/src/settings.rs
+++ b/crates/boragepass_core/src/settings.rs
@@ -67,6 +67,8 @@
     pub claim_batch_ms: SpanMs,
     /// Claims in one transaction.
     pub claim_batch_max: usize,
+    /// Transactions for claims a second, all VMs together.
+    pub claim_writes_per_s: u64,
     /// VMs of a region that commit claims.
     pub claim_committers: usize,
     /// How long a claim may take before the request is refused.
@@ -124,6 +126,7 @@
             accept_wait_ms: SpanMs(6_000),
             claim_batch_ms: SpanMs(5),
             claim_batch_max: 64,
+            claim_writes_per_s: 200,
             claim_committers: 2,
             claim_timeout_ms: SpanMs(1_000),
             quarantine_ms: SpanMs(600_000),
--- a/crates/boragepass_core/tests/agreement.rs
+++ b/crates/boragepass_core/tests/agreement.rs
@@ -96,6 +96,8 @@
     asked: Vec<Asked>,
     accepted: ListVersion,
     versions: BTreeMap<(usize, u64), ListVersion>,
+    /// Whether no VM died, froze or was cut off, so that every owner of a claim can be asked.
+    is_calm: bool,
 }
 
 fn new_fleet() -> Fleet {
@@ -127,6 +129,11 @@
     }
 
     fn apply_step(&mut self, step: Step) {
+        let is_harmless = !matches!(
+            step,
+            Step::Kill { .. } | Step::Restart { .. } | Step::Pause { .. } | Step::SlowExecutor { .. } | Step::Cut
+        );
+        self.is_calm &= is_harmless;
         match step {
             Step::Commit { node } => self.commit(node, None),
             Step::CommitFor { node, version_back } => {
@@ -296,6 +303,26 @@
     }
 }
 
+/// A claim under which nothing ran can be claimed anew, as long as its owner can be asked.
+fn check_nothing_is_stuck(system: &mut Agreement) {
+    if !system.is_calm {
+        return;
+    }
+    let ran: BTreeSet<_> = system.fleet.runs.iter().filter_map(|run| run.key.clone()).collect();
+    for key in (0..4).map(|key| format!("key-{key}")) {
+        if ran.iter().any(|known| known.as_str() == key) {
+            continue;
+        }
+        let input = format!("pickup {}", &key[4..]);
+        let id = format!("last-{key}");
+        let call = system.fleet.submit_keyed(0, "lampu-lestari", "pickup-booking", &id, &input, Some(&key));
+        system.fleet.advance(DEADLINE_MS * 2);
+        let outcomes = &system.fleet.calls[&call].outcomes;
+        let is_answered = matches!(outcomes.first(), Some((_, Outcome::Answered { .. })));
+        assert!(is_answered, "{key} never ran and is stuck: {outcomes:?}");
+    }
+}
+
 /// Once a holder's order has arrived in a region, no earlier holder's order arrives.
 fn check_orders(fleet: &Fleet) {
     let mut highest = BTreeMap::<_, u64>::new();
@@ -315,7 +342,14 @@
 
     fn init_test(_state: &()) -> Self::SystemUnderTest {
         let fleet = new_fleet();
-        Agreement { fleet, next_id: 0, asked: Vec::new(), accepted: ListVersion(0), versions: BTreeMap::new() }
+        Agreement {
+            fleet,
+            next_id: 0,
+            asked: Vec::new(),
+            accepted: ListVersion(0),
+            versions: BTreeMap::new(),
+            is_calm: true,
+        }
     }
 
     fn apply(mut system: Self::SystemUnderTest, _state: &(), step: Step) -> Self::SystemUnderTest {
@@ -345,6 +379,7 @@
             system.look_at_nodes();
             Self::check_invariants(&system, &state);
         }
+        check_nothing_is_stuck(&mut system);
         let head = system.fleet.head();
         for node in 0..NODES {
             let status = system.fleet.status(node).expect("the node runs");
--- a/crates/boragepass_fakes/src/endpoint.rs
+++ b/crates/boragepass_fakes/src/endpoint.rs
@@ -19,6 +19,7 @@
 const PREFIX_BYTES: usize = 256;
 const PREFIXES_MAX: usize = 64;
 const EVENTS_MAX: usize = 32;
+const HANG_LOOK: Duration = Duration::from_millis(20);
 
 /// How an endpoint behaves.
 #[derive(Debug, Clone)]
@@ -41,6 +42,8 @@
     pub checks_fence: bool,
     /// Age of the figures in its load reports.
     pub report_lag_ms: u64,
+    /// Time that a request and its answer travel, one way, when it stands in another region.
+    pub travel_ms: u64,
     /// How long it stays away after a crash.
     pub restart_ms: u64,
 }
@@ -57,6 +60,7 @@
             adapters: Vec::new(),
             checks_fence: true,
             report_lag_ms: 0,
+            travel_ms: 0,
             restart_ms: 3_600_000,
         }
     }
@@ -75,6 +79,8 @@
     pub is_leaving: bool,
     /// Whether its load reports stand still.
     pub freeze_reports: bool,
+    /// Whether its work comes to no end for now.
+    pub is_hanging: bool,
 }
 
 #[derive(Debug, Default)]
@@ -260,11 +266,31 @@
         })
     }
 
+    /// Stops or resumes all its work.
+    pub fn hang(&self, is_hanging: bool) {
+        self.set_faults(|faults| faults.is_hanging = is_hanging);
+    }
+
+    async fn wait_while_hanging(&self) {
+        while self.faults.lock().expect("no holder of this lock panics").is_hanging {
+            task::sleep(HANG_LOOK).await;
+        }
+    }
+
+    async fn travel(&self) {
+        if self.settings.travel_ms > 0 {
+            task::sleep(Duration::from_millis(self.settings.travel_ms)).await;
+        }
+    }
+
     fn factor(&self) -> u64 {
         self.faults.lock().expect("no holder of this lock panics").slow_factor.unwrap_or(1)
     }
 
     async fn work(&self, ms: u64) {
+        if ms == 0 {
+            return;
+        }
         task::sleep(Duration::from_millis(ms)).await;
         self.with_state(|state| state.work_ms += ms);
     }
@@ -299,7 +325,9 @@
     };
     let faults = endpoint.faults.lock().expect("no holder of this lock panics").clone();
     let slots = endpoint.slots.lock().expect("no holder of this lock panics").clone();
+    endpoint.travel().await;
     let slot = slots.take(request.priority).await;
+    endpoint.wait_while_hanging().await;
     endpoint.with_state(|state| {
         state.runs += 1;
         state.last_work_at = Some(Instant::now());
@@ -317,6 +345,7 @@
     if lose_reply(&endpoint) {
         return None;
     }
+    endpoint.travel().await;
     if kind == StageKind::Generate {
         return Some(stream(endpoint, request, slot));
     }
@@ -347,9 +376,7 @@
         let _slot = slot;
         let tokens = endpoint.settings.tokens;
         for index in request.resume_tokens..tokens {
-            if endpoint.settings.token_ms > 0 {
-                endpoint.work(endpoint.settings.token_ms * endpoint.factor()).await;
-            }
+            endpoint.work(endpoint.settings.token_ms * endpoint.factor()).await;
             let text = token(&request.tag.stage, &request.input, index);
             let line = StageLine::Tokens { tag: request.tag.clone(), first_index: index, count: 1, text };
             if sender.unbounded_send(Ok(line_of(&line))).is_err() {
--- a/crates/boragepass_settings/src/limit_keys.rs
+++ b/crates/boragepass_settings/src/limit_keys.rs
@@ -76,6 +76,7 @@
     span!(accept_wait_ms, 100, 60_000, "how long an operator's change waits to be in force everywhere"),
     span!(claim_batch_ms, 1, 1_000, "how long claims are collected into one transaction"),
     count!(claim_batch_max: usize, 1, 1_000, "claims in one transaction"),
+    count!(claim_writes_per_s: u64, 1, 100_000, "transactions for claims a second, all VMs together"),
     count!(claim_committers: usize, 1, 64, "VMs of a region that commit claims"),
     span!(claim_timeout_ms, 10, 60_000, "how long a claim may take before the request is refused"),
     span!(quarantine_ms, 1_000, DAY_MS, "how long content stays in quarantine"),
