Show every finding of a settings file with its line

Cause: a stage's wrong value was shown at its pipeline's line, and a line that says nothing at the end of the file. Conclusion: every finding names its own line.

--- a/crates/boragepass_settings/src/raw.rs
+++ b/crates/boragepass_settings/src/raw.rs
@@ -62,10 +62,29 @@
     }
 }
 
+/// Lines that are neither a section, an entry nor a comment.
+fn unclear_lines(path: &str, text: &str) -> Findings {
+    let mut findings = Findings::default();
+    for (index, line) in text.lines().enumerate() {
+        let line = line.trim();
+        let is_clear = line.is_empty() || line.starts_with([';', '#', '[']) || line.contains('=');
+        if !is_clear {
+            let place = Place::Line { path: path.to_owned(), line: index + 1 };
+            let problem = format!("{line:?} is neither `[section]`, `key = value` nor a comment");
+            findings.push(place, FindingKind::Syntax(problem), None);
+        }
+    }
+    findings
+}
+
 impl RawSettings {
     /// Parses INI text.
     pub(crate) fn parse(path: &str, text: &str) -> Result<Self, Findings> {
         let mut lines = Lines::of(text);
+        let unclear = unclear_lines(path, text);
+        if !unclear.is_empty() {
+            return Err(unclear);
+        }
         let option = ParseOption { enabled_quote: true, enabled_escape: false, ..ParseOption::default() };
         let ini = Ini::load_from_str_opt(text, option).map_err(|error| {
             let mut findings = Findings::default();
--- a/crates/boragepass_settings/src/resolve.rs
+++ b/crates/boragepass_settings/src/resolve.rs
@@ -5,7 +5,9 @@
 use std::sync::Arc;
 
 use boragepass_core::Limits;
-use boragepass_types::{AccessKey, FindingKind, Findings, Pipeline, Place, RawPipeline, RawStage, nearest_known};
+use boragepass_types::{
+    AccessKey, FindingKind, Findings, Pipeline, Place, RawPipeline, RawStage, StageKind, nearest_known,
+};
 
 use crate::limit_keys::{HTTP, LIMITS, LimitKey};
 use crate::raw::{RawEntry, RawSection, RawSettings};
@@ -254,13 +256,21 @@
 fn resolve_stage(raw: &RawSettings, section_name: &str, name: &str, findings: &mut Findings) -> Option<RawStage> {
     let mut reader = Reader::new(raw, section_name, STAGE_KEYS, findings);
     reader.section?;
+    let kind: Option<StageKind> = reader.required("kind");
+    let expected_ms: Option<u64> = reader.required("expected_ms");
+    if expected_ms == Some(0)
+        && let Some(entry) = reader.entry("expected_ms")
+    {
+        reader.bad(entry, "must be at least 1");
+    }
     Some(RawStage {
         id: name.to_owned(),
-        kind: reader.required("kind").unwrap_or_default(),
-        pool: reader.required("pool").unwrap_or_default(),
+        // A wrong value is reported above; a harmless one in its place keeps it from a second report.
+        kind: kind.unwrap_or(StageKind::Service).to_string(),
+        pool: reader.required("pool").unwrap_or_else(|| "unknown".to_owned()),
         model: reader.optional("model"),
         adapter: reader.optional("adapter"),
         repeatable: reader.required("repeatable").unwrap_or_default(),
-        expected_ms: reader.required("expected_ms").unwrap_or_default(),
+        expected_ms: expected_ms.unwrap_or(1).max(1),
     })
 }
--- /dev/null
+++ b/crates/boragepass_settings/tests/settings.rs
@@ -0,0 +1,21 @@
+//! Settings files and what is found in them.
+
+use std::path::Path;
+
+fn check(path: &Path, text: String) -> datatest_stable::Result<()> {
+    let name = path.file_stem().ok_or("a fixture has a name")?.to_string_lossy().into_owned();
+    let shown = match boragepass_settings::parse(&format!("{name}.ini"), &text) {
+        Ok(settings) => format!("{settings:#?}"),
+        Err(findings) => findings.to_string(),
+    };
+    let mut settings = insta::Settings::clone_current();
+    settings.set_snapshot_path("../fixtures");
+    settings.set_prepend_module_to_snapshot(false);
+    settings.set_omit_expression(true);
+    settings.bind(|| insta::assert_snapshot!(name, shown));
+    Ok(())
+}
+
+datatest_stable::harness! {
+    { test = check, root = "fixtures", pattern = r"^.*\.ini$" },
+}
