--- a/crates/boragepass_fakes/src/endpoint.rs
+++ b/crates/boragepass_fakes/src/endpoint.rs
@@ -88,7 +88,8 @@
     models: Vec<String>,
     adapters: Vec<String>,
     highest_fence: u64,
-    orders_taken: u64,
+    /// Fencing numbers of all orders, in the order in which they came.
+    fences: Vec<u64>,
     prefixes: VecDeque<u64>,
     events: VecDeque<(u64, u64, bool)>,
     next_event: u64,
@@ -183,6 +184,16 @@
         self.with_state(|state| state.last_work_at)
     }
 
+    /// Fencing numbers of all orders, in the order in which they came.
+    pub fn fences(&self) -> Vec<u64> {
+        self.with_state(|state| state.fences.clone())
+    }
+
+    /// Puts other models in place, as an order that nobody here knows would.
+    pub fn set_models(&self, models: &[&str]) {
+        self.with_state(|state| state.models = models.iter().map(|model| (*model).to_owned()).collect());
+    }
+
     /// Models it holds.
     pub fn models(&self) -> Vec<String> {
         self.with_state(|state| state.models.clone())
@@ -255,13 +266,13 @@
 
     fn take_order(&self, order: &OrderJson) -> StatusCode {
         self.with_state(|state| {
+            state.fences.push(order.fence);
             if self.settings.checks_fence && order.fence < state.highest_fence {
                 return StatusCode::Conflict;
             }
             state.highest_fence = state.highest_fence.max(order.fence);
             state.models.clone_from(&order.models);
             state.adapters.clone_from(&order.adapters);
-            state.orders_taken += 1;
             StatusCode::Accepted
         })
     }
--- a/crates/boragepass_fakes/src/world.rs
+++ b/crates/boragepass_fakes/src/world.rs
@@ -127,6 +127,11 @@
         Ok(endpoint)
     }
 
+    /// Addresses of the platform: table service, object store, VM list.
+    pub fn platform_addresses(&self) -> (SocketAddr, SocketAddr, SocketAddr) {
+        (self.table_address, self.objects_address, self.vm_list_address)
+    }
+
     /// Starts a daemon and lists it.
     pub async fn add_daemon(&self, vm: &str, region: &str, failure_domain: &str) -> Result<Daemon, StartError> {
         let settings = Settings {
