Fail a check for each mechanism that is mutated

Faults found on the way: a load report that was overtaken put older holdings in place; an unclosed quote in settings was shown on a line that does not exist.

--- a/crates/boragepass_core/src/watch.rs
+++ b/crates/boragepass_core/src/watch.rs
@@ -186,6 +186,10 @@
         out: &mut Effects,
     ) {
         let endpoint = self.endpoints.get_mut(idx);
+        let is_overtaken = heard_at < endpoint.heard_at;
+        if is_overtaken && !leaving {
+            return;
+        }
         let was_open = endpoint.is_open();
         if let Some(holdings) = holdings {
             endpoint.models = holdings.models;
--- a/crates/boragepass_core/tests/agreement.rs
+++ b/crates/boragepass_core/tests/agreement.rs
@@ -10,7 +10,11 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use boragepass_core::{Limits, ListEdit, OperatorCommand, OperatorReply, RowKey, RowValue};
+use boragepass_core::StateChange;
+use boragepass_core::{
+    Event, Limits, ListChange, ListEdit, OperatorCommand, OperatorReply, PeerMessage, RowKey, RowValue, Snapshot,
+    VmEntry,
+};
 use boragepass_fakes::virtual_fleet::{Fleet, NodeState, SimEndpoint, SimTableFaults};
 use boragepass_fakes::{allowlist, plan};
 use boragepass_types::{CallId, ListVersion, Outcome, Plan, SpanMs};
@@ -100,8 +104,11 @@
     is_calm: bool,
 }
 
+const LEASE_MS: u64 = 4_000;
+const ORDER_TIME_MS: u64 = 500;
+
 fn new_fleet() -> Fleet {
-    let limits = Limits { lease_ms: SpanMs(4_000), order_time_max_ms: SpanMs(500), ..Limits::default() };
+    let limits = Limits { lease_ms: SpanMs(LEASE_MS), order_time_max_ms: SpanMs(ORDER_TIME_MS), ..Limits::default() };
     let mut fleet = Fleet::new(11, limits);
     fleet.seed_list(ListEdit::SetPlan(plan("lampu-lestari", DEADLINE_MS, FIRST_RATE)));
     fleet.seed_list(ListEdit::SetAllowlist(allowlist("lampu-lestari", &REGIONS)));
@@ -402,3 +409,119 @@
     #[test]
     fn agreements_hold_under_faults(sequential 1..50 => AgreementTest);
 }
+
+/// Node that holds the order lease of a region.
+fn holder_of(fleet: &Fleet, region: &str) -> usize {
+    let row = fleet.table.row(&RowKey::Lease(region.parse().unwrap())).expect("the lease was taken");
+    match &row.value {
+        RowValue::Lease(lease) => (0..NODES).find(|node| *fleet.vm(*node) == lease.holder).unwrap(),
+        other => panic!("no lease: {other:?}"),
+    }
+}
+
+#[test]
+fn a_holder_that_stood_still_sends_nothing_stale() {
+    let mut fleet = new_fleet();
+    let holder = holder_of(&fleet, REGIONS[0]);
+    fleet.executor_delay_ms.insert(holder, 12_000);
+    // Reports that are under way already come first.
+    fleet.advance(100);
+    for engine in 3..6 {
+        let known = &mut fleet.endpoints[engine];
+        known.models = vec!["something-else".parse().unwrap()];
+        let VmEntry::Endpoint { endpoint, .. } = known.entry.clone() else { unreachable!("it is an endpoint") };
+        let event = Event::Load { endpoint, asked_at: fleet.now, report: Some(fleet.endpoints[engine].report()) };
+        fleet.feed(holder, event);
+    }
+    let stood_still_at = fleet.now;
+    fleet.advance(30_000);
+    check_orders(&fleet);
+    let taken_at = fleet.log.iter().find_map(|(at, _, change)| match change {
+        StateChange::LeaseHeld { region, fence } if region.as_str() == REGIONS[0] && fence.0 == 2 => Some(*at),
+        _ => None,
+    });
+    let last_renewal = stood_still_at.0 - LEASE_MS / 2;
+    assert!(taken_at.unwrap().0 >= last_renewal + LEASE_MS + ORDER_TIME_MS, "the successor did not wait");
+    let fences: BTreeSet<_> = fleet.orders.iter().filter(|order| order.1 < 6).map(|order| order.2.fence.0).collect();
+    assert!(fences.iter().any(|fence| *fence > 1), "no successor sent orders: {fences:?}");
+}
+
+#[test]
+fn what_is_older_changes_nothing() {
+    let mut fleet = new_fleet();
+    for rate in [1, 2, 3] {
+        let edit = ListEdit::SetPlan(plan("lampu-lestari", DEADLINE_MS, FIRST_RATE + rate));
+        fleet.operate(0, OperatorCommand::Commit { expect: None, edit });
+        fleet.advance(3_000);
+    }
+    let old = |version| Snapshot {
+        version: ListVersion(version),
+        plans: vec![plan("lampu-lestari", DEADLINE_MS, 9).into()],
+        allowlists: Vec::new(),
+    };
+    let stale_change =
+        ListChange { version: ListVersion(4), edit: ListEdit::RemovePlan("lampu-lestari".parse().unwrap()) };
+    let (from, incarnation) = (fleet.vm(1).clone(), fleet.incarnation(1));
+    for message in [
+        PeerMessage::Snapshot(old(4).into()),
+        PeerMessage::Change(stale_change.into()),
+        PeerMessage::Snapshot(old(5).into()),
+    ] {
+        fleet.feed(0, Event::Peer { from: from.clone(), incarnation, message });
+    }
+    let call = fleet.operate(0, OperatorCommand::Plans);
+    let Some(OperatorReply::Plans(version, plans)) = fleet.operator_replies.get(&call) else {
+        panic!("no plans");
+    };
+    let rates: Vec<_> = plans.iter().map(|plan| plan.rate_per_s.0).collect();
+    assert_eq!((*version, rates), (ListVersion(5), vec![FIRST_RATE + 3]));
+}
+
+/// Lets a node that was gone start, and looks at it every millisecond.
+fn start_and_look(fleet: &mut Fleet, node: usize, accepted: ListVersion) {
+    fleet.restart(node);
+    for _ in 0..3_000 {
+        fleet.advance(1);
+        let status = fleet.status(node).expect("the node runs");
+        let version = status.lists.unwrap_or_default();
+        assert!(!status.admits || version >= accepted, "vm-{node} admits under {version}, {accepted} is accepted");
+    }
+    assert!(fleet.status(node).expect("the node runs").admits, "vm-{node} does not admit");
+}
+
+#[test]
+fn a_vm_that_starts_admits_nothing_old() {
+    let mut fleet = new_fleet();
+    fleet.kill(0);
+    fleet.advance(8_000);
+    for rate in [1, 2] {
+        let edit = ListEdit::SetPlan(plan("lampu-lestari", DEADLINE_MS, FIRST_RATE + rate));
+        let call = fleet.operate(1, OperatorCommand::Commit { expect: None, edit });
+        fleet.advance(6_500);
+        let reply = fleet.operator_replies.get(&call);
+        assert!(
+            matches!(reply, Some(OperatorReply::Committed { waiting_for, .. }) if waiting_for.is_empty()),
+            "{reply:?}"
+        );
+    }
+    start_and_look(&mut fleet, 0, ListVersion(4));
+    fleet.kill(0);
+    fleet.advance(8_000);
+    fleet.table_faults.is_down = true;
+    start_and_look(&mut fleet, 0, ListVersion(4));
+}
+
+#[test]
+fn a_vm_that_hears_nobody_stops_admitting() {
+    let mut fleet = new_fleet();
+    fleet.table_faults.is_down = true;
+    for node in 1..NODES {
+        fleet.pause(node, 20_000);
+    }
+    fleet.advance(6_000);
+    assert!(!fleet.status(0).expect("the node runs").admits);
+    fleet.advance(20_000);
+    for node in 0..NODES {
+        assert!(fleet.status(node).expect("the node runs").admits, "vm-{node} does not admit again");
+    }
+}
--- a/crates/boragepass_settings/src/raw.rs
+++ b/crates/boragepass_settings/src/raw.rs
@@ -88,8 +88,10 @@
         let option = ParseOption { enabled_quote: true, enabled_escape: false, ..ParseOption::default() };
         let ini = Ini::load_from_str_opt(text, option).map_err(|error| {
             let mut findings = Findings::default();
-            let place = Place::Line { path: path.to_owned(), line: error.line + 1 };
-            findings.push(place, FindingKind::Syntax(error.msg.to_string()), None);
+            let line = (error.line + 1).min(text.lines().count().max(1));
+            let problem =
+                if error.msg.contains('"') { "a quote is not closed".to_owned() } else { error.msg.to_string() };
+            findings.push(Place::Line { path: path.to_owned(), line }, FindingKind::Syntax(problem), None);
             findings
         })?;
         let mut sections: Vec<RawSection> = Vec::new();
--- /dev/null
+++ b/crates/boragepass_wire/tests/decoders.rs
@@ -0,0 +1,175 @@
+//! Decoders of outside bytes: whatever comes, they answer with a value or an error.
+
+#![allow(clippy::unwrap_used, reason = "a test fails where it panics")]
+
+use std::net::SocketAddr;
+
+use boragepass_core::{
+    ClaimOwner, ClaimRow, ClaimState, ClaimWrite, Expect, Heartbeat, Holdings, ListChange, ListEdit, MemberRecord,
+    MemberState, PeerMessage, Progress, RowKey, SharedLoad, Verdict, VerdictKind, WriteId,
+};
+use boragepass_types::{ContentDigest, Hash64, Incarnation, ListVersion, OpId, Payload, RowVersion, SpanMs};
+use boragepass_wire::{allowlist_from_json, decode_message, encode_message, plan_from_json, request_from_json};
+use proptest::collection::vec;
+use proptest::prelude::{Just, Strategy, any, prop_assert_eq, prop_oneof, proptest};
+use proptest::test_runner::{Config, RngSeed};
+
+fn config() -> Config {
+    let number = |variable: &str| std::env::var(variable).ok().and_then(|text| text.parse::<u64>().ok());
+    Config {
+        cases: number("BORAGEPASS_CASES").map_or(512, |cases| cases as u32),
+        rng_seed: RngSeed::Fixed(number("BORAGEPASS_SEED").unwrap_or(20_261_203)),
+        failure_persistence: None,
+        ..Config::default()
+    }
+}
+
+fn id() -> impl Strategy<Value = String> {
+    "[a-z0-9._:-]{1,20}"
+}
+
+fn record() -> impl Strategy<Value = MemberRecord> {
+    let state = prop_oneof![Just(MemberState::Alive), Just(MemberState::Leaving), Just(MemberState::Dead)];
+    (id(), any::<u64>(), any::<u32>(), state, id(), id(), any::<SocketAddr>(), any::<u64>()).prop_map(
+        |(vm, incarnation, epoch, state, region, domain, address, lists)| MemberRecord {
+            vm: vm.parse().unwrap(),
+            incarnation: Incarnation(incarnation),
+            epoch,
+            state,
+            region: region.parse().unwrap(),
+            failure_domain: domain.parse().unwrap(),
+            peer_address: plain(address),
+            caller_address: plain(address),
+            lists: ListVersion(lists),
+        },
+    )
+}
+
+/// Address without the parts of IPv6 that do not travel as text.
+fn plain(address: SocketAddr) -> SocketAddr {
+    SocketAddr::new(address.ip(), address.port())
+}
+
+fn claim_state() -> impl Strategy<Value = ClaimState> {
+    let held = (id(), any::<u64>(), proptest::option::of(any::<String>())).prop_map(|(vm, incarnation, output)| {
+        let owner = ClaimOwner { vm: vm.parse().unwrap(), incarnation: Incarnation(incarnation) };
+        ClaimState::Held { owner, stage_output: output.map(|text| Payload::new(&text)) }
+    });
+    prop_oneof![
+        held,
+        Just(ClaimState::Released),
+        Just(ClaimState::Unknown),
+        any::<String>().prop_map(|text| ClaimState::Answered { output: Payload::new(&text) }),
+        any::<String>().prop_map(|text| ClaimState::StageDone { stage_output: Payload::new(&text) }),
+    ]
+}
+
+fn claim_write() -> impl Strategy<Value = ClaimWrite> {
+    let expect =
+        prop_oneof![Just(Expect::Absent), any::<u64>().prop_map(|version| Expect::Version(RowVersion(version)))];
+    (id(), id(), expect, any::<u64>(), any::<u128>(), claim_state()).prop_map(
+        |(workspace, key, expect, op, digest, state)| ClaimWrite {
+            key: RowKey::Claim(workspace.parse().unwrap(), key.parse().unwrap()),
+            expect,
+            id: WriteId { vm: "vm-1".parse().unwrap(), incarnation: Incarnation(op), op: OpId(op) },
+            row: ClaimRow { digest: ContentDigest(digest), state },
+        },
+    )
+}
+
+fn message() -> impl Strategy<Value = PeerMessage> {
+    let heartbeat = (record(), any::<u64>(), vec(record(), 0..4)).prop_map(|(sender, hash, records)| {
+        PeerMessage::Heartbeat(Heartbeat { sender, quarantine_hash: Hash64(hash), records })
+    });
+    let loads = vec((any::<u64>(), any::<u32>(), any::<bool>(), proptest::option::of(id())), 0..5).prop_map(|loads| {
+        let loads = loads.into_iter().map(|(endpoint, number, leaving, model)| SharedLoad {
+            endpoint: Hash64(endpoint),
+            running: number,
+            queued: number,
+            slots: number,
+            age_ms: SpanMs(u64::from(number)),
+            leaving,
+            holdings: model.map(|model| Holdings { models: vec![model.parse().unwrap()], adapters: Vec::new() }),
+        });
+        PeerMessage::Loads(loads.collect())
+    });
+    let change = (any::<u64>(), id()).prop_map(|(version, workspace)| {
+        let edit = ListEdit::RemovePlan(workspace.parse().unwrap());
+        PeerMessage::Change(Box::new(ListChange { version: ListVersion(version), edit }))
+    });
+    let verdict = (any::<u128>(), id(), vec(any::<u64>(), 0..3)).prop_map(|(digest, workspace, lost)| {
+        PeerMessage::Verdict(Verdict {
+            digest: ContentDigest(digest),
+            workspace: workspace.parse().unwrap(),
+            kind: VerdictKind::UnderTrial,
+            lost: lost.into_iter().map(Hash64).collect(),
+            tester: "vm-1".parse().unwrap(),
+            for_ms: SpanMs(1),
+        })
+    });
+    let progress = (id(), id(), any::<u8>(), any::<String>()).prop_map(|(workspace, request, stage, input)| {
+        PeerMessage::Progress(Box::new(Progress {
+            workspace: workspace.parse().unwrap(),
+            request: request.parse().unwrap(),
+            digest: ContentDigest(7),
+            stage,
+            input: Payload::new(&input),
+            runner: "vm-1".parse().unwrap(),
+        }))
+    });
+    prop_oneof![
+        heartbeat,
+        loads,
+        change,
+        verdict,
+        progress,
+        vec(claim_write(), 0..4).prop_map(PeerMessage::ClaimWrites)
+    ]
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn a_message_comes_back_as_it_was(message in message()) {
+        let bytes = encode_message(&message).unwrap();
+        prop_assert_eq!(decode_message(&bytes).unwrap(), message);
+    }
+
+    #[test]
+    fn any_bytes_are_a_message_or_an_error(mut bytes in vec(any::<u8>(), 0..512), is_versioned in any::<bool>()) {
+        if is_versioned {
+            bytes.insert(0, 1);
+        }
+        decode_message(&bytes).ok();
+    }
+
+    #[test]
+    fn a_damaged_message_is_a_message_or_an_error(message in message(), at in any::<usize>(), byte in any::<u8>()) {
+        let mut bytes = encode_message(&message).unwrap();
+        let index = at % bytes.len();
+        bytes[index] = byte;
+        bytes.truncate(bytes.len() - at % 3);
+        decode_message(&bytes).ok();
+    }
+
+    #[test]
+    fn any_text_is_a_document_or_findings(text in r#"[\[\]{}",:a-z0-9_ \\.-]{0,200}"#) {
+        request_from_json(text.as_bytes()).ok();
+        plan_from_json(text.as_bytes()).ok();
+        allowlist_from_json(text.as_bytes()).ok();
+    }
+
+    #[test]
+    fn a_finding_names_a_place(key in "[a-z_]{1,12}", value in any::<i64>()) {
+        let text = format!("{{\"{key}\": {value}}}");
+        let findings = request_from_json(text.as_bytes()).unwrap_err();
+        assert!(findings.iter().all(|finding| finding.place.to_string().starts_with('$')));
+    }
+}
+
+#[test]
+fn an_unknown_version_is_refused() {
+    let problem = decode_message(&[9, 0]).unwrap_err();
+    assert_eq!(problem.to_string(), "version 9 of the protocol is not known");
+}
