Keep work in this VM's queue and spill to other regions in time

Cause: under overload each VM filled the engines' queues (16 by the limit it starts with, 4 slots there), so nothing could be ordered, moved or refused any more, and regions that were never heard were never asked. Ruled out: the admission's prediction alone (0 refusals before).

--- a/crates/boragepass_bench/src/baseline.rs
+++ b/crates/boragepass_bench/src/baseline.rs
@@ -31,7 +31,7 @@
     client: HttpClient,
     pools: Vec<Vec<SocketAddr>>,
     pipeline: Arc<Pipeline>,
-    turn: AtomicUsize,
+    turns: Vec<AtomicUsize>,
 }
 
 impl Baseline {
@@ -42,14 +42,16 @@
             let members = home.iter().filter(|endpoint| endpoint.name().starts_with(&prefix));
             members.filter_map(FakeEndpoint::address).collect()
         };
-        let pools = pipeline.stages.iter().map(|stage| pool_of(stage.pool.as_str())).collect();
-        Self { choice, client: HttpClient::default(), pools, pipeline, turn: AtomicUsize::new(0) }
+        let pools: Vec<_> = pipeline.stages.iter().map(|stage| pool_of(stage.pool.as_str())).collect();
+        let turns = pools.iter().map(|_| AtomicUsize::new(0)).collect();
+        Self { choice, client: HttpClient::default(), pools, pipeline, turns }
     }
 
-    fn choose(&self, pool: &[SocketAddr], rng: &mut SmallRng) -> Option<SocketAddr> {
+    fn choose(&self, stage: usize, rng: &mut SmallRng) -> Option<SocketAddr> {
+        let pool = &self.pools[stage];
         let index = match self.choice {
             Choice::UniformRandom => rng.random_range(0..pool.len().max(1)),
-            Choice::RoundRobin => self.turn.fetch_add(1, Ordering::Relaxed) % pool.len().max(1),
+            Choice::RoundRobin => self.turns[stage].fetch_add(1, Ordering::Relaxed) % pool.len().max(1),
         };
         pool.get(index).copied()
     }
@@ -63,7 +65,7 @@
             let mut output = None;
             for attempt in 0..TRIES {
                 let left = deadline.saturating_sub(started.elapsed());
-                let address = self.choose(&self.pools[index], &mut rng)?;
+                let address = self.choose(index, &mut rng)?;
                 let dispatch = self.dispatch(number, index, attempt, address, &input, left);
                 // The deadline ends the whole request; a baseline has no limit for one attempt.
                 output = timeout(left, run_one(&self.client, &dispatch)).await.ok()?;
--- a/crates/boragepass_core/src/admission.rs
+++ b/crates/boragepass_core/src/admission.rs
@@ -189,10 +189,8 @@
                 .queues
                 .get(&stage.pool)
                 .map_or(0, |queue| queue.len_before(terms.plan.priority, index, deadline_at));
-            let capacity = self.pool_capacity.get(&stage.pool).copied().unwrap_or(1.0).max(1.0);
-            let wait_ms = waiting as f32 * usual.0 as f32 / capacity;
             total += usual;
-            total += SpanMs(wait_ms as u64);
+            total += self.queue_wait(now, &stage.pool, waiting, usual);
         }
         total
     }
--- a/crates/boragepass_core/src/attempt_flow.rs
+++ b/crates/boragepass_core/src/attempt_flow.rs
@@ -199,7 +199,6 @@
     fn close_attempt(&mut self, now: TimeMs, id: AttemptId, attempt: &Attempt, end: AttemptEnd, output_len: usize) {
         let endpoint = self.endpoints.get_mut(attempt.endpoint);
         endpoint.in_flight = endpoint.in_flight.saturating_sub(1);
-        endpoint.load.sent_since -= 1;
         endpoint.suspects_in_flight -= u32::from(attempt.is_suspect);
         let is_abroad = endpoint.region != self.settings.region;
         let took = attempt.took(now);
--- a/crates/boragepass_core/src/endpoints.rs
+++ b/crates/boragepass_core/src/endpoints.rs
@@ -10,6 +10,9 @@
 use crate::platform::{LoadReport, VmEntry, VmState};
 
 const SLOWNESS_KEEP: f32 = 0.8;
+const OTHERS_KEEP: f32 = 0.5;
+/// Work that an endpoint is given, in slots: enough to keep it busy between two attempts.
+const FULL_SLOTS: f32 = 1.5;
 const LOAD_HALF_LIFE_MS: f32 = 1_500.0;
 
 /// Index of an endpoint; stays valid as long as the process runs.
@@ -24,8 +27,6 @@
     pub(crate) slots: u32,
     /// When the figures were true, by this VM's clock.
     pub(crate) true_at: TimeMs,
-    /// Attempts sent since, less those that ended.
-    pub(crate) sent_since: i32,
 }
 
 /// One endpoint.
@@ -41,6 +42,8 @@
     pub(crate) models: Vec<ModelId>,
     pub(crate) adapters: Vec<AdapterId>,
     pub(crate) load: KnownLoad,
+    /// Work of other VMs, smoothed over several reports.
+    pub(crate) others: f32,
     pub(crate) heard_at: Option<TimeMs>,
     pub(crate) in_flight: u32,
     pub(crate) suspects_in_flight: u32,
@@ -68,13 +71,19 @@
             && adapter.is_none_or(|adapter| self.adapters.contains(adapter))
     }
 
-    /// Expected work ahead of a new attempt; an old report counts less than own attempts.
+    /// Expected work ahead of a new attempt: own attempts, which are known exactly, and those of
+    /// other VMs, which count less the older the report is.
     pub(crate) fn expected_load(&self, now: TimeMs) -> f32 {
-        let reported = (self.load.running + self.load.queued) as f32 + self.load.sent_since as f32;
         let age_ms = now.since(self.load.true_at).0 as f32;
         let trust = (-age_ms / LOAD_HALF_LIFE_MS).exp2();
-        let own = self.in_flight as f32;
-        own.max(reported * trust + own * (1.0 - trust))
+        self.in_flight as f32 + self.others * trust
+    }
+
+    /// Whether one more attempt would wait there rather than run. What waits here can still be
+    /// ordered, moved or refused; what waits at the endpoint cannot.
+    pub(crate) fn is_full(&self, now: TimeMs) -> bool {
+        let room = self.load.slots.max(1) as f32 * FULL_SLOTS;
+        self.in_flight > 0 && self.expected_load(now) >= room
     }
 
     /// Notes how long a success took against the usual time.
@@ -85,6 +94,9 @@
     /// Takes over a load report that is as recent as `heard_at`.
     pub(crate) fn note_load(&mut self, heard_at: Option<TimeMs>, load: KnownLoad, leaving: bool) {
         if load.true_at >= self.load.true_at {
+            let reported = (load.running + load.queued) as f32;
+            let sample = (reported - self.in_flight as f32).max(0.0);
+            self.others = self.others * OTHERS_KEEP + sample * (1.0 - OTHERS_KEEP);
             self.load = load;
         }
         self.reports_leaving = leaving;
@@ -100,7 +112,6 @@
             queued: report.queued,
             slots: report.slots.max(1),
             true_at: TimeMs(now.0.saturating_sub(report.lag_ms.0)),
-            sent_since: 0,
         }
     }
 }
@@ -188,6 +199,7 @@
             models: Vec::new(),
             adapters: Vec::new(),
             load: KnownLoad::default(),
+            others: 0.0,
             heard_at: None,
             in_flight: 0,
             suspects_in_flight: 0,
--- a/crates/boragepass_core/src/finish.rs
+++ b/crates/boragepass_core/src/finish.rs
@@ -97,7 +97,6 @@
             };
             let endpoint = self.endpoints.get_mut(attempt.endpoint);
             endpoint.in_flight = endpoint.in_flight.saturating_sub(1);
-            endpoint.load.sent_since -= 1;
             endpoint.suspects_in_flight -= u32::from(attempt.is_suspect);
             active.note_ran(&attempt.tag.stage);
             let took = attempt.took(now);
--- a/crates/boragepass_core/src/node.rs
+++ b/crates/boragepass_core/src/node.rs
@@ -39,6 +39,7 @@
 use crate::retry::AttemptBudget;
 use crate::settings::NodeSettings;
 use crate::shares::Shares;
+use crate::stage_flow::PoolPace;
 use crate::timers::{Timer, Timers};
 use crate::usage::Usage;
 use crate::watch::Watch;
@@ -84,6 +85,7 @@
     pub(crate) next_attempt: AttemptId,
     pub(crate) queues: Map<PoolId, WaitQueue>,
     pub(crate) pool_capacity: Map<PoolId, f32>,
+    pub(crate) pool_pace: Map<PoolId, PoolPace>,
     pub(crate) latency: Vec<Vec<StageLatency>>,
     pub(crate) shares: Shares,
     pub(crate) share_cache: Map<WorkspaceId, KnownShare>,
@@ -139,6 +141,7 @@
             next_attempt: AttemptId(1),
             queues: Map::default(),
             pool_capacity: Map::default(),
+            pool_pace: Map::default(),
             latency: latency.collect(),
             shares: Shares::default(),
             share_cache: Map::default(),
--- a/crates/boragepass_core/src/routing.rs
+++ b/crates/boragepass_core/src/routing.rs
@@ -41,6 +41,8 @@
     pub(crate) rest: SpanMs,
     /// Time left.
     pub(crate) left: SpanMs,
+    /// Expected wait until an endpoint at home is free.
+    pub(crate) home_wait: SpanMs,
     /// Bytes that would cross regions.
     pub(crate) bytes: Bytes,
     /// Weight of attainment against cost.
@@ -61,8 +63,8 @@
 pub(crate) enum Choice {
     /// Endpoint to use, among these candidates.
     Use { chosen: Scored, candidates: Vec<Scored> },
-    /// All that could run it are at their limits.
-    Wait,
+    /// All that could run it are at their limits; `ask` may be able to, but is not known well enough.
+    Wait { ask: Vec<EndpointIdx> },
     /// Some may be able to run it, but what is known of them is too old.
     Ask(Vec<EndpointIdx>),
     /// Nothing can run it.
@@ -85,6 +87,14 @@
     stale: Vec<EndpointIdx>,
 }
 
+/// What other regions offer.
+enum Abroad {
+    /// An endpoint that makes the deadline.
+    Use(Choice),
+    /// Nothing now; these are not known well enough.
+    Ask(Vec<EndpointIdx>),
+}
+
 /// Why an endpoint is no candidate.
 enum Verdict {
     Eligible,
@@ -104,19 +114,21 @@
         {
             return Choice::Use { chosen, candidates: home.candidates };
         }
+        let is_worth_waiting = home.has_busy && need.home_wait + need.usual + need.rest <= need.left;
+        if is_worth_waiting && best_home.is_none() {
+            return Choice::Wait { ask: Vec::new() };
+        }
         match self.choose_abroad(now, need, rng, &home) {
-            Some(choice) => choice,
-            None => settle_at_home(best_home, home),
+            Abroad::Use(choice) => choice,
+            Abroad::Ask(endpoints) => settle_at_home(best_home, home, endpoints),
         }
     }
 
-    fn choose_abroad(&self, now: TimeMs, need: &Need<'_>, rng: &mut SmallRng, home: &Sample) -> Option<Choice> {
+    fn choose_abroad(&self, now: TimeMs, need: &Need<'_>, rng: &mut SmallRng, home: &Sample) -> Abroad {
         let mut regions: Vec<_> = need.regions.iter().filter(|region| *region != self.home).collect();
-        if regions.is_empty() {
-            return None;
-        }
-        if !home.has_busy && home.candidates.is_empty() && !home.stale.is_empty() {
-            return None;
+        let is_home_unknown = !home.has_busy && home.candidates.is_empty() && !home.stale.is_empty();
+        if regions.is_empty() || is_home_unknown {
+            return Abroad::Ask(Vec::new());
         }
         let first = rng.random_range(0..regions.len());
         regions.rotate_left(first);
@@ -126,12 +138,11 @@
             self.add_travel(need, &mut abroad.candidates);
             let reachable = best(&abroad.candidates).filter(|scored| self.is_worth(need, scored));
             if let Some(chosen) = reachable {
-                return Some(Choice::Use { chosen, candidates: abroad.candidates });
+                return Abroad::Use(Choice::Use { chosen, candidates: abroad.candidates });
             }
             stale.append(&mut abroad.stale);
         }
-        let can_wait = home.has_busy || !home.candidates.is_empty();
-        (!can_wait && !stale.is_empty()).then_some(Choice::Ask(stale))
+        Abroad::Ask(stale)
     }
 
     /// Adds the delay of the way there and back.
@@ -222,7 +233,7 @@
             return Verdict::Unfit;
         }
         let is_taken = need.alone && endpoint.suspects_in_flight > 0;
-        if is_taken || !endpoint.limit.allows(endpoint.in_flight) {
+        if is_taken || endpoint.is_full(now) || !endpoint.limit.allows(endpoint.in_flight) {
             return Verdict::Busy;
         }
         Verdict::Eligible
@@ -250,11 +261,13 @@
     candidates.iter().copied().min_by(|a, b| a.expected_ms.total_cmp(&b.expected_ms))
 }
 
-fn settle_at_home(best_home: Option<Scored>, home: Sample) -> Choice {
+fn settle_at_home(best_home: Option<Scored>, home: Sample, ask_abroad: Vec<EndpointIdx>) -> Choice {
+    let mut ask = home.stale;
+    ask.extend(ask_abroad);
     match best_home {
         Some(chosen) => Choice::Use { chosen, candidates: home.candidates },
-        None if home.has_busy => Choice::Wait,
-        None if !home.stale.is_empty() => Choice::Ask(home.stale),
+        None if home.has_busy => Choice::Wait { ask },
+        None if !ask.is_empty() => Choice::Ask(ask),
         None => Choice::Nothing,
     }
 }
--- a/crates/boragepass_core/src/stage_flow.rs
+++ b/crates/boragepass_core/src/stage_flow.rs
@@ -1,6 +1,6 @@
 //! The way of a request through its stages: choose, dispatch, wait, next stage.
 
-use boragepass_types::{Bytes, Payload, SpanMs, StageKind, StreamId, TimeMs};
+use boragepass_types::{Bytes, Payload, PoolId, SpanMs, StageKind, StreamId, TimeMs};
 
 use crate::counter::Counter;
 use crate::effect::{Dispatch, Effect, Effects, ResumePoint};
@@ -13,8 +13,12 @@
 use crate::routing::{Choice, Need, Router, Scored};
 use crate::timers::Timer;
 
+const PACE_KEEP: f32 = 0.6;
+const SLOWEST_PACE: f32 = 0.001;
 const QUEUE_LOOK_AHEAD: usize = 16;
 const FUTILE_PERCENT: u64 = 50;
+/// Share of the usual time before which no attempt counts as slow.
+const HEDGE_PERCENT: u64 = 250;
 const HEDGE_FLOOR: SpanMs = SpanMs(5);
 
 impl Node {
@@ -32,8 +36,7 @@
         }
         match self.route(now, key) {
             Choice::Use { chosen, candidates } => self.dispatch(now, key, chosen, &candidates, reason, out),
-            Choice::Wait => self.enqueue(now, key, out),
-            Choice::Ask(endpoints) => {
+            Choice::Wait { ask: endpoints } | Choice::Ask(endpoints) => {
                 for idx in endpoints {
                     self.poll_endpoint(now, idx, out);
                 }
@@ -76,6 +79,7 @@
             usual: latency[active.stage_index].whole.quantiles(now).p50,
             rest: rest.fold(SpanMs(0), |sum, span| sum + span),
             left: active.deadline_at.since(now),
+            home_wait: self.home_wait(now, active, latency[active.stage_index].whole.quantiles(now).p50),
             bytes: Bytes(active.input.0.len() as u64),
             attainment_weight: active.attainment_weight,
             alone: active.is_suspect,
@@ -89,6 +93,24 @@
         router.choose(now, &need, &mut self.rng)
     }
 
+    /// Expected wait in the queue of this VM.
+    fn home_wait(&self, now: TimeMs, active: &Active, usual: SpanMs) -> SpanMs {
+        let pool = &active.stage().pool;
+        let ahead = self
+            .queues
+            .get(pool)
+            .map_or(0, |queue| queue.len_before(active.priority, active.stage_index, active.deadline_at));
+        self.queue_wait(now, pool, ahead, usual)
+    }
+
+    /// Time until `ahead` requests have left the queue of a pool, at the pace of the last seconds.
+    pub(crate) fn queue_wait(&self, _now: TimeMs, pool: &PoolId, ahead: usize, usual: SpanMs) -> SpanMs {
+        let capacity = self.pool_capacity.get(pool).copied().unwrap_or(1.0).max(1.0);
+        let by_capacity = usual.0 as f32 / capacity;
+        let by_pace = self.pool_pace.get(pool).map_or(by_capacity, PoolPace::ms_per_dispatch);
+        SpanMs((ahead as f32 * by_pace.max(by_capacity)) as u64)
+    }
+
     fn dispatch(
         &mut self,
         now: TimeMs,
@@ -106,9 +128,9 @@
         let stage = active.stage().clone();
         let endpoint = self.endpoints.get_mut(chosen.idx);
         endpoint.in_flight += 1;
-        endpoint.load.sent_since += 1;
         endpoint.suspects_in_flight += u32::from(active.is_suspect);
         let is_abroad = endpoint.region != self.settings.region;
+        self.pool_pace.entry(stage.pool.clone()).or_default().count += 1;
         let tag = AttemptTag {
             vm: self.settings.vm.clone(),
             incarnation: self.settings.incarnation,
@@ -185,7 +207,8 @@
             return;
         };
         let first = &self.latency[active.pipeline_index][active.stage_index].first;
-        let patience = first.quantiles(now).p95.max(HEDGE_FLOOR);
+        let quantiles = first.quantiles(now);
+        let patience = quantiles.p95.max(quantiles.p50.percent(HEDGE_PERCENT)).max(HEDGE_FLOOR);
         self.timers.set(now + patience, Timer::AttemptSlow(id));
     }
 
@@ -208,7 +231,7 @@
     }
 
     /// Dispatches what waits for a pool, as far as its endpoints allow.
-    pub(crate) fn serve_queue(&mut self, now: TimeMs, pool: &boragepass_types::PoolId, out: &mut Effects) {
+    pub(crate) fn serve_queue(&mut self, now: TimeMs, pool: &PoolId, out: &mut Effects) {
         let Some(queue) = self.queues.get(pool).filter(|queue| queue.len() > 0) else {
             return;
         };
@@ -229,8 +252,7 @@
                     self.remove_from_queue(pool, &place);
                     self.give_up_without_endpoint(now, key, out);
                 }
-                Choice::Wait => return,
-                Choice::Ask(endpoints) => {
+                Choice::Wait { ask: endpoints } | Choice::Ask(endpoints) => {
                     for idx in endpoints {
                         self.poll_endpoint(now, idx, out);
                     }
@@ -248,7 +270,7 @@
         }
     }
 
-    fn remove_from_queue(&mut self, pool: &boragepass_types::PoolId, place: &QueuePlace) {
+    fn remove_from_queue(&mut self, pool: &PoolId, place: &QueuePlace) {
         if let Some(queue) = self.queues.get_mut(pool) {
             queue.remove(place);
         }
@@ -296,6 +318,26 @@
     }
 }
 
+/// Pace at which requests leave the queue of a pool.
+#[derive(Debug, Default, Clone)]
+pub(crate) struct PoolPace {
+    count: u32,
+    per_ms: f32,
+}
+
+impl PoolPace {
+    /// Takes over the dispatches of the last interval.
+    pub(crate) fn roll(&mut self, interval: SpanMs) {
+        let sample = self.count as f32 / interval.0.max(1) as f32;
+        self.per_ms = self.per_ms * PACE_KEEP + sample * (1.0 - PACE_KEEP);
+        self.count = 0;
+    }
+
+    fn ms_per_dispatch(&self) -> f32 {
+        1.0 / self.per_ms.max(SLOWEST_PACE)
+    }
+}
+
 fn resume_point(active: &Active) -> Option<ResumePoint> {
     let is_stream = active.stage().kind == StageKind::Generate && active.tokens > 0;
     is_stream.then(|| ResumePoint { tokens: active.tokens, text: Payload::new(&active.text) })
--- a/crates/boragepass_core/src/watch.rs
+++ b/crates/boragepass_core/src/watch.rs
@@ -168,7 +168,6 @@
                 queued: load.queued,
                 slots: load.slots.max(1),
                 true_at: TimeMs(now.0.saturating_sub(load.age_ms.0)),
-                sent_since: 0,
             };
             let heard_at = if self.is_distrustful(now) { None } else { Some(known.true_at.min(now)) };
             self.note_report(now, heard_at, idx, known, load.leaving, load.holdings.clone(), out);
@@ -237,6 +236,7 @@
             }
         }
         self.pool_capacity = capacity;
+        self.pool_pace.values_mut().for_each(|pace| pace.roll(SWEEP_INTERVAL));
         let pools: Vec<_> = self.queues.keys().cloned().collect();
         for pool in pools {
             self.serve_queue(now, &pool, out);
