--- a/crates/boragepass_server/tests/processes.rs
+++ b/crates/boragepass_server/tests/processes.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 use async_std::task;
@@ -15,6 +16,7 @@
 };
 
 const REGION: &str = "lagos";
+static NEXT_FILE: AtomicUsize = AtomicUsize::new(0);
 const WITHIN: Duration = Duration::from_secs(60);
 
 const PIPELINE: &str = "
@@ -71,7 +73,9 @@
 }
 
 fn settings_file(name: &str, text: &str) -> PathBuf {
-    let path = std::env::temp_dir().join(format!("boragepass-{}-{name}.ini", std::process::id()));
+    // Tests of this file run at once, each with its own platform.
+    let number = NEXT_FILE.fetch_add(1, Ordering::Relaxed);
+    let path = std::env::temp_dir().join(format!("boragepass-{}-{number}-{name}.ini", std::process::id()));
     std::fs::write(&path, text).unwrap();
     path
 }
