Hash the reducer's maps with the standard library's hasher

Cause: callgrind shows 12 % of all instructions in xxh3's streaming state, which is made for long inputs; keys here are short. Change: SipHash with fixed keys, traces in a map.

--- a/crates/boragepass_core/src/explain.rs
+++ b/crates/boragepass_core/src/explain.rs
@@ -1,6 +1,6 @@
 //! Decisions taken for each request, kept in bounded memory.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::VecDeque;
 
 use boragepass_types::{
     AttemptId, EndpointId, ListVersion, NotRunReason, OutcomeKind, RequestId, SpanMs, StageId, TimeMs, VmId,
@@ -8,6 +8,8 @@
 };
 use derive_more::Display;
 
+use crate::map::Map;
+
 const DECISIONS_PER_REQUEST_MAX: usize = 64;
 
 /// How an attempt ended.
@@ -204,7 +206,7 @@
 #[derive(Debug)]
 pub(crate) struct Tracer {
     vm: VmId,
-    traces: BTreeMap<(RequestId, WorkspaceId), Trace>,
+    traces: Map<(RequestId, WorkspaceId), Trace>,
     order: VecDeque<(RequestId, WorkspaceId)>,
     requests_max: usize,
 }
@@ -212,7 +214,7 @@
 impl Tracer {
     /// Tracer that keeps `requests_max` requests.
     pub(crate) fn new(vm: VmId, requests_max: usize) -> Self {
-        Self { vm, traces: BTreeMap::new(), order: VecDeque::new(), requests_max }
+        Self { vm, traces: Map::default(), order: VecDeque::new(), requests_max }
     }
 
     /// Notes a decision.
