Tell other failure domains only what they need

Cause: at 400 nodes each relay passed every record on in both directions and each heartbeat carried the sender as a whole. Change: relays tell other domains about their own VMs and one lists version for all of them, and home about the others; heartbeats introduce the sender now and then; loads are shared once a second with short hashes; news of death travels at once.

--- a/crates/boragepass_core/src/endpoints.rs
+++ b/crates/boragepass_core/src/endpoints.rs
@@ -15,6 +15,11 @@
 const FULL_SLOTS: f32 = 1.5;
 const LOAD_HALF_LIFE_MS: f32 = 1_500.0;
 
+/// Hash that names an endpoint in load messages, four bytes long.
+pub(crate) fn short_hash(hash: Hash64) -> Hash64 {
+    Hash64(hash.0 & u64::from(u32::MAX))
+}
+
 /// Index of an endpoint; stays valid as long as the process runs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub(crate) struct EndpointIdx(pub(crate) u32);
@@ -209,7 +214,7 @@
             last_failure_at: None,
         });
         self.by_id.insert(endpoint.clone(), idx);
-        self.by_hash.insert(hash, idx);
+        self.by_hash.insert(short_hash(hash), idx);
         let pool = self.pools.entry(pool.clone()).or_default();
         pool.by_region.entry(region.clone()).or_default().push(idx);
         Some((idx, false))
--- a/crates/boragepass_core/src/list_commit.rs
+++ b/crates/boragepass_core/src/list_commit.rs
@@ -352,11 +352,8 @@
 
     /// Tells the others at once which version is in force here.
     fn confirm_lists(&mut self, now: TimeMs, out: &mut Effects) {
-        if self.membership.am_relay() {
-            self.tell_everyone_now(now, out);
-        } else {
-            self.tell_home_now(now, out);
-        }
+        self.tell_home_now(now, out);
+        self.tell_abroad_now(now, out);
     }
 
     /// One relay a fleet keeps the snapshot in the object store near the head.
--- a/crates/boragepass_core/src/member_flow.rs
+++ b/crates/boragepass_core/src/member_flow.rs
@@ -1,6 +1,8 @@
 //! Heartbeats, relays and messages from other VMs.
 
-use boragepass_types::{ContentDigest, Incarnation, SpanMs, TimeMs, VmId, WorkspaceId};
+use boragepass_types::{
+    ContentDigest, FailureDomain, Hash64, Incarnation, ListVersion, SpanMs, TimeMs, VmId, WorkspaceId,
+};
 
 use crate::claim_batch::Waiting;
 use crate::counter::Counter;
@@ -76,10 +78,18 @@
         self.spread(SpreadFrom::Here, &PeerMessage::Verdict(verdict), out);
     }
 
-    fn heartbeat(&mut self, now: TimeMs, records: Vec<MemberRecord>) -> PeerMessage {
+    fn heartbeat(
+        &mut self,
+        now: TimeMs,
+        records: Vec<MemberRecord>,
+        domains: Vec<(FailureDomain, ListVersion)>,
+    ) -> PeerMessage {
         self.membership.me.lists = self.lists.version().unwrap_or_default();
         let quarantine_hash = self.quarantine.hash(now);
-        PeerMessage::Heartbeat(Heartbeat { sender: self.membership.me.clone(), quarantine_hash, records })
+        let me = &self.membership.me;
+        let (epoch, state, lists) = (me.epoch, me.state, me.lists);
+        let sender = self.membership.is_introduction_due().then(|| Box::new(me.clone()));
+        PeerMessage::Heartbeat(Heartbeat { epoch, state, lists, sender, domains, quarantine_hash, records })
     }
 
     /// Heartbeats at home.
@@ -87,49 +97,64 @@
         self.timers.set(now + self.settings.limits.heartbeat_ms, Timer::Heartbeat);
         let timeout = self.settings.limits.member_timeout_ms;
         let changes = self.membership.expire(now, timeout);
+        let is_news = !changes.is_empty();
         self.note_member_changes(changes, out);
         self.tell_home_now(now, out);
-    }
-
-    fn send_home(&mut self, now: TimeMs, records: Vec<MemberRecord>, out: &mut Effects) {
-        let message = self.heartbeat(now, records);
-        let receivers: Vec<_> = self.membership.domain_peers().map(|member| member.record.clone()).collect();
-        for record in receivers {
-            self.send_to(&record, message.clone(), out);
+        if is_news {
+            self.tell_abroad_now(now, out);
         }
-        self.pending_records.clear();
     }
 
     /// Heartbeats to the relays of other failure domains.
     pub(crate) fn on_relay_timer(&mut self, now: TimeMs, out: &mut Effects) {
         self.timers.set(now + self.settings.limits.relay_heartbeat_ms, Timer::RelayHeartbeat);
+        self.tell_abroad_now(now, out);
+    }
+
+    /// As a relay, tells the relays of other domains about this one.
+    pub(crate) fn tell_abroad_now(&mut self, now: TimeMs, out: &mut Effects) {
         if self.membership.am_relay() {
-            self.send_records(now, out);
+            self.send_abroad(now, out);
         }
     }
 
-    /// Exchanges what changed with the other relays and keeps it for the next heartbeat at home.
-    fn send_records(&mut self, now: TimeMs, out: &mut Effects) {
-        let records = self.membership.take_records();
-        let message = self.heartbeat(now, records.clone());
+    fn send_abroad(&mut self, now: TimeMs, out: &mut Effects) {
+        let records = self.membership.take_for_abroad();
+        self.membership.me.lists = self.lists.version().unwrap_or_default();
+        let home = (self.settings.failure_domain.clone(), self.membership.home_lists());
+        self.told_abroad = home.1;
+        let message = self.heartbeat(now, records, vec![home]);
         let receivers: Vec<_> = self.membership.remote_relays().into_iter().cloned().collect();
         for record in receivers {
             self.send_to(&record, message.clone(), out);
         }
-        self.pending_records.extend(records);
+    }
+
+    /// Sends a heartbeat at home; a relay adds what it knows of other domains.
+    pub(crate) fn tell_home_now(&mut self, now: TimeMs, out: &mut Effects) {
+        let (records, domains) = if self.membership.am_relay() {
+            (self.membership.take_for_home(), self.membership.take_risen())
+        } else {
+            (Vec::new(), Vec::new())
+        };
+        let message = self.heartbeat(now, records, domains);
+        let receivers: Vec<_> = self.membership.domain_peers().map(|member| member.record.clone()).collect();
+        for record in receivers {
+            self.send_to(&record, message.clone(), out);
+        }
     }
 
     /// Tells everybody at once, without waiting for the next heartbeat.
     pub(crate) fn tell_everyone_now(&mut self, now: TimeMs, out: &mut Effects) {
-        self.send_records(now, out);
-        let records = self.pending_records.clone();
-        self.send_home(now, records, out);
+        self.tell_home_now(now, out);
+        self.send_abroad(now, out);
     }
 
-    /// Sends a heartbeat at home at once.
-    pub(crate) fn tell_home_now(&mut self, now: TimeMs, out: &mut Effects) {
-        let records = if self.membership.am_relay() { self.pending_records.clone() } else { Vec::new() };
-        self.send_home(now, records, out);
+    /// As a relay, tells other domains at once that this one enforces later lists.
+    fn report_home_lists(&mut self, now: TimeMs, out: &mut Effects) {
+        if self.membership.am_relay() && self.membership.home_lists() > self.told_abroad {
+            self.send_abroad(now, out);
+        }
     }
 
     /// Takes over a message from another VM.
@@ -148,7 +173,7 @@
             return;
         }
         match message {
-            PeerMessage::Heartbeat(heartbeat) => self.on_heartbeat(now, heartbeat, out),
+            PeerMessage::Heartbeat(heartbeat) => self.on_heartbeat(now, &from, incarnation, heartbeat, out),
             PeerMessage::Change(change) => self.on_change(now, *change, Some(&from), out),
             PeerMessage::ChangesQuery { after } => self.on_changes_query(&from, after, out),
             PeerMessage::SnapshotQuery => self.on_snapshot_query(&from, out),
@@ -178,19 +203,38 @@
         }
     }
 
-    fn on_heartbeat(&mut self, now: TimeMs, heartbeat: Heartbeat, out: &mut Effects) {
+    fn on_heartbeat(
+        &mut self,
+        now: TimeMs,
+        from: &VmId,
+        incarnation: Incarnation,
+        heartbeat: Heartbeat,
+        out: &mut Effects,
+    ) {
+        let Some(sender) = self.membership.record_of_sender(from, incarnation, &heartbeat) else {
+            // The VM list or a later heartbeat will introduce the sender.
+            return;
+        };
         let is_distrustful = self.is_distrustful(now);
-        let Some(mut changes) = self.membership.hear(now, &heartbeat.sender, is_distrustful) else {
+        let Some(mut changes) = self.membership.hear(now, &sender, is_distrustful) else {
             out.count(Counter::PeerStale);
             return;
         };
         for record in &heartbeat.records {
             changes.extend(self.membership.apply_record(now, record, false));
         }
+        for (domain, lists) in &heartbeat.domains {
+            self.membership.note_domain_lists(domain, from, *lists);
+        }
+        let is_urgent = changes.iter().any(|change| !matches!(change, MemberChange::Alive(_)));
         self.note_member_changes(changes, out);
-        self.correct_sender(now, &heartbeat.sender, out);
-        self.ask_for_verdicts(now, &heartbeat, out);
-        self.catch_up(now, &heartbeat.sender, out);
+        if is_urgent && self.membership.am_relay() {
+            self.tell_everyone_now(now, out);
+        }
+        self.correct_sender(now, &sender, out);
+        self.ask_for_verdicts(now, &sender, heartbeat.quarantine_hash, out);
+        self.catch_up(now, &sender, out);
+        self.report_home_lists(now, out);
         self.check_commits(now, out);
     }
 
@@ -198,17 +242,17 @@
     fn correct_sender(&mut self, now: TimeMs, sender: &MemberRecord, out: &mut Effects) {
         let known = self.membership.get(&sender.vm).map(|member| member.record.clone());
         if let Some(record) = known.filter(|record| record.state == MemberState::Dead) {
-            let message = self.heartbeat(now, vec![record.clone()]);
+            let message = self.heartbeat(now, vec![record.clone()], Vec::new());
             self.send_to(&record, message, out);
         }
     }
 
-    fn ask_for_verdicts(&mut self, now: TimeMs, heartbeat: &Heartbeat, out: &mut Effects) {
+    fn ask_for_verdicts(&mut self, now: TimeMs, sender: &MemberRecord, theirs: Hash64, out: &mut Effects) {
         let mine = self.quarantine.hash(now);
         let is_due = self.verdicts_asked_at.is_none_or(|at| now.since(at) > SpanMs(2_000));
-        if heartbeat.quarantine_hash != mine && heartbeat.quarantine_hash.0 != 0 && is_due {
+        if theirs != mine && theirs.0 != 0 && is_due {
             self.verdicts_asked_at = Some(now);
-            self.send_to(&heartbeat.sender.clone(), PeerMessage::VerdictsQuery, out);
+            self.send_to(sender, PeerMessage::VerdictsQuery, out);
         }
     }
 
--- a/crates/boragepass_core/src/membership.rs
+++ b/crates/boragepass_core/src/membership.rs
@@ -10,12 +10,13 @@
 
 use boragepass_types::{FailureDomain, Incarnation, ListVersion, Region, SpanMs, TimeMs, VmId, rendezvous_weight};
 
+use crate::message::Heartbeat;
 use crate::platform::{VmEntry, VmState};
 use crate::settings::NodeSettings;
 
 const RELAYS: usize = 2;
-const RECORDS_PER_HEARTBEAT: usize = 4;
-const CHANGED_PER_HEARTBEAT: usize = 64;
+/// Heartbeats between two that repeat a record, or the sender's own.
+const REPEAT_EVERY: u64 = 8;
 const EXCUSE_MARGIN: SpanMs = SpanMs(500);
 
 /// State of a VM; the later ones win within an epoch.
@@ -88,8 +89,16 @@
 pub(crate) struct Membership {
     pub(crate) me: MemberRecord,
     members: BTreeMap<VmId, Member>,
-    changed: BTreeSet<VmId>,
+    /// VMs of this failure domain whose state other domains have not been told.
+    for_abroad: BTreeSet<VmId>,
+    /// VMs of other domains whose state this domain has not been told.
+    for_home: BTreeSet<VmId>,
+    /// Lists that every VM of a domain enforces, by the VM that says so.
+    domain_reports: BTreeMap<FailureDomain, BTreeMap<VmId, ListVersion>>,
+    /// Domains whose report rose since it was passed on at home.
+    risen: BTreeSet<FailureDomain>,
     cursor: Option<VmId>,
+    heartbeats: u64,
     /// Raised when the set of serving VMs changes.
     pub(crate) view: u64,
     last_heard_at: Option<TimeMs>,
@@ -109,8 +118,18 @@
             caller_address: settings.caller_address,
             lists: ListVersion(0),
         };
-        let (members, changed) = (BTreeMap::new(), BTreeSet::new());
-        Self { me, members, changed, cursor: None, view: 0, last_heard_at: None }
+        Self {
+            me,
+            members: BTreeMap::new(),
+            for_abroad: BTreeSet::new(),
+            for_home: BTreeSet::new(),
+            domain_reports: BTreeMap::new(),
+            risen: BTreeSet::new(),
+            cursor: None,
+            heartbeats: 0,
+            view: 0,
+            last_heard_at: None,
+        }
     }
 
     /// Other VMs.
@@ -163,6 +182,8 @@
             listed: None,
         });
         member.listed = Some(*state);
+        member.record.peer_address = *peer_address;
+        member.record.caller_address = *caller_address;
         if *state == VmState::Gone && member.record.state != MemberState::Dead {
             let unheard = member.heard_at.map_or(SpanMs(0), |at| now.since(at));
             return self.set_state(now, vm, MemberState::Dead, unheard);
@@ -188,11 +209,6 @@
         }
         if let Some(member) = self.members.get_mut(&sender.vm) {
             member.heard_at = Some(now);
-            let was_dead = member.record.state == MemberState::Dead;
-            if was_dead && member.record.rank() > sender.rank() {
-                // The sender learns from the answer that it was taken for dead.
-                self.changed.insert(sender.vm.clone());
-            }
         }
         changes.dedup();
         Some(changes)
@@ -231,7 +247,10 @@
         if is_same && raised == lists {
             return None;
         }
-        self.changed.insert(record.vm.clone());
+        let is_lists_only = is_same && was == record.state;
+        if !is_lists_only {
+            self.mark_changed(&record.vm);
+        }
         if was == record.state {
             return None;
         }
@@ -318,10 +337,16 @@
     }
 
     fn note_change(&mut self, vm: &VmId) {
-        self.changed.insert(vm.clone());
+        self.mark_changed(vm);
         self.view += 1;
     }
 
+    fn mark_changed(&mut self, vm: &VmId) {
+        let is_home = self.members.get(vm).is_some_and(|member| member.record.failure_domain == self.me.failure_domain);
+        let set = if is_home { &mut self.for_abroad } else { &mut self.for_home };
+        set.insert(vm.clone());
+    }
+
     fn refute(&mut self, record: &MemberRecord) {
         let is_about_me = record.incarnation == self.me.incarnation;
         if is_about_me && record.epoch >= self.me.epoch && record.state == MemberState::Dead {
@@ -381,33 +406,117 @@
         domains.iter().flat_map(|domain| self.relays_of(domain)).map(|member| &member.record).collect()
     }
 
-    /// Records for the next heartbeats: those that changed, and a few more in turn.
-    pub(crate) fn take_records(&mut self) -> Vec<MemberRecord> {
-        let mut names: Vec<VmId> = self.changed.iter().take(CHANGED_PER_HEARTBEAT).cloned().collect();
-        for name in &names {
-            self.changed.remove(name);
-        }
-        for _ in 0..RECORDS_PER_HEARTBEAT.min(self.members.len()) {
-            let next = self.next_in_turn();
-            if let Some(name) = next.filter(|name| !names.contains(name)) {
-                names.push(name);
-            }
+    /// Records for the relays of other domains: VMs of this one whose state changed, and one in turn
+    /// now and then.
+    pub(crate) fn take_for_abroad(&mut self) -> Vec<MemberRecord> {
+        let changed = std::mem::take(&mut self.for_abroad);
+        self.records_of(changed, true)
+    }
+
+    /// Records for this domain: VMs of others whose state changed, and one in turn now and then.
+    pub(crate) fn take_for_home(&mut self) -> Vec<MemberRecord> {
+        let changed = std::mem::take(&mut self.for_home);
+        self.records_of(changed, false)
+    }
+
+    fn records_of(&mut self, mut names: BTreeSet<VmId>, is_home: bool) -> Vec<MemberRecord> {
+        self.heartbeats += 1;
+        if self.heartbeats.is_multiple_of(REPEAT_EVERY) {
+            names.extend(self.next_in_turn(is_home));
         }
         let records = names.iter().filter_map(|name| self.members.get(name)).map(|member| member.record.clone());
         records.filter(|record| record.state != MemberState::Listed).collect()
     }
 
-    fn next_in_turn(&mut self) -> Option<VmId> {
-        use std::ops::Bound::{Excluded, Unbounded};
-        let after = match &self.cursor {
-            Some(cursor) => self.members.range((Excluded(cursor.clone()), Unbounded)).next(),
-            None => None,
-        };
-        let next = after.or_else(|| self.members.iter().next()).map(|(vm, _)| vm.clone());
-        self.cursor = next.clone();
+    /// Whether the next heartbeat repeats the sender's whole record.
+    pub(crate) fn is_introduction_due(&self) -> bool {
+        self.heartbeats < REPEAT_EVERY || self.heartbeats.is_multiple_of(REPEAT_EVERY)
+    }
+
+    fn next_in_turn(&mut self, is_home: bool) -> Option<VmId> {
+        let home = self.me.failure_domain.clone();
+        let is_wanted = |member: &Member| (member.record.failure_domain == home) == is_home;
+        let after = |vm: &VmId| self.cursor.as_ref().is_some_and(|cursor| vm > cursor);
+        let mut wanted = self.members.iter().filter(|(_, member)| is_wanted(member)).map(|(vm, _)| vm);
+        let next = wanted.clone().find(|vm| after(vm)).or_else(|| wanted.next()).cloned();
+        self.cursor.clone_from(&next);
         next
     }
 
+    /// What a sender says of itself, with what is known of it.
+    pub(crate) fn record_of_sender(
+        &self,
+        vm: &VmId,
+        incarnation: Incarnation,
+        heartbeat: &Heartbeat,
+    ) -> Option<MemberRecord> {
+        let known = heartbeat.sender.as_deref().or_else(|| self.members.get(vm).map(|member| &member.record))?;
+        Some(MemberRecord {
+            incarnation,
+            epoch: heartbeat.epoch,
+            state: heartbeat.state,
+            lists: heartbeat.lists,
+            ..known.clone()
+        })
+    }
+
+    /// Lists that every VM of this domain enforces, as far as this VM hears them.
+    pub(crate) fn home_lists(&self) -> ListVersion {
+        let peers = self.domain_peers().map(|member| &member.record);
+        let up = peers.filter(|record| record.state != MemberState::Listed).map(|record| record.lists);
+        up.fold(self.me.lists, ListVersion::min)
+    }
+
+    /// Takes over what `reporter` says of a domain.
+    pub(crate) fn note_domain_lists(&mut self, domain: &FailureDomain, reporter: &VmId, lists: ListVersion) {
+        if *domain == self.me.failure_domain {
+            return;
+        }
+        let before = self.domain_lists(domain);
+        let known = self.domain_reports.entry(domain.clone()).or_default().entry(reporter.clone()).or_default();
+        *known = lists.max(*known);
+        if self.domain_lists(domain) > before {
+            self.risen.insert(domain.clone());
+        }
+    }
+
+    /// Lists that every VM of another domain enforces. Its relays may each miss a VM, so the smaller
+    /// word counts; what a relay of this domain passes on was weighed like that already.
+    fn domain_lists(&self, domain: &FailureDomain) -> ListVersion {
+        let Some(reports) = self.domain_reports.get(domain) else {
+            return ListVersion(0);
+        };
+        let relays = self.relays_of(domain);
+        let said = |relay: &&Member| reports.get(&relay.record.vm).copied().unwrap_or_default();
+        if relays.iter().any(|relay| reports.contains_key(&relay.record.vm)) {
+            return relays.iter().map(said).min().unwrap_or_default();
+        }
+        let from_home = reports.iter().filter(|(vm, _)| {
+            self.members.get(*vm).is_some_and(|member| member.record.failure_domain == self.me.failure_domain)
+        });
+        from_home.map(|(_, lists)| *lists).max().unwrap_or_default()
+    }
+
+    /// Domains whose lists rose, for this domain's VMs; all of them now and then.
+    pub(crate) fn take_risen(&mut self) -> Vec<(FailureDomain, ListVersion)> {
+        let mut domains = std::mem::take(&mut self.risen);
+        if self.heartbeats.is_multiple_of(REPEAT_EVERY) {
+            domains.extend(self.domain_reports.keys().cloned());
+        }
+        domains.into_iter().map(|domain| (domain.clone(), self.domain_lists(&domain))).collect()
+    }
+
+    /// Lists that a VM enforces, by its own or its domain's record.
+    pub(crate) fn lists_of(&self, member: &Member) -> ListVersion {
+        let is_up = matches!(member.record.state, MemberState::Alive | MemberState::Leaving);
+        let is_remote = member.record.failure_domain != self.me.failure_domain;
+        if is_up && is_remote {
+            member.record.lists.max(self.domain_lists(&member.record.failure_domain))
+        } else {
+            member.record.lists
+        }
+    }
+
     /// How long nobody was heard, if there is somebody to hear.
     pub(crate) fn unheard_for(&self, now: TimeMs, started_at: TimeMs) -> Option<SpanMs> {
         let has_others = self.members.values().any(|member| member.listed != Some(VmState::Gone));
@@ -420,7 +529,7 @@
     /// not be waited for after that time; but several unheard VMs may hear each other and are
     /// waited for until the VM list drops them.
     pub(crate) fn behind(&self, now: TimeMs, version: ListVersion, isolation: SpanMs) -> Vec<VmId> {
-        let is_behind = |member: &&Member| member.record.lists < version && member.listed != Some(VmState::Gone);
+        let is_behind = |member: &&Member| member.listed != Some(VmState::Gone) && self.lists_of(member) < version;
         let is_dead = |member: &&Member| member.record.state == MemberState::Dead;
         let dead = self.members.values().filter(is_behind).filter(is_dead).count();
         let is_excused = |member: &Member| {
--- a/crates/boragepass_core/src/message.rs
+++ b/crates/boragepass_core/src/message.rs
@@ -3,15 +3,15 @@
 use std::sync::Arc;
 
 use boragepass_types::{
-    AdapterId, ContentDigest, Hash64, ListVersion, ModelId, OpId, Payload, RequestId, RowVersion, SpanMs, VmId,
-    WorkspaceId,
+    AdapterId, ContentDigest, FailureDomain, Hash64, ListVersion, ModelId, OpId, Payload, RequestId, RowVersion,
+    SpanMs, VmId, WorkspaceId,
 };
 
 use crate::claim_row::ClaimRow;
 use crate::explain::RequestTrace;
 use crate::list_change::ListChange;
 use crate::lists::Snapshot;
-use crate::membership::MemberRecord;
+use crate::membership::{MemberRecord, MemberState};
 use crate::platform::{Expect, Row, RowKey, VmEntry, WriteId};
 use crate::usage::UsageReport;
 
@@ -89,8 +89,16 @@
 /// Sign of life.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Heartbeat {
-    /// The sender itself.
-    pub sender: MemberRecord,
+    /// Raised by the sender when it was wrongly reported dead.
+    pub epoch: u32,
+    /// State of the sender.
+    pub state: MemberState,
+    /// Lists that the sender enforces.
+    pub lists: ListVersion,
+    /// The sender as a whole, for receivers that do not know it; left out most of the time.
+    pub sender: Option<Box<MemberRecord>>,
+    /// Lists that every VM of a failure domain enforces.
+    pub domains: Vec<(FailureDomain, ListVersion)>,
     /// Hash of the quarantine that the sender enforces.
     pub quarantine_hash: Hash64,
     /// Other VMs whose state changed, and a few more in turn.
--- a/crates/boragepass_core/src/node.rs
+++ b/crates/boragepass_core/src/node.rs
@@ -7,7 +7,8 @@
 use std::sync::Arc;
 
 use boragepass_types::{
-    AttemptId, CallId, EndpointId, OpId, Outcome, OutcomeKind, PipelineId, PoolId, Region, TimeMs, WorkspaceId,
+    AttemptId, CallId, EndpointId, ListVersion, OpId, Outcome, OutcomeKind, PipelineId, PoolId, Region, TimeMs,
+    WorkspaceId,
 };
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -28,7 +29,7 @@
 use crate::list_commit::Commits;
 use crate::lists::Lists;
 use crate::map::Map;
-use crate::membership::{MemberRecord, Membership};
+use crate::membership::Membership;
 use crate::order::Orders;
 use crate::platform::{ObjectReply, TableReply, TableRequest};
 use crate::prefix_cache::PrefixCache;
@@ -108,7 +109,8 @@
     pub(crate) table_heard_at: Option<TimeMs>,
     pub(crate) was_isolated: bool,
     pub(crate) distrust_until: Option<TimeMs>,
-    pub(crate) pending_records: Vec<MemberRecord>,
+    /// Lists of this failure domain that other domains were told.
+    pub(crate) told_abroad: ListVersion,
     pub(crate) verdicts_asked_at: Option<TimeMs>,
     pub(crate) address_turn: usize,
 }
@@ -164,7 +166,7 @@
             table_heard_at: None,
             was_isolated: false,
             distrust_until: None,
-            pending_records: Vec::new(),
+            told_abroad: ListVersion(0),
             verdicts_asked_at: None,
             address_turn: 0,
             settings,
--- a/crates/boragepass_core/src/operator_flow.rs
+++ b/crates/boragepass_core/src/operator_flow.rs
@@ -47,12 +47,13 @@
 
     fn status(&self, now: TimeMs) -> Status {
         let me = &self.membership.me;
-        let others = self.membership.members().map(|member| &member.record);
-        let vms = std::iter::once(me).chain(others).map(|record| VmStatus {
+        let mine = (me, self.lists.version().unwrap_or_default());
+        let others = self.membership.members().map(|member| (&member.record, self.membership.lists_of(member)));
+        let vms = std::iter::once(mine).chain(others).map(|(record, lists)| VmStatus {
             vm: record.vm.clone(),
             region: record.region.clone(),
             state: record.state,
-            lists: if record.vm == me.vm { self.lists.version().unwrap_or_default() } else { record.lists },
+            lists,
         });
         let endpoints = self.endpoints.iter().filter(|(_, endpoint)| endpoint.state != VmState::Gone);
         let endpoints = endpoints.map(|(_, endpoint)| EndpointStatus {
--- a/crates/boragepass_core/src/watch.rs
+++ b/crates/boragepass_core/src/watch.rs
@@ -9,7 +9,7 @@
 use crate::counter::Counter;
 use crate::effect::{Effect, Effects};
 use crate::ejection::{EjectionCause, ejection_cap};
-use crate::endpoints::{Endpoint, EndpointIdx, KnownLoad};
+use crate::endpoints::{Endpoint, EndpointIdx, KnownLoad, short_hash};
 use crate::map::Map;
 use crate::member_flow::SpreadFrom;
 use crate::membership::MemberRecord;
@@ -21,6 +21,7 @@
 
 /// Interval at which old state is dropped.
 pub(crate) const SWEEP_INTERVAL: SpanMs = SpanMs(500);
+const POLLS_PER_SHARE: u64 = 2;
 const WATCHERS: usize = 2;
 const HOLDINGS_REPEAT: SpanMs = SpanMs(10_000);
 const POLL_PAUSE: SpanMs = SpanMs(100);
@@ -29,6 +30,7 @@
 /// State of the watch.
 #[derive(Debug, Default)]
 pub(crate) struct Watch {
+    polls: u64,
     list_version: u64,
     list_polled_at: Option<TimeMs>,
     polled_at: Map<EndpointIdx, TimeMs>,
@@ -50,7 +52,10 @@
                 self.poll_endpoint(now, idx, out);
             }
         }
-        self.share_loads(now, out);
+        self.watch.polls += 1;
+        if self.watch.polls.is_multiple_of(POLLS_PER_SHARE) {
+            self.share_loads(now, out);
+        }
     }
 
     /// Asks an endpoint for its report, unless it was asked a moment ago.
@@ -144,7 +149,7 @@
         self.prefixes.apply(idx, &report.cache_events);
         let load = KnownLoad::from_report(&report, now);
         let shared = SharedLoad {
-            endpoint: self.endpoints.get(idx).hash,
+            endpoint: short_hash(self.endpoints.get(idx).hash),
             running: report.running,
             queued: report.queued,
             slots: report.slots,
@@ -153,8 +158,12 @@
             holdings: Some(Holdings { models: report.models.clone(), adapters: report.adapters.clone() }),
         };
         self.watch.reports.insert(idx, (now, shared));
+        let is_news = report.leaving && self.endpoints.get(idx).is_open();
         let holdings = Holdings { models: report.models, adapters: report.adapters };
         self.note_report(now, Some(asked_at), idx, load, report.leaving, Some(holdings), out);
+        if is_news {
+            self.share_loads(now, out);
+        }
     }
 
     /// Takes over loads that another VM passes on.
--- a/crates/boragepass_wire/src/members.rs
+++ b/crates/boragepass_wire/src/members.rs
@@ -94,7 +94,11 @@
 /// Heartbeat on the wire.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WireHeartbeat {
-    sender: WireRecord,
+    epoch: u32,
+    state: WireMemberState,
+    lists: u64,
+    sender: Option<Box<WireRecord>>,
+    domains: Vec<(String, u64)>,
     quarantine_hash: u64,
     records: Vec<WireRecord>,
 }
@@ -102,7 +106,11 @@
 impl From<&Heartbeat> for WireHeartbeat {
     fn from(heartbeat: &Heartbeat) -> Self {
         Self {
-            sender: (&heartbeat.sender).into(),
+            epoch: heartbeat.epoch,
+            state: heartbeat.state.into(),
+            lists: heartbeat.lists.0,
+            sender: heartbeat.sender.as_deref().map(|sender| Box::new(sender.into())),
+            domains: heartbeat.domains.iter().map(|(domain, lists)| (domain.to_string(), lists.0)).collect(),
             quarantine_hash: heartbeat.quarantine_hash.0,
             records: heartbeat.records.iter().map(Into::into).collect(),
         }
@@ -113,8 +121,15 @@
     type Error = WireError;
 
     fn try_from(wire: WireHeartbeat) -> Result<Self, Self::Error> {
+        let domains = wire.domains.iter();
+        let domains = domains.map(|(domain, lists)| Ok((field("domain", domain)?, ListVersion(*lists))));
+        let sender = wire.sender.map(|sender| MemberRecord::try_from(*sender).map(Box::new));
         Ok(Self {
-            sender: wire.sender.try_into()?,
+            epoch: wire.epoch,
+            state: wire.state.into(),
+            lists: ListVersion(wire.lists),
+            sender: sender.transpose()?,
+            domains: domains.collect::<Result<_, WireError>>()?,
             quarantine_hash: Hash64(wire.quarantine_hash),
             records: try_all(wire.records)?,
         })
--- a/crates/boragepass_wire/tests/decoders.rs
+++ b/crates/boragepass_wire/tests/decoders.rs
@@ -79,7 +79,16 @@
 
 fn message() -> impl Strategy<Value = PeerMessage> {
     let heartbeat = (record(), any::<u64>(), vec(record(), 0..4)).prop_map(|(sender, hash, records)| {
-        PeerMessage::Heartbeat(Heartbeat { sender, quarantine_hash: Hash64(hash), records })
+        let domains = records.iter().map(|record| (record.failure_domain.clone(), record.lists)).collect();
+        PeerMessage::Heartbeat(Heartbeat {
+            epoch: sender.epoch,
+            state: sender.state,
+            lists: sender.lists,
+            sender: (hash % 2 == 0).then(|| Box::new(sender)),
+            domains,
+            quarantine_hash: Hash64(hash),
+            records,
+        })
     });
     let loads = vec((any::<u64>(), any::<u32>(), any::<bool>(), proptest::option::of(id())), 0..5).prop_map(|loads| {
         let loads = loads.into_iter().map(|(endpoint, number, leaving, model)| SharedLoad {
