Weigh a domain's report only where it is heard first-hand

Cause: a VM that had once heard a remote relay, while it did not know its own relays yet, kept that old word forever, so changes were committed but not accepted. Ruled out: lost reports (relays repeat them every second) and the members' own records. Change: relays weigh the remote relays' words, other VMs take their own relays'.

--- a/crates/boragepass_core/src/membership.rs
+++ b/crates/boragepass_core/src/membership.rs
@@ -486,10 +486,9 @@
         let Some(reports) = self.domain_reports.get(domain) else {
             return ListVersion(0);
         };
-        let relays = self.relays_of(domain);
-        let said = |relay: &&Member| reports.get(&relay.record.vm).copied().unwrap_or_default();
-        if relays.iter().any(|relay| reports.contains_key(&relay.record.vm)) {
-            return relays.iter().map(said).min().unwrap_or_default();
+        if self.am_relay() {
+            let said = |relay: &&Member| reports.get(&relay.record.vm).copied().unwrap_or_default();
+            return self.relays_of(domain).iter().map(said).min().unwrap_or_default();
         }
         let from_home = reports.iter().filter(|(vm, _)| {
             self.members.get(*vm).is_some_and(|member| member.record.failure_domain == self.me.failure_domain)
