--- /dev/null
+++ b/crates/boragepass/tests/reports.rs
@@ -0,0 +1,70 @@
+//! Burn and cost as operators read them.
+
+use boragepass::{BurnReport, CostReport};
+use boragepass_types::{KeyHash, KeySalt, Permille, Plan, Priority, RatePerS, SpanMs};
+use boragepass_wire::{WireLevel, WirePlan, WireStageCost, WireUsage};
+
+fn plan(workspace: &str, objective_permille: u16) -> WirePlan {
+    let key_salt = KeySalt("salt".to_owned());
+    let plan = Plan {
+        workspace: workspace.parse().expect("the name is valid"),
+        deadline_ms: SpanMs(6_000),
+        rate_per_s: RatePerS(10),
+        in_flight_max: 10,
+        priority: Priority(5),
+        attainment_weight_permille: Permille(900),
+        objective_permille: Permille(objective_permille),
+        entry_vms: 2,
+        key_hash: KeyHash::of(&key_salt, &boragepass_types::AccessKey::new("key")),
+        key_salt,
+    };
+    WirePlan::from(&plan)
+}
+
+fn usage(vm: &str, incarnation: u64, met: u64) -> WireUsage {
+    WireUsage {
+        vm: vm.to_owned(),
+        incarnation,
+        covers_ms: 3_600_000 + incarnation,
+        levels: vec![
+            WireLevel {
+                workspace: "gigdesk".to_owned(),
+                pipeline: "contract-review".to_owned(),
+                windows: [(100, met), (200, 200), (0, 0), (1_000, 990)],
+                outcomes: [met, 100 - met, 0, 0],
+            },
+            WireLevel {
+                workspace: "gone".to_owned(),
+                pipeline: "pickup-booking".to_owned(),
+                windows: [(1, 1); 4],
+                outcomes: [1, 0, 0, 0],
+            },
+        ],
+        costs: vec![WireStageCost {
+            workspace: "gigdesk".to_owned(),
+            stage: "review".to_owned(),
+            used: met,
+            used_ms: met * 400,
+            wasted: 2,
+            wasted_ms: 90,
+            cross_region_bytes: 1_024,
+        }],
+    }
+}
+
+/// Two VMs, one of them twice with the same part.
+fn reports() -> Vec<WireUsage> {
+    vec![usage("lagos-1", 7, 98), usage("lagos-2", 8, 90), usage("lagos-1", 7, 98)]
+}
+
+#[test]
+fn burn_merges_each_part_once_and_names_the_silent() {
+    let report = BurnReport::new(&reports(), &["lagos-3".to_owned()], &[plan("gigdesk", 990)]);
+    insta::assert_snapshot!(report.text());
+}
+
+#[test]
+fn cost_keeps_waste_apart() {
+    let report = CostReport::new(&reports(), &[]);
+    insta::assert_snapshot!(report.text());
+}
--- a/crates/boragepass_core/tests/decisions.rs
+++ b/crates/boragepass_core/tests/decisions.rs
@@ -353,3 +353,20 @@
         assert!(matches!(outcomes.as_slice(), [(_, Outcome::Answered { .. })]), "{outcomes:?}");
     }
 }
+
+#[test]
+fn a_request_ends_at_its_deadline() {
+    let mut fleet = new_fleet();
+    for engine in fleet.endpoints.iter_mut().filter(|endpoint| endpoint.crash_on.is_some()) {
+        engine.stage_ms = 60_000;
+    }
+    let call = fleet.submit(0, "gigdesk", "contract-review", "late", "contract");
+    let sent_at = fleet.now;
+    fleet.advance(DEADLINE_MS * 3);
+    let outcomes = &fleet.calls[&call].outcomes;
+    let [(at, Outcome::Failed { ran, .. })] = outcomes.as_slice() else {
+        panic!("{outcomes:?}");
+    };
+    assert_eq!(at.since(sent_at).0, DEADLINE_MS);
+    assert_eq!(ran.len(), 4);
+}
--- a/crates/boragepass_fakes/src/world.rs
+++ b/crates/boragepass_fakes/src/world.rs
@@ -29,6 +29,8 @@
 pub struct WorldSettings {
     /// Limits of the daemons.
     pub limits: Limits,
+    /// Limits towards callers and operators.
+    pub http: HttpLimits,
     /// Lag of the VM list.
     pub list_lag_ms: u64,
     /// Pipelines.
@@ -37,7 +39,7 @@
 
 impl Default for WorldSettings {
     fn default() -> Self {
-        Self { limits: Limits::default(), list_lag_ms: 0, pipelines: pipelines() }
+        Self { limits: Limits::default(), http: HttpLimits::default(), list_lag_ms: 0, pipelines: pipelines() }
     }
 }
 
@@ -147,7 +149,7 @@
             operator_key: AccessKey::new(OPERATOR_KEY),
             peer_key: AccessKey::new(PEER_KEY),
             metrics: None,
-            http: HttpLimits::default(),
+            http: self.settings.http,
             limits: self.settings.limits.clone(),
             pipelines: self.settings.pipelines.clone(),
         };
