--- a/crates/boragepass/src/cost.rs
+++ b/crates/boragepass/src/cost.rs
@@ -1,40 +1,22 @@
 //! Cost by stage and cross-region bytes, with waste apart.
 
+use std::collections::btree_map::Entry;
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Write;
 
 use boragepass_wire::{WireStageCost, WireUsage};
 use serde::Serialize;
 
-/// Cost of one stage of a workspace.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
-pub struct CostRow {
-    /// Workspace.
-    pub workspace: String,
-    /// Stage.
-    pub stage: String,
-    /// Attempts whose result was used.
-    pub used: u64,
-    /// Time they took.
-    pub used_ms: u64,
-    /// Attempts whose result was not used.
-    pub wasted: u64,
-    /// Time they took.
-    pub wasted_ms: u64,
-    /// Bytes that crossed regions.
-    pub cross_region_bytes: u64,
-}
-
 /// Cost of the fleet.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 pub struct CostReport {
-    /// Rows by workspace and stage.
-    pub rows: Vec<CostRow>,
+    /// Costs by workspace and stage.
+    pub rows: Vec<WireStageCost>,
     /// VMs that did not answer; their costs are missing.
     pub silent: Vec<String>,
 }
 
-fn add(sum: &mut CostRow, cost: &WireStageCost) {
+fn add(sum: &mut WireStageCost, cost: &WireStageCost) {
     sum.used += cost.used;
     sum.used_ms += cost.used_ms;
     sum.wasted += cost.wasted;
@@ -53,16 +35,12 @@
             }
             for cost in &report.costs {
                 let key = (cost.workspace.clone(), cost.stage.clone());
-                let row = rows.entry(key).or_insert_with(|| CostRow {
-                    workspace: cost.workspace.clone(),
-                    stage: cost.stage.clone(),
-                    used: 0,
-                    used_ms: 0,
-                    wasted: 0,
-                    wasted_ms: 0,
-                    cross_region_bytes: 0,
-                });
-                add(row, cost);
+                match rows.entry(key) {
+                    Entry::Vacant(vacant) => {
+                        vacant.insert(cost.clone());
+                    }
+                    Entry::Occupied(mut sum) => add(sum.get_mut(), cost),
+                }
             }
         }
         Self { rows: rows.into_values().collect(), silent: silent.to_vec() }
@@ -74,7 +52,7 @@
             "workspace         stage         used      used_ms   wasted    wasted_ms  cross_region_bytes\n",
         );
         for row in &self.rows {
-            let CostRow { workspace, stage, used, used_ms, wasted, wasted_ms, cross_region_bytes } = row;
+            let WireStageCost { workspace, stage, used, used_ms, wasted, wasted_ms, cross_region_bytes } = row;
             // Writing to a string cannot fail.
             writeln!(
                 text,
--- a/crates/boragepass/src/lib.rs
+++ b/crates/boragepass/src/lib.rs
@@ -14,7 +14,7 @@
 
 pub use arguments::Arguments;
 pub use burn::{BurnReport, BurnRow};
-pub use cost::{CostReport, CostRow};
+pub use cost::CostReport;
 pub use exit_status::ExitStatus;
 pub use output::Output;
 pub use run::run;
--- a/crates/boragepass_bench/src/agreement.rs
+++ b/crates/boragepass_bench/src/agreement.rs
@@ -140,7 +140,7 @@
 
 /// Processor time for one message between VMs over sockets, both sides together: eight daemons with
 /// quick heartbeats against the same with slow ones.
-pub fn link_us_per_message() -> Result<f64, Box<dyn std::error::Error>> {
+pub(crate) fn link_us_per_message() -> Result<f64, Box<dyn std::error::Error>> {
     let quick = task::block_on(idle_daemons(10))?;
     let slow = task::block_on(idle_daemons(500))?;
     let work_us = (quick.0.saturating_sub(slow.0)).as_secs_f64() * 1e6;
--- a/crates/boragepass_bench/src/lib.rs
+++ b/crates/boragepass_bench/src/lib.rs
@@ -11,7 +11,7 @@
 mod slopes;
 mod times;
 
-pub use agreement::{AgreementFigures, ClaimFigures, agreement, link_us_per_message};
+pub use agreement::{AgreementFigures, ClaimFigures, agreement};
 pub use attainment::{AttainmentFigures, attainment};
 pub use decisions::{DecisionFigures, decisions};
 pub use path::{PathFigures, path};
--- a/crates/boragepass_bench/src/main.rs
+++ b/crates/boragepass_bench/src/main.rs
@@ -84,7 +84,7 @@
         }
         Some(Command::Agreement(agreement)) => print(agreement.json, &boragepass_bench::agreement()?)?,
         Some(Command::Slopes(slopes)) => {
-            let figures = boragepass_bench::slopes(boragepass_bench::link_us_per_message()?);
+            let figures = boragepass_bench::slopes()?;
             print(slopes.json, &figures)?;
             return Ok(ExitCode::from(u8::from(!figures.exceeded.is_empty())));
         }
--- a/crates/boragepass_core/src/lib.rs
+++ b/crates/boragepass_core/src/lib.rs
@@ -31,6 +31,7 @@
 mod lease_row;
 mod list_change;
 mod list_commit;
+mod list_sync;
 mod lists;
 mod map;
 mod member_flow;
--- a/crates/boragepass_core/src/member_flow.rs
+++ b/crates/boragepass_core/src/member_flow.rs
@@ -316,19 +316,19 @@
         for verdict in verdicts {
             self.on_verdict(now, from, verdict, out);
         }
-        self.commits.verdicts_known = true;
+        self.list_sync.verdicts_known = true;
         self.check_ready(now, out);
     }
 
     /// Asks a few VMs for their verdicts, since this VM has just started.
     pub(crate) fn ask_for_verdicts_at_start(&mut self, now: TimeMs, out: &mut Effects) {
-        if self.commits.verdicts_known {
+        if self.list_sync.verdicts_known {
             return;
         }
         let others = self.membership.members().filter(|member| member.listed != Some(VmState::Gone));
         let records: Vec<_> = others.map(|member| member.record.clone()).take(ASKED_AT_START).collect();
         if records.is_empty() {
-            self.commits.verdicts_known = true;
+            self.list_sync.verdicts_known = true;
             self.check_ready(now, out);
         }
         for record in records {
@@ -369,7 +369,7 @@
         }
         self.was_isolated = is_isolated;
         if is_isolated {
-            self.commits.start_over();
+            self.list_sync.start_over();
         }
         let started_at = self.started_at.unwrap_or(now);
         let for_ms = self.membership.unheard_for(now, started_at).unwrap_or_default();
--- a/crates/boragepass_core/src/node.rs
+++ b/crates/boragepass_core/src/node.rs
@@ -27,6 +27,7 @@
 use crate::gather::Gathers;
 use crate::latency::LatencyWindow;
 use crate::list_commit::Commits;
+use crate::list_sync::ListSync;
 use crate::lists::Lists;
 use crate::map::Map;
 use crate::membership::Membership;
@@ -74,6 +75,7 @@
     pub(crate) rng: SmallRng,
     pub(crate) started_at: Option<TimeMs>,
     pub(crate) lists: Lists,
+    pub(crate) list_sync: ListSync,
     pub(crate) commits: Commits,
     pub(crate) membership: Membership,
     pub(crate) endpoints: EndpointTable,
@@ -131,6 +133,7 @@
             rng: SmallRng::seed_from_u64(settings.seed),
             started_at: None,
             lists: Lists::default(),
+            list_sync: ListSync::default(),
             commits: Commits::default(),
             membership: Membership::new(&settings),
             endpoints: EndpointTable::default(),
--- a/crates/boragepass_core/src/resume.rs
+++ b/crates/boragepass_core/src/resume.rs
@@ -16,6 +16,7 @@
 use crate::node::Node;
 use crate::request_table::{Active, RequestKey};
 
+const BYTES_MAX: usize = 4 * 1_024 * 1_024;
 const KEEP: SpanMs = SpanMs(30_000);
 
 /// Bounded store of progress.
@@ -23,22 +24,28 @@
 pub(crate) struct ProgressStore {
     entries: Map<(WorkspaceId, RequestId), (TimeMs, Progress)>,
     order: VecDeque<(WorkspaceId, RequestId)>,
+    bytes: usize,
 }
 
 impl ProgressStore {
     /// Keeps the latest progress of a request.
     pub(crate) fn insert(&mut self, now: TimeMs, progress: Progress, entries_max: usize) {
         let key = (progress.workspace.clone(), progress.request.clone());
-        if self.entries.insert(key.clone(), (now, progress)).is_none() {
-            self.order.push_back(key);
+        self.bytes += progress.input.0.len();
+        match self.entries.insert(key.clone(), (now, progress)) {
+            Some((_, replaced)) => self.bytes -= replaced.input.0.len(),
+            None => self.order.push_back(key),
         }
-        while self.order.len() > entries_max {
-            if let Some(oldest) = self.order.pop_front() {
-                self.entries.remove(&oldest);
-            }
+        while self.order.len() > entries_max || self.bytes > BYTES_MAX {
+            self.drop_oldest();
         }
     }
 
+    fn drop_oldest(&mut self) {
+        let oldest = self.order.pop_front().and_then(|key| self.entries.remove(&key));
+        self.bytes -= oldest.map_or(0, |(_, progress)| progress.input.0.len());
+    }
+
     /// Progress of the same content under the same id.
     pub(crate) fn find(&self, workspace: &WorkspaceId, id: &RequestId, digest: ContentDigest) -> Option<&Progress> {
         let (_, progress) = self.entries.get(&(workspace.clone(), id.clone()))?;
@@ -48,7 +55,8 @@
     /// Forgets a request.
     pub(crate) fn remove(&mut self, workspace: &WorkspaceId, id: &RequestId) {
         let key = (workspace.clone(), id.clone());
-        if self.entries.remove(&key).is_some() {
+        if let Some((_, progress)) = self.entries.remove(&key) {
+            self.bytes -= progress.input.0.len();
             self.order.retain(|other| *other != key);
         }
     }
@@ -59,8 +67,7 @@
             if self.entries.get(oldest).is_some_and(|(at, _)| now.since(*at) <= KEEP) {
                 return;
             }
-            let oldest = self.order.pop_front();
-            oldest.and_then(|key| self.entries.remove(&key));
+            self.drop_oldest();
         }
     }
 }
--- a/crates/boragepass_fakes/src/virtual_fleet/mod.rs
+++ b/crates/boragepass_fakes/src/virtual_fleet/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! Nothing here knows how the reducers decide. Faults are switched on by the tests.
 
+mod effects;
 mod endpoint;
 mod fleet;
 
