--- a/crates/boragepass_bench/src/agreement.rs
+++ b/crates/boragepass_bench/src/agreement.rs
@@ -41,8 +41,8 @@
     pub busiest_bytes_per_s: f64,
     /// Messages sent and received by the busiest VM a second.
     pub busiest_messages_per_s: f64,
-    /// Share of a core for reducer and codec on the busiest VM.
-    pub busiest_core_share: f64,
+    /// Share of a core for reducer and codec on the busiest VM, where reducers are measured.
+    pub busiest_core_share: Option<f64>,
     /// Claims at the rate of letter 1, where reducers are measured.
     pub claims: Option<ClaimFigures>,
 }
@@ -113,6 +113,11 @@
             other => return Err(format!("a change was not accepted: {other:?}").into()),
         }
     }
+    let mut falsely_dead = 0;
+    for daemon in &daemons {
+        let status = world.status(daemon).await.ok_or("a daemon did not answer")?;
+        falsely_dead += status.vms.iter().filter(|vm| vm.state == "dead").count() as u64;
+    }
     let began = Instant::now();
     daemons.remove(0).kill();
     for daemon in &daemons {
@@ -127,13 +132,13 @@
         vms: VMS,
         in_force_ms: in_force.as_millis() as u64,
         detect_ms: began.elapsed().as_millis() as u64,
-        falsely_dead: 0,
+        falsely_dead,
         table_reads_per_s: (after.0 - before.0) as f64 / span,
         table_writes_per_s: (after.1 - before.1) as f64 / span,
         // What one VM sends another receives; the fleet is symmetric.
         busiest_bytes_per_s: 2.0 * busiest.0 as f64 / span,
         busiest_messages_per_s: 2.0 * busiest.1 as f64 / span,
-        busiest_core_share: 0.0,
+        busiest_core_share: None,
         claims: None,
     })
 }
@@ -225,7 +230,7 @@
         busiest_bytes_per_s: costs.iter().map(|cost| cost.bytes_in + cost.bytes_out).max().unwrap_or(0) as f64 / span,
         busiest_messages_per_s: costs.iter().map(|cost| cost.messages_in + cost.messages_out).max().unwrap_or(0) as f64
             / span,
-        busiest_core_share: costs.iter().map(|cost| cost.work).max().unwrap_or_default().as_secs_f64() / span,
+        busiest_core_share: costs.iter().map(|cost| cost.work.as_secs_f64() / span).reduce(f64::max),
     }
 }
 
