Split membership, claims and dispatch by what they decide

Change: domain_lists.rs, claim_output.rs, new_dispatch and note_choice. Conclusion: where a VM is waited for has a file of its own.

--- a/crates/boragepass_core/src/admission.rs
+++ b/crates/boragepass_core/src/admission.rs
@@ -190,7 +190,7 @@
                 .get(&stage.pool)
                 .map_or(0, |queue| queue.len_before(terms.plan.priority, index, deadline_at));
             total += usual;
-            total += self.queue_wait(now, &stage.pool, waiting, usual);
+            total += self.queue_wait(&stage.pool, waiting, usual);
         }
         total
     }
--- a/crates/boragepass_core/src/claim_flow.rs
+++ b/crates/boragepass_core/src/claim_flow.rs
@@ -3,8 +3,9 @@
 use boragepass_types::{NotRunReason, OpId, Outcome, SpanMs, StageId, TimeMs, VmId, rendezvous_weight};
 
 use crate::claim_batch::{Answered, Waiting};
+use crate::claim_output::{ClaimOutput, ClaimRefusal, WriteRoute};
 use crate::claim_row::ClaimOwner;
-use crate::claims::{ClaimOutput, ClaimRefusal, Claims, WriteRoute};
+use crate::claims::Claims;
 use crate::counter::Counter;
 use crate::effect::Effects;
 use crate::explain::{AttemptReason, ClaimStep, Decision};
--- a/crates/boragepass_core/src/finish.rs
+++ b/crates/boragepass_core/src/finish.rs
@@ -58,7 +58,7 @@
         self.end_attempts(now, &mut active, out);
         self.end_claim(now, &active, &outcome, out);
         if kind == boragepass_types::OutcomeKind::Answered {
-            self.clear_suspicion(now, &active, out);
+            self.clear_suspicion(&active, out);
         }
         self.wake_copies(now, active.request.digest);
         let request = &active.request;
@@ -170,11 +170,11 @@
         }
     }
 
-    fn clear_suspicion(&mut self, now: TimeMs, active: &Active, out: &mut Effects) {
+    fn clear_suspicion(&mut self, active: &Active, out: &mut Effects) {
         let digest = active.request.digest;
         if self.quarantine.on_success(digest) {
             let kind = crate::message::VerdictKind::Cleared;
-            self.spread_verdict(now, digest, &active.request.workspace, kind, SpanMs(0), out);
+            self.spread_verdict(digest, &active.request.workspace, kind, SpanMs(0), out);
         }
     }
 
--- a/crates/boragepass_core/src/lib.rs
+++ b/crates/boragepass_core/src/lib.rs
@@ -7,17 +7,19 @@
 //!
 //! Where to look: an endpoint is chosen in `routing`, a request is refused in `admission`, retried
 //! and hedged in `attempt_flow`, ended in `finish`; a claim is decided in `claims` and released in
-//! `finish`; the lists come into force in `list_commit`; a VM is declared dead in `membership`.
+//! `finish`; the lists come into force in `list_commit`; a VM is declared dead in `membership`, waited for in `domain_lists`.
 
 mod address;
 mod admission;
 mod attempt_flow;
 mod claim_batch;
 mod claim_flow;
+mod claim_output;
 mod claim_row;
 mod claims;
 mod concurrency;
 mod counter;
+mod domain_lists;
 mod drain;
 mod effect;
 mod ejection;
--- a/crates/boragepass_core/src/member_flow.rs
+++ b/crates/boragepass_core/src/member_flow.rs
@@ -66,7 +66,6 @@
     /// Spreads what is known about content.
     pub(crate) fn spread_verdict(
         &mut self,
-        _now: TimeMs,
         digest: ContentDigest,
         workspace: &WorkspaceId,
         kind: VerdictKind,
@@ -276,7 +275,7 @@
             VerdictNews::Noted => self.spread(SpreadFrom::Peer(from), &PeerMessage::Verdict(verdict.clone()), out),
             VerdictNews::Quarantine => {
                 let kind = VerdictKind::Quarantined;
-                self.spread_verdict(now, verdict.digest, &verdict.workspace, kind, spans.quarantine, out);
+                self.spread_verdict(verdict.digest, &verdict.workspace, kind, spans.quarantine, out);
             }
         }
         match self.quarantine.clearance(now, verdict.digest) {
--- a/crates/boragepass_core/src/membership.rs
+++ b/crates/boragepass_core/src/membership.rs
@@ -16,8 +16,7 @@
 
 const RELAYS: usize = 2;
 /// Heartbeats between two that repeat a record, or the sender's own.
-const REPEAT_EVERY: u64 = 8;
-const EXCUSE_MARGIN: SpanMs = SpanMs(500);
+pub(crate) const REPEAT_EVERY: u64 = 8;
 
 /// State of a VM; the later ones win within an epoch.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, derive_more::Display)]
@@ -88,17 +87,17 @@
 #[derive(Debug)]
 pub(crate) struct Membership {
     pub(crate) me: MemberRecord,
-    members: BTreeMap<VmId, Member>,
+    pub(crate) members: BTreeMap<VmId, Member>,
     /// VMs of this failure domain whose state other domains have not been told.
     for_abroad: BTreeSet<VmId>,
     /// VMs of other domains whose state this domain has not been told.
     for_home: BTreeSet<VmId>,
     /// Lists that every VM of a domain enforces, by the VM that says so.
-    domain_reports: BTreeMap<FailureDomain, BTreeMap<VmId, ListVersion>>,
+    pub(crate) domain_reports: BTreeMap<FailureDomain, BTreeMap<VmId, ListVersion>>,
     /// Domains whose report rose since it was passed on at home.
-    risen: BTreeSet<FailureDomain>,
+    pub(crate) risen: BTreeSet<FailureDomain>,
     cursor: Option<VmId>,
-    heartbeats: u64,
+    pub(crate) heartbeats: u64,
     /// Raised when the set of serving VMs changes.
     pub(crate) view: u64,
     last_heard_at: Option<TimeMs>,
@@ -460,84 +459,11 @@
         })
     }
 
-    /// Lists that every VM of this domain enforces, as far as this VM hears them.
-    pub(crate) fn home_lists(&self) -> ListVersion {
-        let peers = self.domain_peers().map(|member| &member.record);
-        let up = peers.filter(|record| record.state != MemberState::Listed).map(|record| record.lists);
-        up.fold(self.me.lists, ListVersion::min)
-    }
-
-    /// Takes over what `reporter` says of a domain.
-    pub(crate) fn note_domain_lists(&mut self, domain: &FailureDomain, reporter: &VmId, lists: ListVersion) {
-        if *domain == self.me.failure_domain {
-            return;
-        }
-        let before = self.domain_lists(domain);
-        let known = self.domain_reports.entry(domain.clone()).or_default().entry(reporter.clone()).or_default();
-        *known = lists.max(*known);
-        if self.domain_lists(domain) > before {
-            self.risen.insert(domain.clone());
-        }
-    }
-
-    /// Lists that every VM of another domain enforces. Its relays may each miss a VM, so the smaller
-    /// word counts; what a relay of this domain passes on was weighed like that already.
-    fn domain_lists(&self, domain: &FailureDomain) -> ListVersion {
-        let Some(reports) = self.domain_reports.get(domain) else {
-            return ListVersion(0);
-        };
-        if self.am_relay() {
-            let said = |relay: &&Member| reports.get(&relay.record.vm).copied().unwrap_or_default();
-            return self.relays_of(domain).iter().map(said).min().unwrap_or_default();
-        }
-        let from_home = reports.iter().filter(|(vm, _)| {
-            self.members.get(*vm).is_some_and(|member| member.record.failure_domain == self.me.failure_domain)
-        });
-        from_home.map(|(_, lists)| *lists).max().unwrap_or_default()
-    }
-
-    /// Domains whose lists rose, for this domain's VMs; all of them now and then.
-    pub(crate) fn take_risen(&mut self) -> Vec<(FailureDomain, ListVersion)> {
-        let mut domains = std::mem::take(&mut self.risen);
-        if self.heartbeats.is_multiple_of(REPEAT_EVERY) {
-            domains.extend(self.domain_reports.keys().cloned());
-        }
-        domains.into_iter().map(|domain| (domain.clone(), self.domain_lists(&domain))).collect()
-    }
-
-    /// Lists that a VM enforces, by its own or its domain's record.
-    pub(crate) fn lists_of(&self, member: &Member) -> ListVersion {
-        let is_up = matches!(member.record.state, MemberState::Alive | MemberState::Leaving);
-        let is_remote = member.record.failure_domain != self.me.failure_domain;
-        if is_up && is_remote {
-            member.record.lists.max(self.domain_lists(&member.record.failure_domain))
-        } else {
-            member.record.lists
-        }
-    }
-
     /// How long nobody was heard, if there is somebody to hear.
     pub(crate) fn unheard_for(&self, now: TimeMs, started_at: TimeMs) -> Option<SpanMs> {
         let has_others = self.members.values().any(|member| member.listed != Some(VmState::Gone));
         has_others.then(|| now.since(self.last_heard_at.unwrap_or(started_at)))
     }
-
-    /// VMs that may still admit requests under lists before `version`.
-    ///
-    /// A VM that hears nobody stops admitting after `isolation`, so a VM that nobody hears need
-    /// not be waited for after that time; but several unheard VMs may hear each other and are
-    /// waited for until the VM list drops them.
-    pub(crate) fn behind(&self, now: TimeMs, version: ListVersion, isolation: SpanMs) -> Vec<VmId> {
-        let is_behind = |member: &&Member| member.listed != Some(VmState::Gone) && self.lists_of(member) < version;
-        let is_dead = |member: &&Member| member.record.state == MemberState::Dead;
-        let dead = self.members.values().filter(is_behind).filter(is_dead).count();
-        let is_excused = |member: &Member| {
-            member.record.state == MemberState::Listed
-                || (is_dead(&member) && dead == 1 && now.since(member.state_since) > isolation + EXCUSE_MARGIN)
-        };
-        let waiting = self.members.values().filter(is_behind).filter(|member| !is_excused(member));
-        waiting.map(|member| member.record.vm.clone()).collect()
-    }
 }
 
 fn change_of(record: &MemberRecord, unheard: SpanMs) -> Option<MemberChange> {
--- a/crates/boragepass_core/src/resume.rs
+++ b/crates/boragepass_core/src/resume.rs
@@ -74,7 +74,7 @@
 
 impl Node {
     /// Tells the VM that the caller turns to next how far a request is.
-    pub(crate) fn send_progress(&mut self, _now: TimeMs, key: RequestKey, out: &mut Effects) {
+    pub(crate) fn send_progress(&mut self, key: RequestKey, out: &mut Effects) {
         let Some(active) = self.requests.get(key) else {
             return;
         };
--- a/crates/boragepass_core/src/stage_flow.rs
+++ b/crates/boragepass_core/src/stage_flow.rs
@@ -4,6 +4,7 @@
 
 use crate::counter::Counter;
 use crate::effect::{Dispatch, Effect, Effects, ResumePoint};
+use crate::endpoints::Endpoint;
 use crate::event::AttemptTag;
 use crate::explain::{AttemptReason, Candidate, Decision};
 use crate::node::Node;
@@ -79,7 +80,7 @@
             usual: latency[active.stage_index].whole.quantiles(now).p50,
             rest: rest.fold(SpanMs(0), |sum, span| sum + span),
             left: active.deadline_at.since(now),
-            home_wait: self.home_wait(now, active, latency[active.stage_index].whole.quantiles(now).p50),
+            home_wait: self.home_wait(active, latency[active.stage_index].whole.quantiles(now).p50),
             bytes: Bytes(active.input.0.len() as u64),
             attainment_weight: active.attainment_weight,
             alone: active.is_suspect,
@@ -94,17 +95,17 @@
     }
 
     /// Expected wait in the queue of this VM.
-    fn home_wait(&self, now: TimeMs, active: &Active, usual: SpanMs) -> SpanMs {
+    fn home_wait(&self, active: &Active, usual: SpanMs) -> SpanMs {
         let pool = &active.stage().pool;
         let ahead = self
             .queues
             .get(pool)
             .map_or(0, |queue| queue.len_before(active.priority, active.stage_index, active.deadline_at));
-        self.queue_wait(now, pool, ahead, usual)
+        self.queue_wait(pool, ahead, usual)
     }
 
     /// Time until `ahead` requests have left the queue of a pool, at the pace of the last seconds.
-    pub(crate) fn queue_wait(&self, _now: TimeMs, pool: &PoolId, ahead: usize, usual: SpanMs) -> SpanMs {
+    pub(crate) fn queue_wait(&self, pool: &PoolId, ahead: usize, usual: SpanMs) -> SpanMs {
         let capacity = self.pool_capacity.get(pool).copied().unwrap_or(1.0).max(1.0);
         let by_capacity = usual.0 as f32 / capacity;
         let by_pace = self.pool_pace.get(pool).map_or(by_capacity, PoolPace::ms_per_dispatch);
@@ -150,39 +151,40 @@
             is_repeatable: stage.repeatable,
             cross_region: Bytes(if is_abroad { active.input.0.len() as u64 } else { 0 }),
         };
-        let dispatch = Dispatch {
-            tag,
-            endpoint: endpoint.id.clone(),
-            address: endpoint.address,
-            kind: stage.kind,
-            model: stage.model.clone(),
-            adapter: stage.adapter.clone(),
-            priority: active.priority,
-            input: active.input.clone(),
-            stream: StreamId(id.0),
-            resume: resume_point(active),
-            left_ms: active.deadline_at.since(now),
-            idempotency_key: active.request.idempotency_key.clone().filter(|_| !stage.repeatable),
-        };
+        let dispatch = new_dispatch(now, active, endpoint, tag);
         active.attempts.push(id);
         active.attempts_made += 1;
         active.phase = Phase::Running;
         let not_after = active.deadline_at.min(now + self.settings.limits.dispatch_valid_ms);
-        let named = candidates.iter().map(|scored| Candidate {
+        self.note_choice(now, key, &dispatch, candidates, reason);
+        self.attempts.insert(id, attempt);
+        self.note_dispatch(now, id, key, reason, out);
+        out.push(Effect::Dispatch { not_after, dispatch: Box::new(dispatch) });
+    }
+
+    fn note_choice(
+        &mut self,
+        now: TimeMs,
+        key: RequestKey,
+        dispatch: &Dispatch,
+        candidates: &[Scored],
+        reason: AttemptReason,
+    ) {
+        let Some(active) = self.requests.get(key) else {
+            return;
+        };
+        let candidates = candidates.iter().map(|scored| Candidate {
             endpoint: self.endpoints.get(scored.idx).id.clone(),
             expected_ms: SpanMs(scored.expected_ms.max(0.0) as u64),
         });
         let decision = Decision::Routed {
-            stage: stage.id.clone(),
-            attempt: id,
+            stage: dispatch.tag.stage.clone(),
+            attempt: dispatch.tag.attempt,
             reason,
             endpoint: dispatch.endpoint.clone(),
-            candidates: named.collect(),
+            candidates: candidates.collect(),
         };
         self.tracer.note(now, &active.request.workspace, &active.request.id, decision);
-        self.attempts.insert(id, attempt);
-        self.note_dispatch(now, id, key, reason, out);
-        out.push(Effect::Dispatch { not_after, dispatch: Box::new(dispatch) });
     }
 
     fn note_dispatch(
@@ -313,7 +315,7 @@
             return;
         }
         active.enter_stage(now, next, output);
-        self.send_progress(now, key, out);
+        self.send_progress(key, out);
         self.run_stage(now, key, AttemptReason::First, out);
     }
 }
@@ -338,6 +340,24 @@
     }
 }
 
+fn new_dispatch(now: TimeMs, active: &Active, endpoint: &Endpoint, tag: AttemptTag) -> Dispatch {
+    let stage = active.stage();
+    Dispatch {
+        stream: StreamId(tag.attempt.0),
+        tag,
+        endpoint: endpoint.id.clone(),
+        address: endpoint.address,
+        kind: stage.kind,
+        model: stage.model.clone(),
+        adapter: stage.adapter.clone(),
+        priority: active.priority,
+        input: active.input.clone(),
+        resume: resume_point(active),
+        left_ms: active.deadline_at.since(now),
+        idempotency_key: active.request.idempotency_key.clone().filter(|_| !stage.repeatable),
+    }
+}
+
 fn resume_point(active: &Active) -> Option<ResumePoint> {
     let is_stream = active.stage().kind == StageKind::Generate && active.tokens > 0;
     is_stream.then(|| ResumePoint { tokens: active.tokens, text: Payload::new(&active.text) })
