Test that a stream ends in one outcome

Change: a test over sockets, the reason removed, dead_at split off. Conclusion: a cut stream can be told from a whole one.

--- a/crates/boragepass_bench/src/agreement.rs
+++ b/crates/boragepass_bench/src/agreement.rs
@@ -113,11 +113,7 @@
             other => return Err(format!("a change was not accepted: {other:?}").into()),
         }
     }
-    let mut falsely_dead = 0;
-    for daemon in &daemons {
-        let status = world.status(daemon).await.ok_or("a daemon did not answer")?;
-        falsely_dead += status.vms.iter().filter(|vm| vm.state == "dead").count() as u64;
-    }
+    let falsely_dead = dead_at(&world, &daemons).await?;
     let began = Instant::now();
     daemons.remove(0).kill();
     for daemon in &daemons {
@@ -143,6 +139,16 @@
     })
 }
 
+/// VMs that some daemon takes for dead.
+async fn dead_at(world: &World, daemons: &[boragepass_server::Daemon]) -> Result<u64, Box<dyn std::error::Error>> {
+    let mut dead = 0;
+    for daemon in daemons {
+        let status = world.status(daemon).await.ok_or("a daemon did not answer")?;
+        dead += status.vms.iter().filter(|vm| vm.state == "dead").count() as u64;
+    }
+    Ok(dead)
+}
+
 /// Processor time for one message between VMs over sockets, both sides together: eight daemons with
 /// quick heartbeats against the same with slow ones.
 pub(crate) fn link_us_per_message() -> Result<f64, Box<dyn std::error::Error>> {
--- a/crates/boragepass_core/src/admission.rs
+++ b/crates/boragepass_core/src/admission.rs
@@ -326,7 +326,6 @@
         | NotRunReason::DeadlinePassed
         | NotRunReason::NoEndpoint(_)
         | NotRunReason::UnderTrial
-        | NotRunReason::ClaimUnavailable
-        | NotRunReason::ClaimHeld => true,
+        | NotRunReason::ClaimUnavailable => true,
     }
 }
--- a/crates/boragepass_fakes/tests/failures.rs
+++ b/crates/boragepass_fakes/tests/failures.rs
@@ -6,6 +6,8 @@
 
 use std::time::Duration;
 
+use async_std::io::{ReadExt, WriteExt};
+use async_std::net::TcpStream;
 use async_std::task;
 use boragepass_core::{Counter, ListEdit, VmState};
 use boragepass_fakes::{CallerAnswer, expected_answer, pipelines, plan};
@@ -181,6 +183,27 @@
     assert!(installation.daemons[0].counter(Counter::Resumed) > 0, "the stream did not go on where it stood");
 }
 
+#[async_std::test]
+async fn a_stream_ends_in_one_outcome() {
+    let installation = Installation::start(1).await;
+    let body =
+        r#"{"workspace":"gigdesk","pipeline":"contract-review","request_id":"s1","input":"contract","stream":true}"#;
+    let head = format!(
+        "POST /v1/requests HTTP/1.1\r\nhost: x\r\nconnection: close\r\nauthorization: Bearer {}\r\ncontent-length: {}\r\n\r\n",
+        boragepass_fakes::caller_key("gigdesk"),
+        body.len()
+    );
+    let mut stream = TcpStream::connect(installation.daemons[0].callers).await.unwrap();
+    stream.write_all(head.as_bytes()).await.unwrap();
+    stream.write_all(body.as_bytes()).await.unwrap();
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await.unwrap();
+    assert_eq!(answer.matches("event: tokens").count(), TOKENS as usize, "{answer}");
+    let (_, outcome) = answer.split_once("event: outcome").unwrap();
+    assert!(outcome.contains(r#""outcome":"answered""#), "{answer}");
+    assert!(!outcome.contains("event:"), "something follows the outcome: {answer}");
+}
+
 #[async_std::test]
 async fn endpoint_leaving() {
     let installation = Installation::start(2).await;
--- a/crates/boragepass_types/src/outcome.rs
+++ b/crates/boragepass_types/src/outcome.rs
@@ -44,8 +44,6 @@
     UnderTrial,
     /// the claim could not be written; nothing of this send ran
     ClaimUnavailable,
-    /// another request holds the key
-    ClaimHeld,
     /// the key was used for other content
     KeyConflict,
     /// the request is malformed
