--- a/crates/boragepass/src/client.rs
+++ b/crates/boragepass/src/client.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use boragepass_platform::HttpClient;
+use boragepass_clients::HttpClient;
 use boragepass_wire::WireOperatorReply;
 use http_types::Method;
 
--- a/crates/boragepass_bench/src/path.rs
+++ b/crates/boragepass_bench/src/path.rs
@@ -10,7 +10,7 @@
 use boragepass_fakes::{
     Caller, FakeEndpointSettings, World, WorldSettings, allowlist, caller_key, expected_answer, pipelines, plan,
 };
-use boragepass_platform::{HttpClient, run_stage};
+use boragepass_clients::{HttpClient, run_stage};
 use boragepass_types::{AttemptId, Incarnation, Payload, Pipeline, Priority, SpanMs, StreamId};
 use futures::lock::Mutex;
 use serde::Serialize;
--- a/crates/boragepass_fakes/src/caller.rs
+++ b/crates/boragepass_fakes/src/caller.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use boragepass_platform::{CallError, HttpClient};
+use boragepass_clients::{CallError, HttpClient};
 use boragepass_wire::{AddressesJson, OutcomeJson};
 use http_types::Method;
 
--- a/crates/boragepass_server/src/daemon.rs
+++ b/crates/boragepass_server/src/daemon.rs
@@ -8,7 +8,7 @@
 use async_std::future::timeout;
 use async_std::net::TcpListener;
 use boragepass_core::{Counter, Event, Node, NodeSettings};
-use boragepass_platform::HttpClient;
+use boragepass_clients::HttpClient;
 use boragepass_settings::Settings;
 
 use crate::caller_http::{CallerContext, serve_callers};
