--- a/crates/boragepass_bench/src/baseline.rs
+++ b/crates/boragepass_bench/src/baseline.rs
@@ -6,9 +6,9 @@
 use std::time::{Duration, Instant};
 
 use async_std::future::timeout;
+use boragepass_clients::HttpClient;
 use boragepass_core::{AttemptTag, Dispatch};
 use boragepass_fakes::FakeEndpoint;
-use boragepass_clients::HttpClient;
 use boragepass_types::{AttemptId, Incarnation, Payload, Pipeline, Priority, SpanMs, StreamId};
 use rand::Rng;
 use rand::SeedableRng;
--- a/crates/boragepass_bench/src/path.rs
+++ b/crates/boragepass_bench/src/path.rs
@@ -6,11 +6,11 @@
 use std::time::{Duration, Instant};
 
 use async_std::task;
+use boragepass_clients::{HttpClient, run_stage};
 use boragepass_core::{AttemptTag, Dispatch, Limits, ListEdit, StageReply};
 use boragepass_fakes::{
     Caller, FakeEndpointSettings, World, WorldSettings, allowlist, caller_key, expected_answer, pipelines, plan,
 };
-use boragepass_clients::{HttpClient, run_stage};
 use boragepass_types::{AttemptId, Incarnation, Payload, Pipeline, Priority, SpanMs, StreamId};
 use futures::lock::Mutex;
 use serde::Serialize;
--- a/crates/boragepass_core/src/ejection.rs
+++ b/crates/boragepass_core/src/ejection.rs
@@ -26,7 +26,7 @@
 
 /// Health of one endpoint as seen from this VM.
 #[derive(Debug, Default, Clone)]
-pub(crate) struct Health {
+pub struct Health {
     consecutive_failures: u32,
     ejections: u32,
     ejected_until: Option<TimeMs>,
@@ -34,18 +34,18 @@
 }
 
 /// Number of endpoints of a pool that may be ejected at once.
-pub(crate) fn ejection_cap(pool_len: usize) -> usize {
+pub fn ejection_cap(pool_len: usize) -> usize {
     (pool_len / CAP_DIVISOR).max(1)
 }
 
 impl Health {
     /// Whether the endpoint is ejected.
-    pub(crate) fn is_ejected(&self, now: TimeMs) -> bool {
+    pub fn is_ejected(&self, now: TimeMs) -> bool {
         self.ejected_until.is_some_and(|until| until > now)
     }
 
     /// Whether an ejection has just run out; true once.
-    pub(crate) fn take_return(&mut self, now: TimeMs) -> bool {
+    pub fn take_return(&mut self, now: TimeMs) -> bool {
         let is_over = self.ejected_until.is_some_and(|until| until <= now);
         if is_over {
             self.ejected_until = None;
@@ -54,7 +54,7 @@
     }
 
     /// Notes a success and says whether the endpoint is too slow to keep.
-    pub(crate) fn on_success(&mut self, slowness: f32) -> Option<EjectionCause> {
+    pub fn on_success(&mut self, slowness: f32) -> Option<EjectionCause> {
         self.consecutive_failures = 0;
         if slowness < SLOWNESS_TO_EJECT {
             self.slow_samples = 0;
@@ -66,7 +66,7 @@
     }
 
     /// Notes a failure and says whether the endpoint should be ejected.
-    pub(crate) fn on_failure(&mut self, is_refused: bool) -> Option<EjectionCause> {
+    pub fn on_failure(&mut self, is_refused: bool) -> Option<EjectionCause> {
         self.consecutive_failures += 1;
         if is_refused {
             return Some(EjectionCause::Unreachable);
@@ -75,7 +75,7 @@
     }
 
     /// Ejects, for twice as long as the last time.
-    pub(crate) fn eject(&mut self, now: TimeMs) -> SpanMs {
+    pub fn eject(&mut self, now: TimeMs) -> SpanMs {
         let doubled = BASE.0.saturating_mul(1 << self.ejections.min(6));
         let span = SpanMs(doubled.min(LONGEST.0));
         self.ejections += 1;
--- a/crates/boragepass_core/src/lib.rs
+++ b/crates/boragepass_core/src/lib.rs
@@ -64,7 +64,7 @@
 pub use claim_row::{ClaimOwner, ClaimRow, ClaimState};
 pub use counter::Counter;
 pub use effect::{Dispatch, Effect, ResumePoint};
-pub use ejection::EjectionCause;
+pub use ejection::{EjectionCause, Health, ejection_cap};
 pub use event::{AttemptTag, Event, StageReply};
 pub use explain::{RequestTrace, TraceLine};
 pub use lease_row::LeaseRow;
--- /dev/null
+++ b/crates/boragepass_entry/src/address_server.rs
@@ -0,0 +1,82 @@
+//! Which pages the small services answer with.
+
+use std::rc::Rc;
+
+use boragepass_path::Endpoint;
+use boragepass_platform::{AddressQuery, encode_addresses, names};
+use boragepass_types::SpanMs;
+use http::{Request, StatusCode};
+use hyper::body::Incoming;
+use serde_json::{Value, json};
+
+use crate::driver::Driver;
+use crate::small_server::Page;
+
+/// How long clients keep an answer: a VM that leaves is out of use within it.
+const ADDRESSES_TTL: SpanMs = SpanMs(2_000);
+
+/// Whether this VM takes requests.
+pub(crate) fn readiness(driver: Rc<Driver>) -> impl Fn(&Request<Incoming>) -> Page {
+    move |request| {
+        if request.uri().path() != names::READINESS_PATH {
+            return Page::text(StatusCode::NOT_FOUND, "unknown path\n");
+        }
+        match driver.is_ready.get() {
+            true => Page::text(StatusCode::OK, "ready\n"),
+            false => Page::text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+        }
+    }
+}
+
+/// Where clients connect.
+pub(crate) fn addresses(driver: Rc<Driver>) -> impl Fn(&Request<Incoming>) -> Page {
+    move |request| {
+        if request.uri().path() != names::ADDRESSES_PATH {
+            return Page::text(StatusCode::NOT_FOUND, "unknown path\n");
+        }
+        let query = AddressQuery::from_query(request.uri().query().unwrap_or_default());
+        let found = driver.read(|path, now| path.addresses(now, query.region.as_ref(), query.failure_domain.as_ref()));
+        if found.is_empty() {
+            return Page::text(StatusCode::SERVICE_UNAVAILABLE, "no VM is known to serve yet\n");
+        }
+        Page::json(encode_addresses(&found, ADDRESSES_TTL))
+    }
+}
+
+/// Counters and histograms.
+pub(crate) fn metrics(driver: Rc<Driver>) -> impl Fn(&Request<Incoming>) -> Page {
+    move |_| {
+        let in_progress = driver.read(|path, _| path.in_progress());
+        Page::text(StatusCode::OK, driver.metrics.text(in_progress, driver.journal.dropped()))
+    }
+}
+
+/// What this VM knows, for operators.
+pub(crate) fn status(driver: Rc<Driver>) -> impl Fn(&Request<Incoming>) -> Page {
+    move |request| match request.uri().path() {
+        "/v1/status" => Page::json(status_document(&driver).to_string().into_bytes()),
+        _ => Page::text(StatusCode::NOT_FOUND, "unknown path; /v1/status shows what this VM knows\n"),
+    }
+}
+
+fn status_document(driver: &Driver) -> Value {
+    driver.read(|path, now| {
+        let endpoint = |endpoint: &Endpoint| {
+            json!({
+                "id": endpoint.id.as_str(),
+                "pool": endpoint.pool.as_str(),
+                "failure_domain": endpoint.failure_domain.as_str(),
+                "address": endpoint.address.to_string(),
+                "is_draining": endpoint.is_draining,
+            })
+        };
+        json!({
+            "is_ready": driver.is_ready.get(),
+            "configuration": path.configuration().map(|configuration| configuration.version.0),
+            "endpoints_version": path.endpoints_version(),
+            "requests_in_progress": path.in_progress(),
+            "serving_vms": path.serving_vms(now).iter().map(|vm| vm.as_str().to_owned()).collect::<Vec<_>>(),
+            "endpoints": path.endpoints().map(endpoint).collect::<Vec<_>>(),
+        })
+    })
+}
--- /dev/null
+++ b/crates/boragepass_entry/src/metrics.rs
@@ -0,0 +1,68 @@
+//! Counters and histograms, served as text.
+
+use boragepass_path::{Record, RecordValue};
+use prometheus::{Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
+
+/// Bounds of the latency histograms in seconds, from one exchange within a failure domain to the
+/// longest deadline.
+const BUCKETS_S: [f64; 12] = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8];
+
+/// Metrics of this process.
+pub(crate) struct Metrics {
+    registry: Registry,
+    records: IntCounterVec,
+    endings: IntCounterVec,
+    times: HistogramVec,
+    in_progress: IntGauge,
+    dropped_lines: IntGauge,
+}
+
+impl Metrics {
+    /// Metrics that start at zero.
+    pub(crate) fn new() -> Result<Self, prometheus::Error> {
+        let records =
+            IntCounterVec::new(Opts::new("boragepass_records_total", "decisions by what was decided"), &["what"])?;
+        let endings = IntCounterVec::new(
+            Opts::new("boragepass_refusals_total", "answers of this VM by their reason"),
+            &["reason"],
+        )?;
+        let options = HistogramOpts::new("boragepass_time_seconds", "times by what ended").buckets(BUCKETS_S.to_vec());
+        let times = HistogramVec::new(options, &["what"])?;
+        let in_progress = IntGauge::new("boragepass_requests_in_progress", "requests in progress")?;
+        let dropped_lines = IntGauge::new("boragepass_log_lines_dropped", "lines of the log that were dropped")?;
+        let registry = Registry::new();
+        registry.register(Box::new(records.clone()))?;
+        registry.register(Box::new(endings.clone()))?;
+        registry.register(Box::new(times.clone()))?;
+        registry.register(Box::new(in_progress.clone()))?;
+        registry.register(Box::new(dropped_lines.clone()))?;
+        Ok(Self { registry, records, endings, times, in_progress, dropped_lines })
+    }
+
+    /// Counts a record and the times that it states.
+    pub(crate) fn count(&self, record: &Record) {
+        self.records.with_label_values(&[record.what]).inc();
+        for (name, value) in &record.fields {
+            match (*name, value) {
+                ("took_ms" | "after_ms", RecordValue::Number(ms)) => {
+                    self.times.with_label_values(&[record.what]).observe(*ms as f64 / 1e3);
+                }
+                ("reason", RecordValue::Text(reason)) => {
+                    self.endings.with_label_values(&[reason.as_ref()]).inc();
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// All metrics as text.
+    pub(crate) fn text(&self, in_progress: usize, dropped_lines: u64) -> Vec<u8> {
+        self.in_progress.set(in_progress as i64);
+        self.dropped_lines.set(dropped_lines as i64);
+        let mut text = Vec::new();
+        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
+            text = format!("# {error}\n").into_bytes();
+        }
+        text
+    }
+}
--- /dev/null
+++ b/crates/boragepass_entry/src/small_server.rs
@@ -0,0 +1,63 @@
+//! Small HTTP services beside the clients' requests: readiness, addresses, metrics, operators.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+
+use async_std::net::{TcpListener, TcpStream};
+use async_std::stream::StreamExt;
+use async_std::task;
+use bytes::Bytes;
+use http::header::{CONTENT_TYPE, HeaderValue};
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+
+use crate::http_io::HttpIo;
+
+/// Answer of a small service.
+pub(crate) struct Page {
+    pub(crate) status: StatusCode,
+    pub(crate) content_type: &'static str,
+    pub(crate) body: Vec<u8>,
+}
+
+impl Page {
+    pub(crate) fn json(body: Vec<u8>) -> Self {
+        Self { status: StatusCode::OK, content_type: "application/json", body }
+    }
+
+    pub(crate) fn text(status: StatusCode, body: impl Into<Vec<u8>>) -> Self {
+        Self { status, content_type: "text/plain; charset=utf-8", body: body.into() }
+    }
+}
+
+/// Serves pages until the process ends.
+pub(crate) async fn serve(listener: TcpListener, pages: impl Fn(&Request<Incoming>) -> Page + 'static) {
+    let pages = Rc::new(pages);
+    let mut incoming = listener.incoming();
+    while let Some(stream) = incoming.next().await {
+        if let Ok(stream) = stream {
+            let pages = pages.clone();
+            task::spawn_local(async move { serve_connection(stream, pages).await });
+        }
+    }
+}
+
+async fn serve_connection(stream: TcpStream, pages: Rc<impl Fn(&Request<Incoming>) -> Page>) {
+    let Ok(io) = HttpIo::new(stream) else {
+        return;
+    };
+    let service = service_fn(|request| {
+        let page = pages(&request);
+        async move {
+            let mut response = Response::new(Full::new(Bytes::from(page.body)));
+            *response.status_mut() = page.status;
+            response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(page.content_type));
+            Ok::<_, Infallible>(response)
+        }
+    });
+    // A client that breaks off needs no further answer.
+    http1::Builder::new().serve_connection(io, service).await.ok();
+}
--- /dev/null
+++ b/crates/boragepass_entry/src/store_client.rs
@@ -0,0 +1,81 @@
+//! The one client of the platform's store.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use async_std::future::timeout;
+use bytes::Bytes;
+use http::header::{CONTENT_TYPE, HOST, HeaderValue};
+use http::{Method, Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+
+use crate::connections::{Connections, ExchangeError};
+
+/// Why a call of the store failed.
+#[derive(Debug, displaydoc::Display)]
+pub(crate) enum StoreError {
+    /// not reached: {0}
+    NotReached(String),
+    /// no reply, so it may have been done
+    NoReply,
+    /// status {0}
+    Refused(StatusCode),
+    /// the history that was asked for is gone
+    HistoryGone,
+    /// {0}
+    Unreadable(boragepass_platform::DecodeError),
+}
+
+/// Client with a connection of its own: one that lost a reply carries nothing more.
+pub(crate) struct StoreClient {
+    address: SocketAddr,
+    connections: Connections,
+}
+
+impl StoreClient {
+    pub(crate) fn new(address: SocketAddr) -> Self {
+        Self { address, connections: Connections::default() }
+    }
+
+    pub(crate) async fn get(&self, path: &str, limit: Duration) -> Result<Bytes, StoreError> {
+        self.call(Method::GET, path, Bytes::new(), limit).await
+    }
+
+    pub(crate) async fn post(&self, path: &str, body: Vec<u8>, limit: Duration) -> Result<Bytes, StoreError> {
+        self.call(Method::POST, path, body.into(), limit).await
+    }
+
+    async fn call(&self, method: Method, path: &str, body: Bytes, limit: Duration) -> Result<Bytes, StoreError> {
+        match timeout(limit, self.exchange(method, path, body)).await {
+            Ok(result) => result,
+            Err(_) => Err(StoreError::NoReply),
+        }
+    }
+
+    async fn exchange(&self, method: Method, path: &str, body: Bytes) -> Result<Bytes, StoreError> {
+        let mut request = Request::new(Full::new(body));
+        *request.method_mut() = method;
+        *request.uri_mut() =
+            path.parse().map_err(|error: http::uri::InvalidUri| StoreError::NotReached(error.to_string()))?;
+        let headers = request.headers_mut();
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        if let Ok(host) = HeaderValue::from_str(&self.address.to_string()) {
+            headers.insert(HOST, host);
+        }
+        let not_reached = |error: ExchangeError| StoreError::NotReached(error.to_string());
+        let mut connection = self.connections.open(self.address, true).await.map_err(not_reached)?;
+        let response = match self.connections.exchange(&mut connection, request).await {
+            Ok(response) => response,
+            Err(error @ ExchangeError::NotSent(_)) => return Err(StoreError::NotReached(error.to_string())),
+            Err(ExchangeError::Lost(_)) => return Err(StoreError::NoReply),
+        };
+        let status = response.status();
+        let body = response.into_body().collect().await.map_err(|_| StoreError::NoReply)?.to_bytes();
+        self.connections.give_back(connection).await;
+        match status {
+            StatusCode::OK => Ok(body),
+            StatusCode::GONE => Err(StoreError::HistoryGone),
+            other => Err(StoreError::Refused(other)),
+        }
+    }
+}
--- a/crates/boragepass_fakes/src/world.rs
+++ b/crates/boragepass_fakes/src/world.rs
@@ -5,10 +5,10 @@
 use std::time::{Duration, Instant};
 
 use async_std::task;
+use boragepass_clients::HttpClient;
 use boragepass_core::{
     Limits, ListChange, ListEdit, RowKey, RowValue, RowWrite, TableRequest, VmEntry, VmState, WriteId,
 };
-use boragepass_clients::HttpClient;
 use boragepass_server::{Daemon, StartError};
 use boragepass_settings::{HttpLimits, Settings};
 use boragepass_types::{AccessKey, Incarnation, ListVersion, OpId, Pipeline};
--- /dev/null
+++ b/crates/boragepass_path/src/effect.rs
@@ -0,0 +1,123 @@
+//! What the request path asks its executor to do.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use boragepass_types::{EndpointId, SpanMs, VmId, WorkspaceId};
+
+use crate::admission::RefusalReason;
+use crate::event::EventId;
+use crate::message::PeerMessage;
+use crate::record::Record;
+use crate::request::{CallNumber, RequestNumber, SendNumber};
+
+/// Where a piece's inputs come from.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum EntrySource {
+    /// The request's own key.
+    Key(Arc<str>),
+    /// Handles of earlier results.
+    Inputs(Vec<Arc<str>>),
+}
+
+/// One piece of a call.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CallEntry {
+    /// The client's id of the request.
+    pub client_id: Arc<str>,
+    /// Stage within the route.
+    pub stage: usize,
+    /// Piece within the stage.
+    pub piece: u16,
+    /// Time until the result is of no use.
+    pub remaining_ms: SpanMs,
+    /// Inputs.
+    pub source: EntrySource,
+}
+
+/// Endpoint that something is sent to.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SendTarget {
+    /// Its id, which it checks.
+    pub endpoint: EndpointId,
+    /// Its address.
+    pub address: SocketAddr,
+}
+
+/// Final answer made by this VM.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Answer {
+    /// HTTP status.
+    pub status: u16,
+    /// When a further try may be served.
+    pub retry_after_ms: Option<SpanMs>,
+    /// Why.
+    pub reason: RefusalReason,
+}
+
+/// Something to do.
+#[derive(Debug, Clone)]
+pub enum Effect {
+    /// Sends a request to an endpoint.
+    Send {
+        /// Number of this send.
+        send: SendNumber,
+        /// Request whose headers and body are sent.
+        request: RequestNumber,
+        /// Where.
+        target: SendTarget,
+        /// Time that the endpoint is given, counted from now.
+        deadline_ms: SpanMs,
+        /// Longest silence until the head of the reply, and between events of a stream.
+        silence_ms: SpanMs,
+        /// Whether a connection that carried something before may be used.
+        may_reuse_connection: bool,
+        /// Whether the reply is relayed as it comes.
+        is_stream: bool,
+        /// Handles of the results that the endpoint fetches.
+        inputs: Option<Vec<Arc<str>>>,
+        /// Workspace whose key the client presented.
+        workspace: Option<WorkspaceId>,
+        /// Rank at the endpoint, zero is first.
+        priority: Option<u8>,
+        /// Event after which a stream goes on.
+        resume_after: Option<EventId>,
+    },
+    /// Closes the connection of a send.
+    CancelSend(SendNumber),
+    /// Passes the reply of a send to the client, as the answer or as its continuation.
+    Relay(RequestNumber, SendNumber),
+    /// Gives an answer of this VM.
+    Respond(RequestNumber, Answer),
+    /// Ends an answer that has begun so that it does not look whole.
+    BreakOff(RequestNumber),
+    /// Forgets a request whose client is gone.
+    Forget(RequestNumber),
+    /// Makes a call of pieces.
+    Call {
+        /// Number of this call.
+        call: CallNumber,
+        /// Where.
+        target: SendTarget,
+        /// Pieces.
+        entries: Vec<CallEntry>,
+        /// Time after which it counts as failed.
+        timeout_ms: SpanMs,
+    },
+    /// Gives up results at their maker.
+    Free(SendTarget, Vec<Arc<str>>),
+    /// Sends a message that must arrive or be sent again.
+    Tell(VmId, SocketAddr, Box<PeerMessage>),
+    /// Sends a message that may be lost.
+    Datagram(VmId, SocketAddr, Box<PeerMessage>),
+    /// Sends the configuration and the endpoints that are known to another VM.
+    ShareState(VmId, SocketAddr),
+    /// Changes whether this VM counts as ready.
+    SetReady(bool),
+    /// Stops keeping clients' connections open.
+    CloseConnections,
+    /// Ends the process.
+    Exit,
+    /// A line of the log.
+    Log(Box<Record>),
+}
--- /dev/null
+++ b/crates/boragepass_path/src/fleet/addresses.rs
@@ -0,0 +1,30 @@
+//! Addresses that a client gets when it asks where to connect.
+
+use std::net::SocketAddr;
+
+use boragepass_types::{FailureDomain, Region, TimeMs};
+
+use super::Fleet;
+
+impl Fleet {
+    /// VMs for clients of a failure domain: those of the domain, else of its region, else all.
+    pub(crate) fn addresses(
+        &self,
+        now: TimeMs,
+        region: Option<&Region>,
+        domain: Option<&FailureDomain>,
+    ) -> Vec<SocketAddr> {
+        let serving: Vec<_> = self.serving(now).collect();
+        let in_domain = serving.iter().filter(|record| Some(&record.failure_domain) == domain);
+        let in_domain: Vec<_> = in_domain.map(|record| record.client_address).collect();
+        if !in_domain.is_empty() {
+            return in_domain;
+        }
+        let in_region = serving.iter().filter(|record| Some(&record.region) == region);
+        let in_region: Vec<_> = in_region.map(|record| record.client_address).collect();
+        if !in_region.is_empty() {
+            return in_region;
+        }
+        serving.iter().map(|record| record.client_address).collect()
+    }
+}
--- /dev/null
+++ b/crates/boragepass_path/src/placement/mod.rs
@@ -0,0 +1,11 @@
+//! Known endpoints, and the choice among them.
+
+mod endpoint_table;
+mod engine_choice;
+mod pool_choice;
+mod prompt_memory;
+
+pub use endpoint_table::{Endpoint, EndpointUpdate};
+pub(crate) use endpoint_table::{EndpointTable, KnownEndpoint};
+pub(crate) use engine_choice::{Need, choose_endpoint};
+pub(crate) use pool_choice::{PoolBacklogs, Wanted};
--- /dev/null
+++ b/crates/boragepass_path/src/reducer/peers.rs
@@ -0,0 +1,98 @@
+//! Messages of other VMs, and this VM's heartbeats.
+
+use boragepass_types::{Incarnation, SpanMs, TimeMs, VmId};
+
+use super::RequestPath;
+use crate::effect::Effect;
+use crate::fleet::Heard;
+use crate::message::{Heartbeat, PeerMessage};
+use crate::record::Record;
+
+/// Time for which this VM may know less than another before it asks that one; the store's own feed
+/// brings changes sooner.
+const BEHIND_MAX: SpanMs = SpanMs(200);
+
+impl RequestPath {
+    pub(super) fn on_peer(&mut self, now: TimeMs, from: &VmId, incarnation: Incarnation, message: PeerMessage) {
+        match message {
+            PeerMessage::Heartbeat(heartbeat) => self.on_heartbeat(now, *heartbeat),
+            PeerMessage::Ask(ask) => self.lead_ask(now, *ask),
+            PeerMessage::Results(ask, results) => {
+                let is_own = ask.vm == self.settings.vm && ask.incarnation == self.settings.incarnation;
+                if is_own {
+                    self.on_results(now, &ask, results);
+                } else if ask.vm == *from && ask.incarnation == incarnation {
+                    self.on_asked_about(now, from, &ask);
+                }
+            }
+            PeerMessage::Release(ask) => self.lead_release(now, &ask),
+            PeerMessage::WantState => {
+                if let Some(record) = self.fleet.record(from) {
+                    let effect = Effect::ShareState(from.clone(), record.peer_address);
+                    self.effects.push(effect);
+                }
+            }
+        }
+    }
+
+    fn on_heartbeat(&mut self, now: TimeMs, heartbeat: Heartbeat) {
+        let vm = heartbeat.vm.vm.clone();
+        let (state, incarnation) = (heartbeat.vm.state, heartbeat.vm.incarnation);
+        match self.fleet.on_heard(now, heartbeat.vm) {
+            Heard::Stale => return,
+            Heard::New | Heard::Changed => {
+                self.log(
+                    Record::new("VM heard").text("vm", &vm).text("state", state).number("incarnation", incarnation.0),
+                );
+            }
+            Heard::Again => {}
+        }
+        self.fleet.on_introduced(heartbeat.others);
+        self.table.on_others(now, &vm, heartbeat.endpoints);
+        self.crashes.on_others(now, &heartbeat.crashes);
+        for load in heartbeat.pools {
+            self.backlogs.on_report(now, load);
+        }
+        let configuration = self.configuration.as_ref().map(|known| known.version).unwrap_or_default();
+        let is_behind = heartbeat.configuration > configuration || heartbeat.endpoints_version > self.table.version;
+        self.note_behind(now, &vm, is_behind);
+    }
+
+    /// Asks a VM that has known more than this one for a while.
+    fn note_behind(&mut self, now: TimeMs, vm: &VmId, is_behind: bool) {
+        if !is_behind {
+            return;
+        }
+        match self.behind_since {
+            Some(since) if now.since(since) >= BEHIND_MAX => {
+                self.behind_since = None;
+                self.tell(vm, PeerMessage::WantState);
+            }
+            Some(_) => {}
+            None => self.behind_since = Some(now),
+        }
+    }
+
+    pub(super) fn send_heartbeats(&mut self, now: TimeMs) {
+        let contacts = self.fleet.contacts(now);
+        if contacts.is_empty() {
+            return;
+        }
+        let heartbeat = Heartbeat {
+            vm: self.fleet.me.clone(),
+            configuration: self.configuration.as_ref().map(|known| known.version).unwrap_or_default(),
+            endpoints_version: self.table.version,
+            pools: self.own_backlogs(now),
+            endpoints: self.table.own_loads(),
+            crashes: self.crashes.shared(),
+            others: self.fleet.introductions(now),
+        };
+        for own in heartbeat.pools.clone() {
+            self.backlogs.on_report(now, own);
+        }
+        let message = Box::new(PeerMessage::Heartbeat(Box::new(heartbeat)));
+        for (vm, address) in contacts {
+            self.effects.push(Effect::Datagram(vm, address, message.clone()));
+        }
+    }
+}
--- /dev/null
+++ b/crates/boragepass_path/src/reducer/stage_flow.rs
@@ -0,0 +1,269 @@
+//! Stages of this VM's own requests: what is asked of leads, and what comes back.
+
+use boragepass_types::{SpanMs, TimeMs, VmId};
+
+use super::RequestPath;
+use crate::admission::RefusalReason;
+use crate::effect::Effect;
+use crate::event::PieceOutcome;
+use crate::fleet::lead_of;
+use crate::message::{Ask, AskId, Inputs, PeerMessage, PieceResult};
+use crate::placement::Wanted;
+use crate::record::Record;
+use crate::request::{Phase, RequestNumber};
+use crate::stages::Asked;
+use crate::timers::Timer;
+
+/// Time after which an ask that was not acknowledged goes to another lead, and one that was is
+/// repeated: two round trips between regions and some processing are under 150 ms.
+const ASK_AGAIN: SpanMs = SpanMs(400);
+/// Times that the stages of a request are started over because a result is gone.
+const RESTARTS_MAX: u32 = 2;
+/// Failure domains that are tried for one stage.
+const DOMAINS_MAX: usize = 3;
+/// Usual time from the send of a request to its first byte, kept free behind its stages.
+const FIRST_BYTE_RESERVE_MS: f64 = 100.0;
+
+impl RequestPath {
+    pub(super) fn start_stages(&mut self, now: TimeMs, request: RequestNumber) {
+        let startable = self.requests.get(&request).map(|requested| requested.stages.startable());
+        for stage in startable.unwrap_or_default() {
+            if !self.ask_for(now, request, stage, None) {
+                return;
+            }
+        }
+    }
+
+    /// Asks a lead for the missing pieces of a stage; false if the request ended over it.
+    fn ask_for(&mut self, now: TimeMs, request: RequestNumber, stage: usize, avoided_lead: Option<&VmId>) -> bool {
+        let Some(requested) = self.requests.get(&request) else {
+            return false;
+        };
+        let spec = requested.stages.spec(stage).clone();
+        let Some(pool) = requested.configuration.stage_pool(&spec.pool) else {
+            self.finish(now, request, RefusalReason::NoEndpoint);
+            return false;
+        };
+        let missing = requested.stages.missing(stage);
+        let inputs_bytes = requested.stages.bytes_by_domain(spec.after.iter().copied());
+        let wanted = Wanted {
+            pool: &spec.pool,
+            spec: pool,
+            pieces: missing.len(),
+            result_bytes: spec.result_bytes * missing.len() as u64,
+            inputs: &inputs_bytes,
+            avoided: requested.stages.avoided(stage),
+        };
+        let chosen = self.backlogs.choose(now, &self.table, &self.settings, &wanted);
+        let Some((domain, endpoints)) = chosen else {
+            self.finish(now, request, RefusalReason::NoEndpoint);
+            return false;
+        };
+        self.backlogs.on_asked(now, &wanted, &domain, endpoints);
+        let me = self.settings.vm.clone();
+        let lead = lead_of(&self.fleet, now, &spec.pool, &domain).filter(|lead| Some(lead) != avoided_lead);
+        let lead = lead.unwrap_or(me);
+        self.ask_counter += 1;
+        let id =
+            AskId { vm: self.settings.vm.clone(), incarnation: self.settings.incarnation, number: self.ask_counter };
+        let inputs = if spec.after.is_empty() {
+            Inputs::Key(requested.arrival.piece_key.clone())
+        } else {
+            Inputs::Results(requested.stages.inputs_of(stage).into_iter().map(|result| result.handle).collect())
+        };
+        let after_ms = requested.stages.after_ms(stage, &requested.configuration) + FIRST_BYTE_RESERVE_MS;
+        let ask = Ask {
+            id: id.clone(),
+            pool: spec.pool.clone(),
+            failure_domain: domain.clone(),
+            client_id: requested.arrival.client_id.clone(),
+            stage,
+            pieces: missing,
+            inputs,
+            result_bytes: spec.result_bytes,
+            rank: requested.rank,
+            objective_left_ms: requested.objective_at.0 as i64 - now.0 as i64,
+            deadline_left_ms: requested.left(now),
+            after_ms: SpanMs(after_ms as u64),
+        };
+        self.log(
+            Record::new("pieces asked for")
+                .text("request", &ask.client_id)
+                .number("stage", stage)
+                .number("pieces", ask.pieces.len())
+                .text("pool", &ask.pool)
+                .text("failure_domain", &domain)
+                .text("lead", &lead)
+                .number("wait_ms", self.backlogs.wait_ms(now, &ask.pool, &domain) as i64),
+        );
+        let asked = Asked { id: id.clone(), lead: lead.clone(), failure_domain: domain, sent_at: now, heard_at: None };
+        if let Some(requested) = self.requests.get_mut(&request) {
+            requested.stages.set_asked(stage, Some(asked));
+        }
+        self.asks.insert(id.clone(), request);
+        self.timers.set(now + ASK_AGAIN, Timer::AskAgain(id));
+        self.tell_ask(now, &lead, ask);
+        true
+    }
+
+    fn tell_ask(&mut self, now: TimeMs, lead: &VmId, ask: Ask) {
+        if *lead == self.settings.vm {
+            self.lead_ask(now, ask);
+        } else {
+            self.tell(lead, PeerMessage::Ask(Box::new(ask)));
+        }
+    }
+
+    /// Sends a message to a VM that is known.
+    pub(super) fn tell(&mut self, vm: &VmId, message: PeerMessage) {
+        if let Some(record) = self.fleet.record(vm) {
+            self.effects.push(Effect::Tell(vm.clone(), record.peer_address, Box::new(message)));
+        }
+    }
+
+    /// An ask is still open: repeat it, or turn to another lead if this one does not answer.
+    pub(super) fn on_ask_again(&mut self, now: TimeMs, ask: &AskId) {
+        let Some(request) = self.asks.get(ask).copied() else {
+            return;
+        };
+        let Some(requested) = self.requests.get(&request) else {
+            self.asks.remove(ask);
+            return;
+        };
+        let Some(stage) = requested.stages.stage_of(ask) else {
+            return;
+        };
+        let Some(asked) = requested.stages.asked(stage).cloned() else {
+            return;
+        };
+        if requested.stages.is_stage_done(stage) {
+            return;
+        }
+        let is_mute = asked.heard_at.is_none_or(|at| now.since(at) > ASK_AGAIN + ASK_AGAIN);
+        if asked.lead != self.settings.vm && (is_mute || !self.fleet.is_live(now, &asked.lead)) {
+            self.log(
+                Record::new("lead does not answer")
+                    .text("request", &requested.arrival.client_id)
+                    .number("stage", stage)
+                    .text("lead", &asked.lead)
+                    .number("since_ms", now.since(asked.heard_at.unwrap_or(asked.sent_at)).0),
+            );
+            self.release(now, &asked);
+            self.ask_for(now, request, stage, Some(&asked.lead));
+            return;
+        }
+        if asked.lead != self.settings.vm {
+            self.tell(&asked.lead.clone(), PeerMessage::Results(ask.clone(), Vec::new()));
+        }
+        self.timers.set(now + ASK_AGAIN, Timer::AskAgain(ask.clone()));
+    }
+
+    /// Gives up an ask: what waits is dropped, what was made is freed.
+    pub(super) fn release(&mut self, now: TimeMs, asked: &Asked) {
+        self.asks.remove(&asked.id);
+        if asked.lead == self.settings.vm {
+            self.lead_release(now, &asked.id);
+        } else {
+            self.tell(&asked.lead, PeerMessage::Release(asked.id.clone()));
+        }
+    }
+
+    /// Results of an ask of this VM.
+    pub(super) fn on_results(&mut self, now: TimeMs, ask: &AskId, results: Vec<(u16, PieceResult)>) {
+        let Some(request) = self.asks.get(ask).copied() else {
+            return;
+        };
+        let Some(requested) = self.requests.get_mut(&request) else {
+            return;
+        };
+        let Some(stage) = requested.stages.stage_of(ask) else {
+            return;
+        };
+        if let Some(asked) = requested.stages.asked_mut(stage) {
+            asked.heard_at = Some(now);
+        }
+        for (piece, result) in results {
+            match result {
+                PieceResult::Made(made) => {
+                    let Some(requested) = self.requests.get_mut(&request) else {
+                        return;
+                    };
+                    requested.stages.on_result(stage, piece, made);
+                }
+                PieceResult::NotMade(outcome) => {
+                    self.on_piece_failed(now, request, stage, outcome);
+                    return;
+                }
+                PieceResult::NoEndpoint => {
+                    self.ask_elsewhere(now, request, stage, RefusalReason::NoEndpoint);
+                    return;
+                }
+            }
+        }
+        self.after_results(now, request, stage);
+    }
+
+    fn after_results(&mut self, now: TimeMs, request: RequestNumber, stage: usize) {
+        let Some(requested) = self.requests.get_mut(&request) else {
+            return;
+        };
+        if !requested.stages.is_stage_done(stage) {
+            return;
+        }
+        let unneeded = requested.stages.consume_inputs(stage);
+        for asked in unneeded {
+            self.release(now, &asked);
+        }
+        self.go_on(now, request);
+    }
+
+    fn on_piece_failed(&mut self, now: TimeMs, request: RequestNumber, stage: usize, outcome: PieceOutcome) {
+        match outcome {
+            PieceOutcome::InputGone => self.restart_stage(now, request, stage),
+            PieceOutcome::Late => self.finish(now, request, RefusalReason::LateAtStage),
+            PieceOutcome::Failed | PieceOutcome::NoRoom => {
+                self.ask_elsewhere(now, request, stage, RefusalReason::StageFailed);
+            }
+            PieceOutcome::Made(_) => {}
+        }
+    }
+
+    fn ask_elsewhere(&mut self, now: TimeMs, request: RequestNumber, stage: usize, reason: RefusalReason) {
+        let Some(requested) = self.requests.get_mut(&request) else {
+            return;
+        };
+        let Some(asked) = requested.stages.asked(stage).cloned() else {
+            return;
+        };
+        requested.stages.avoid(stage, asked.failure_domain.clone());
+        if requested.stages.avoided(stage).len() >= DOMAINS_MAX {
+            self.finish(now, request, reason);
+            return;
+        }
+        // What was made stays with its lead until it lapses; only the missing pieces are asked for.
+        self.asks.remove(&asked.id);
+        self.ask_for(now, request, stage, None);
+    }
+
+    /// Starts a stage and its inputs over, because a result is gone.
+    pub(super) fn restart_stage(&mut self, now: TimeMs, request: RequestNumber, stage: usize) {
+        let Some(requested) = self.requests.get_mut(&request) else {
+            return;
+        };
+        requested.restarts += 1;
+        if requested.restarts > RESTARTS_MAX {
+            self.finish(now, request, RefusalReason::StageFailed);
+            return;
+        }
+        let asks = requested.stages.restart(stage);
+        requested.phase = Phase::InStages;
+        let record = Record::new("stage starts over, a result is gone")
+            .text("request", &requested.arrival.client_id)
+            .number("stage", stage);
+        self.log(record);
+        for asked in asks {
+            self.release(now, &asked);
+        }
+        self.go_on(now, request);
+    }
+}
--- /dev/null
+++ b/crates/boragepass_path/src/stages/pool.rs
@@ -0,0 +1,521 @@
+//! Queue of one pool within one failure domain, kept by the VM that leads it.
+//!
+//! The lead composes each call at the moment at which an endpoint can take it, from the pieces of
+//! any requests that matter most then. A call that runs far longer than expected has its pieces
+//! made again elsewhere; the first result of a piece counts.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+
+use boragepass_types::{EndpointId, FailureDomain, SpanMs, TimeMs};
+
+use super::PieceRank;
+use crate::configuration::StagePool;
+use crate::effect::{CallEntry, EntrySource};
+use crate::event::{CallFailure, CallOutcome, PieceOutcome};
+use crate::message::{Ask, AskId, Inputs, PieceResult, ResultHandle};
+use crate::request::CallNumber;
+
+/// Calls that one piece may be part of.
+const TRIES_MAX: u32 = 3;
+/// Share of the expected time of a call after which it counts as overdue.
+const OVERDUE_FACTOR: f64 = 2.5;
+/// Time that a call may take beside that.
+const OVERDUE_SLACK_MS: f64 = 250.0;
+/// Time after which a call is given up; an endpoint that is merely slow still delivers before.
+const CALL_TIMEOUT_FACTOR: f64 = 12.0;
+/// Pause before an endpoint that stated that it is full is asked again.
+const FULL_PAUSE: SpanMs = SpanMs(60);
+/// How long an ask is remembered after its last result, so that a repeated one is answered again.
+const REMEMBERED: SpanMs = SpanMs(5_000);
+/// Gain of a new sample in the usual ratio of a call's time to its expected time.
+const SPEED_GAIN: f64 = 0.2;
+
+/// Piece that waits for a call.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PieceTask {
+    /// Ask it belongs to.
+    pub ask: AskId,
+    /// Piece within the stage.
+    pub piece: u16,
+    /// The client's id of the request.
+    pub client_id: Arc<str>,
+    /// Stage within the route.
+    pub stage: usize,
+    /// Inputs.
+    pub source: EntrySource,
+    /// Approximate size of the result.
+    pub result_bytes: u64,
+    /// Rank of workspace and route; zero is the most urgent.
+    pub rank: u16,
+    /// When the request's objective is missed, on the lead's clock; may lie in the past.
+    pub objective_at_ms: i64,
+    /// When the request's deadline is over.
+    pub deadline_at: TimeMs,
+    /// Time that the path after this stage takes at least.
+    pub after_ms: SpanMs,
+    /// Calls that it was part of.
+    pub tries: u32,
+    /// Endpoint at which it failed last.
+    pub avoided: Option<EndpointId>,
+}
+
+/// Call that shall be made.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PoolCall {
+    /// Its number.
+    pub call: CallNumber,
+    /// Endpoint.
+    pub endpoint: EndpointId,
+    /// Pieces.
+    pub entries: Vec<CallEntry>,
+    /// Time after which it counts as failed.
+    pub timeout_ms: SpanMs,
+    /// Time after which its pieces are made elsewhere.
+    pub overdue_ms: SpanMs,
+}
+
+#[derive(Debug, Clone)]
+struct RunningCall {
+    endpoint: EndpointId,
+    pieces: Vec<PieceTask>,
+    started_at: TimeMs,
+    expected_ms: f64,
+    is_overdue: bool,
+}
+
+#[derive(Debug, Clone, Default)]
+struct AskState {
+    results: BTreeMap<u16, PieceResult>,
+    is_released: bool,
+    touched_at: TimeMs,
+}
+
+#[derive(Debug, Clone, Default)]
+struct Worker {
+    calls: Vec<CallNumber>,
+    full_until: TimeMs,
+    /// Bytes of results that lie there, with the time at which they are dropped.
+    kept: Vec<(TimeMs, Arc<str>, u64)>,
+    /// Usual time of a call there over the time that the configuration expects.
+    slowness: f64,
+}
+
+/// Endpoint as the lead may use it now.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Usable {
+    /// Its id.
+    pub endpoint: EndpointId,
+    /// Whether it failed lately; it is used only if no other one is left.
+    pub is_ejected: bool,
+}
+
+/// What a lead has to say and do after a call has ended.
+#[derive(Debug, Default, PartialEq)]
+pub struct CallEnd {
+    /// Results by ask.
+    pub results: Vec<(AskId, u16, PieceResult)>,
+    /// Results that nobody needs any more, by endpoint.
+    pub unneeded: Vec<(EndpointId, Arc<str>)>,
+    /// Endpoint of the call.
+    pub endpoint: Option<EndpointId>,
+    /// How long it took over what was expected, if it brought results.
+    pub slowness: Option<f64>,
+}
+
+/// Queue of a pool within a failure domain.
+#[derive(Debug)]
+pub struct Pool {
+    spec: StagePool,
+    failure_domain: FailureDomain,
+    calls_per_endpoint: usize,
+    queue: Vec<PieceTask>,
+    asks: HashMap<AskId, AskState>,
+    running: BTreeMap<CallNumber, RunningCall>,
+    workers: BTreeMap<EndpointId, Worker>,
+}
+
+impl Pool {
+    /// Empty queue. A lead that stands far from the endpoints keeps a second call waiting there.
+    pub fn new(spec: StagePool, failure_domain: FailureDomain, is_far: bool) -> Self {
+        let calls_per_endpoint = if is_far { spec.slots as usize + 1 } else { spec.slots.max(1) as usize };
+        Self {
+            spec,
+            failure_domain,
+            calls_per_endpoint,
+            queue: Vec::new(),
+            asks: HashMap::new(),
+            running: BTreeMap::new(),
+            workers: BTreeMap::new(),
+        }
+    }
+
+    /// Takes over changed figures of the pool.
+    pub fn set_spec(&mut self, spec: StagePool) {
+        self.spec = spec;
+    }
+
+    /// Whether nothing is left to do.
+    pub fn is_idle(&self) -> bool {
+        self.queue.is_empty() && self.running.is_empty()
+    }
+
+    /// Pieces that wait.
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
+    fn expected_ms(&self, pieces: usize) -> f64 {
+        self.spec.call_ms + pieces as f64 * self.spec.piece_ms
+    }
+
+    /// Takes an ask; one that is known gets the results that there are.
+    pub fn ask(&mut self, now: TimeMs, ask: Ask) -> Vec<(u16, PieceResult)> {
+        if let Some(known) = self.asks.get_mut(&ask.id) {
+            known.touched_at = now;
+            return known.results.iter().map(|(piece, result)| (*piece, result.clone())).collect();
+        }
+        self.asks.insert(ask.id.clone(), AskState { touched_at: now, ..AskState::default() });
+        let source = match ask.inputs {
+            Inputs::Key(key) => EntrySource::Key(key),
+            Inputs::Results(handles) => EntrySource::Inputs(handles),
+        };
+        for piece in ask.pieces {
+            self.queue.push(PieceTask {
+                ask: ask.id.clone(),
+                piece,
+                client_id: ask.client_id.clone(),
+                stage: ask.stage,
+                source: source.clone(),
+                result_bytes: ask.result_bytes,
+                rank: ask.rank,
+                objective_at_ms: now.0 as i64 + ask.objective_left_ms,
+                deadline_at: now + ask.deadline_left_ms,
+                after_ms: ask.after_ms,
+                tries: 0,
+                avoided: None,
+            });
+        }
+        Vec::new()
+    }
+
+    /// Drops what is left of an ask; the results that lie at endpoints.
+    pub fn release(&mut self, now: TimeMs, ask: &AskId) -> Vec<(EndpointId, Arc<str>)> {
+        self.queue.retain(|piece| piece.ask != *ask);
+        let Some(state) = self.asks.get_mut(ask) else {
+            return Vec::new();
+        };
+        state.is_released = true;
+        state.touched_at = now;
+        let results = std::mem::take(&mut state.results);
+        let mut unneeded = Vec::new();
+        for result in results.into_values() {
+            if let PieceResult::Made(made) = result {
+                self.forget_kept(&made.endpoint, &made.handle);
+                unneeded.push((made.endpoint, made.handle));
+            }
+        }
+        unneeded
+    }
+
+    /// Results of an ask so far, if it is known.
+    pub fn results_of(&mut self, now: TimeMs, ask: &AskId) -> Option<Vec<(u16, PieceResult)>> {
+        let state = self.asks.get_mut(ask)?;
+        state.touched_at = now;
+        Some(state.results.iter().map(|(piece, result)| (*piece, result.clone())).collect())
+    }
+
+    fn forget_kept(&mut self, endpoint: &EndpointId, handle: &str) {
+        if let Some(worker) = self.workers.get_mut(endpoint) {
+            worker.kept.retain(|(_, kept, _)| **kept != *handle);
+        }
+    }
+
+    /// Removes pieces that cannot be made in time any more.
+    pub fn expire(&mut self, now: TimeMs) -> Vec<(AskId, u16, PieceResult)> {
+        let call_ms = self.expected_ms(1) as u64;
+        let is_hopeless = |piece: &PieceTask| piece.deadline_at < now + SpanMs(call_ms + piece.after_ms.0);
+        let mut expired = Vec::new();
+        self.queue.retain(|piece| {
+            let is_hopeless = is_hopeless(piece);
+            if is_hopeless {
+                expired.push((piece.ask.clone(), piece.piece, PieceResult::NotMade(PieceOutcome::Late)));
+            }
+            !is_hopeless
+        });
+        for (ask, piece, result) in &expired {
+            self.note_result(now, ask, *piece, result.clone());
+        }
+        expired
+    }
+
+    fn note_result(&mut self, now: TimeMs, ask: &AskId, piece: u16, result: PieceResult) {
+        if let Some(state) = self.asks.get_mut(ask) {
+            state.touched_at = now;
+            state.results.insert(piece, result);
+        }
+    }
+
+    /// Forgets asks that ended a while ago.
+    pub fn sweep(&mut self, now: TimeMs) {
+        let (queue, running) = (&self.queue, &self.running);
+        let is_open = |ask: &AskId| {
+            queue.iter().any(|piece| piece.ask == *ask)
+                || running.values().any(|call| call.pieces.iter().any(|piece| piece.ask == *ask))
+        };
+        self.asks.retain(|ask, state| now.since(state.touched_at) < REMEMBERED || is_open(ask));
+        let idle = |worker: &Worker| worker.calls.is_empty() && worker.kept.iter().all(|(until, ..)| *until < now);
+        self.workers.retain(|_, worker| !idle(worker) || worker.slowness > 1.5);
+    }
+
+    /// Answers every waiting piece that no endpoint is left for.
+    pub fn give_up(&mut self, now: TimeMs) -> Vec<(AskId, u16, PieceResult)> {
+        let pieces = std::mem::take(&mut self.queue);
+        let given_up: Vec<_> =
+            pieces.into_iter().map(|piece| (piece.ask, piece.piece, PieceResult::NoEndpoint)).collect();
+        for (ask, piece, result) in &given_up {
+            self.note_result(now, ask, *piece, result.clone());
+        }
+        given_up
+    }
+
+    /// Calls that can be made now.
+    pub fn next_calls(&mut self, now: TimeMs, usable: &[Usable], counter: &mut u64) -> Vec<PoolCall> {
+        let mut calls = Vec::new();
+        let has_healthy = usable.iter().any(|endpoint| !endpoint.is_ejected);
+        while !self.queue.is_empty() {
+            let free = usable.iter().filter(|candidate| !(has_healthy && candidate.is_ejected));
+            let free = free.filter(|candidate| self.can_take(now, &candidate.endpoint));
+            let Some(endpoint) = free.min_by(|a, b| self.load_of(&a.endpoint).total_cmp(&self.load_of(&b.endpoint)))
+            else {
+                break;
+            };
+            let endpoint = endpoint.endpoint.clone();
+            let pieces = self.take_batch(now, &endpoint, usable.len() > 1);
+            if pieces.is_empty() {
+                break;
+            }
+            calls.push(self.start_call(now, endpoint, pieces, counter));
+        }
+        calls
+    }
+
+    fn can_take(&self, now: TimeMs, endpoint: &EndpointId) -> bool {
+        self.workers
+            .get(endpoint)
+            .is_none_or(|worker| worker.calls.len() < self.calls_per_endpoint && worker.full_until <= now)
+    }
+
+    fn load_of(&self, endpoint: &EndpointId) -> f64 {
+        let Some(worker) = self.workers.get(endpoint) else {
+            return 0.0;
+        };
+        let kept: u64 = worker.kept.iter().map(|(_, _, bytes)| bytes).sum();
+        let filled = kept as f64 / self.spec.room_bytes.max(1) as f64;
+        worker.calls.len() as f64 * 4.0 + worker.slowness.max(1.0) + filled
+    }
+
+    /// Takes the pieces that matter most and whose results fit.
+    fn take_batch(&mut self, now: TimeMs, endpoint: &EndpointId, has_others: bool) -> Vec<PieceTask> {
+        let call_ms = self.expected_ms(self.spec.batch.min(self.queue.len()));
+        self.queue.sort_by_cached_key(|piece| PieceRank::of(piece, now, call_ms));
+        let mut room = self.room_left(now, endpoint);
+        let mut batch = Vec::new();
+        let mut rest = Vec::with_capacity(self.queue.len());
+        for piece in std::mem::take(&mut self.queue) {
+            let is_avoided = has_others && piece.avoided.as_ref() == Some(endpoint);
+            if batch.len() < self.spec.batch && piece.result_bytes <= room && !is_avoided {
+                room -= piece.result_bytes;
+                batch.push(piece);
+            } else {
+                rest.push(piece);
+            }
+        }
+        self.queue = rest;
+        batch
+    }
+
+    fn room_left(&mut self, now: TimeMs, endpoint: &EndpointId) -> u64 {
+        let in_calls: u64 = self
+            .running
+            .values()
+            .filter(|call| call.endpoint == *endpoint)
+            .flat_map(|call| call.pieces.iter().map(|piece| piece.result_bytes))
+            .sum();
+        let worker = self.workers.entry(endpoint.clone()).or_default();
+        worker.kept.retain(|(until, ..)| *until > now);
+        let kept: u64 = worker.kept.iter().map(|(_, _, bytes)| bytes).sum();
+        self.spec.room_bytes.saturating_sub(kept + in_calls)
+    }
+
+    fn start_call(
+        &mut self,
+        now: TimeMs,
+        endpoint: EndpointId,
+        mut pieces: Vec<PieceTask>,
+        counter: &mut u64,
+    ) -> PoolCall {
+        let call = CallNumber::take(counter);
+        pieces.iter_mut().for_each(|piece| piece.tries += 1);
+        let entries = pieces.iter().map(|piece| CallEntry {
+            client_id: piece.client_id.clone(),
+            stage: piece.stage,
+            piece: piece.piece,
+            remaining_ms: SpanMs(piece.deadline_at.since(now).0.saturating_sub(piece.after_ms.0)),
+            source: piece.source.clone(),
+        });
+        let entries = entries.collect();
+        let waiting: f64 = self
+            .running
+            .values()
+            .filter(|other| other.endpoint == endpoint)
+            .map(|other| (other.expected_ms - now.since(other.started_at).0 as f64).max(0.0))
+            .sum();
+        let expected_ms = self.expected_ms(pieces.len()) + waiting;
+        let worker = self.workers.entry(endpoint.clone()).or_default();
+        worker.calls.push(call);
+        let running =
+            RunningCall { endpoint: endpoint.clone(), pieces, started_at: now, expected_ms, is_overdue: false };
+        self.running.insert(call, running);
+        PoolCall {
+            call,
+            endpoint,
+            entries,
+            timeout_ms: SpanMs((expected_ms * CALL_TIMEOUT_FACTOR) as u64),
+            overdue_ms: SpanMs((expected_ms * OVERDUE_FACTOR + OVERDUE_SLACK_MS) as u64),
+        }
+    }
+
+    /// Whether a call belongs to this pool.
+    pub fn has_call(&self, call: CallNumber) -> bool {
+        self.running.contains_key(&call)
+    }
+
+    /// Puts the pieces of a call that runs too long back into the queue; how many, and its endpoint.
+    pub fn on_overdue(&mut self, call: CallNumber) -> Option<(EndpointId, usize)> {
+        let running = self.running.get_mut(&call)?;
+        if running.is_overdue {
+            return None;
+        }
+        running.is_overdue = true;
+        let endpoint = running.endpoint.clone();
+        let again: Vec<PieceTask> = running
+            .pieces
+            .iter()
+            .filter(|piece| piece.tries < TRIES_MAX)
+            .map(|piece| PieceTask { avoided: Some(endpoint.clone()), ..piece.clone() })
+            .collect();
+        let count = again.len();
+        self.queue.extend(again);
+        Some((endpoint, count))
+    }
+
+    /// Takes the end of a call.
+    pub fn on_call_ended(&mut self, now: TimeMs, call: CallNumber, outcome: CallOutcome) -> CallEnd {
+        let Some(running) = self.running.remove(&call) else {
+            return CallEnd::default();
+        };
+        let endpoint = running.endpoint.clone();
+        let worker = self.workers.entry(endpoint.clone()).or_default();
+        worker.calls.retain(|other| *other != call);
+        let mut end = CallEnd { endpoint: Some(endpoint.clone()), ..CallEnd::default() };
+        match outcome.results {
+            Ok(outcomes) => {
+                let slowness = now.since(running.started_at).0 as f64 / running.expected_ms.max(1.0);
+                let usual = if worker.slowness == 0.0 { 1.0 } else { worker.slowness };
+                worker.slowness = usual + SPEED_GAIN * (slowness - usual);
+                end.slowness = Some(slowness);
+                for (piece, outcome) in running.pieces.into_iter().zip(outcomes) {
+                    self.on_piece(now, piece, outcome, &endpoint, running.is_overdue, &mut end);
+                }
+            }
+            Err(failure) => {
+                if failure == CallFailure::Full {
+                    worker.full_until = now + FULL_PAUSE;
+                }
+                let is_lost = matches!(failure, CallFailure::Lost | CallFailure::Silent);
+                for piece in running.pieces {
+                    self.retry_piece(now, piece, &endpoint, is_lost, running.is_overdue, &mut end);
+                }
+            }
+        }
+        end
+    }
+
+    fn on_piece(
+        &mut self,
+        now: TimeMs,
+        piece: PieceTask,
+        outcome: PieceOutcome,
+        endpoint: &EndpointId,
+        was_overdue: bool,
+        end: &mut CallEnd,
+    ) {
+        match outcome {
+            PieceOutcome::Made(handle) => {
+                let is_wanted = self
+                    .asks
+                    .get(&piece.ask)
+                    .is_some_and(|ask| !ask.is_released && !ask.results.contains_key(&piece.piece));
+                if !is_wanted {
+                    end.unneeded.push((endpoint.clone(), handle));
+                    return;
+                }
+                self.queue.retain(|other| other.ask != piece.ask || other.piece != piece.piece);
+                let worker = self.workers.entry(endpoint.clone()).or_default();
+                worker.kept.push((now + self.spec.result_ttl_ms, handle.clone(), piece.result_bytes));
+                let failure_domain = self.failure_domain.clone();
+                let made = PieceResult::Made(ResultHandle { handle, endpoint: endpoint.clone(), failure_domain });
+                self.note_result(now, &piece.ask, piece.piece, made.clone());
+                end.results.push((piece.ask, piece.piece, made));
+            }
+            PieceOutcome::Late | PieceOutcome::InputGone => {
+                let result = PieceResult::NotMade(outcome);
+                self.note_result(now, &piece.ask, piece.piece, result.clone());
+                end.results.push((piece.ask, piece.piece, result));
+            }
+            PieceOutcome::NoRoom => {
+                // The space is taken by results that this lead does not know of; another try is not a failure.
+                let piece = PieceTask { tries: piece.tries.saturating_sub(1), ..piece };
+                self.workers.entry(endpoint.clone()).or_default().full_until = now + FULL_PAUSE;
+                self.retry_piece(now, piece, endpoint, false, was_overdue, end);
+            }
+            PieceOutcome::Failed => self.retry_piece(now, piece, endpoint, true, was_overdue, end),
+        }
+    }
+
+    fn retry_piece(
+        &mut self,
+        now: TimeMs,
+        piece: PieceTask,
+        endpoint: &EndpointId,
+        is_counted: bool,
+        was_overdue: bool,
+        end: &mut CallEnd,
+    ) {
+        let is_open =
+            self.asks.get(&piece.ask).is_some_and(|ask| !ask.is_released && !ask.results.contains_key(&piece.piece));
+        // An overdue call's pieces wait or run elsewhere already.
+        if !is_open || was_overdue {
+            return;
+        }
+        if piece.tries >= TRIES_MAX && is_counted {
+            let result = PieceResult::NotMade(PieceOutcome::Failed);
+            self.note_result(now, &piece.ask, piece.piece, result.clone());
+            end.results.push((piece.ask, piece.piece, result));
+            return;
+        }
+        let tries = if is_counted { piece.tries } else { piece.tries.saturating_sub(1) };
+        self.queue.push(PieceTask { tries, avoided: Some(endpoint.clone()), ..piece });
+    }
+
+    /// Time until a piece that comes now would begin, with this many endpoints.
+    pub fn wait_ms(&self, now: TimeMs, endpoints: usize) -> f64 {
+        let endpoints = endpoints.max(1) as f64;
+        let running: f64 =
+            self.running.values().map(|call| (call.expected_ms - now.since(call.started_at).0 as f64).max(0.0)).sum();
+        let full_call_ms = self.expected_ms(self.spec.batch);
+        let calls = self.queue.len() as f64 / self.spec.batch.max(1) as f64;
+        (running + calls * full_call_ms) / endpoints
+    }
+}
--- /dev/null
+++ b/crates/boragepass_path/src/stages/progress.rs
@@ -0,0 +1,228 @@
+//! Progress of one request through the stages of its route.
+
+use std::sync::Arc;
+
+use boragepass_types::{FailureDomain, TimeMs, VmId};
+
+use crate::configuration::{Configuration, StageSpec};
+use crate::message::{AskId, ResultHandle};
+
+/// Size of a result from which a stage starts no sooner than its results are needed: results fill
+/// an endpoint's space and are dropped after seconds.
+const LARGE_RESULT_BYTES: u64 = 1_000_000;
+/// Calls that a stage with large results starts ahead of the moment at which they are needed.
+const LARGE_LEAD_CALLS: usize = 1;
+
+/// Ask of a stage that is in progress.
+#[derive(Debug, Clone)]
+pub(crate) struct Asked {
+    pub(crate) id: AskId,
+    pub(crate) lead: VmId,
+    pub(crate) failure_domain: FailureDomain,
+    pub(crate) sent_at: TimeMs,
+    pub(crate) heard_at: Option<TimeMs>,
+}
+
+#[derive(Debug, Clone, Default)]
+struct Stage {
+    results: Vec<Option<ResultHandle>>,
+    asked: Option<Asked>,
+    is_consumed: bool,
+    avoided: Vec<FailureDomain>,
+}
+
+impl Stage {
+    fn is_done(&self) -> bool {
+        self.is_consumed || self.results.iter().all(Option::is_some)
+    }
+}
+
+/// Stages of one request.
+#[derive(Debug, Clone)]
+pub(crate) struct StageProgress {
+    specs: Arc<[StageSpec]>,
+    stages: Vec<Stage>,
+}
+
+impl StageProgress {
+    /// Stages with as many pieces as the request states; a stage without pieces is left out.
+    pub(crate) fn new(specs: &[StageSpec], pieces: &[u16]) -> Self {
+        let stage = |index: usize| Stage {
+            results: vec![None; usize::from(pieces.get(index).copied().unwrap_or(0))],
+            ..Stage::default()
+        };
+        Self { specs: specs.into(), stages: (0..specs.len()).map(stage).collect() }
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.specs.len()
+    }
+
+    pub(crate) fn spec(&self, stage: usize) -> &StageSpec {
+        &self.specs[stage]
+    }
+
+    pub(crate) fn pieces(&self, stage: usize) -> usize {
+        self.stages[stage].results.len()
+    }
+
+    pub(crate) fn is_done(&self) -> bool {
+        self.stages.iter().all(Stage::is_done)
+    }
+
+    /// Pieces of a stage that are not made yet.
+    pub(crate) fn missing(&self, stage: usize) -> Vec<u16> {
+        let results = self.stages[stage].results.iter().enumerate();
+        results.filter(|(_, result)| result.is_none()).map(|(index, _)| index as u16).collect()
+    }
+
+    pub(crate) fn asked(&self, stage: usize) -> Option<&Asked> {
+        self.stages[stage].asked.as_ref()
+    }
+
+    pub(crate) fn asked_mut(&mut self, stage: usize) -> Option<&mut Asked> {
+        self.stages[stage].asked.as_mut()
+    }
+
+    pub(crate) fn set_asked(&mut self, stage: usize, asked: Option<Asked>) {
+        self.stages[stage].asked = asked;
+    }
+
+    pub(crate) fn avoid(&mut self, stage: usize, domain: FailureDomain) {
+        self.stages[stage].avoided.push(domain);
+    }
+
+    pub(crate) fn avoided(&self, stage: usize) -> &[FailureDomain] {
+        &self.stages[stage].avoided
+    }
+
+    /// Stage of an ask.
+    pub(crate) fn stage_of(&self, ask: &AskId) -> Option<usize> {
+        self.stages.iter().position(|stage| stage.asked.as_ref().is_some_and(|asked| asked.id == *ask))
+    }
+
+    /// Asks in progress.
+    pub(crate) fn asks(&self) -> impl Iterator<Item = &Asked> {
+        self.stages.iter().filter_map(|stage| stage.asked.as_ref())
+    }
+
+    /// Calls that still have to follow one another from a stage on, that stage included.
+    fn calls_from(&self, stage: usize) -> usize {
+        let followers = (0..self.specs.len()).filter(|index| self.specs[*index].after.contains(&stage));
+        let after = followers.map(|index| self.calls_from(index)).max().unwrap_or(0);
+        after + usize::from(!self.stages[stage].is_done())
+    }
+
+    /// Shortest time from the end of a stage to the start of the request itself.
+    pub(crate) fn after_ms(&self, stage: usize, configuration: &Configuration) -> f64 {
+        let followers = (0..self.specs.len()).filter(|index| self.specs[*index].after.contains(&stage));
+        followers
+            .map(|index| self.call_ms(index, configuration) + self.after_ms(index, configuration))
+            .fold(0.0, f64::max)
+    }
+
+    /// Shortest time of the stages that are left.
+    pub(crate) fn remaining_ms(&self, configuration: &Configuration) -> f64 {
+        let open = (0..self.stages.len()).filter(|stage| !self.stages[*stage].is_done());
+        open.map(|stage| self.call_ms(stage, configuration) + self.after_ms(stage, configuration)).fold(0.0, f64::max)
+    }
+
+    fn call_ms(&self, stage: usize, configuration: &Configuration) -> f64 {
+        let pieces = self.pieces(stage);
+        match configuration.stage_pool(&self.specs[stage].pool) {
+            Some(pool) if pieces > 0 => pool.call_ms + pieces.min(pool.batch) as f64 * pool.piece_ms,
+            Some(_) | None => 0.0,
+        }
+    }
+
+    /// Stages that can start now. One with large results waits until the rest of the path is nearly
+    /// as short as its own.
+    pub(crate) fn startable(&self) -> Vec<usize> {
+        let longest = (0..self.stages.len()).map(|stage| self.calls_from(stage)).max().unwrap_or(0);
+        let can_start = |stage: &usize| {
+            let own = &self.stages[*stage];
+            let is_waiting = own.asked.is_none() && !own.is_done();
+            let has_inputs = self.specs[*stage].after.iter().all(|input| self.stages[*input].is_done());
+            let is_large = self.specs[*stage].result_bytes >= LARGE_RESULT_BYTES;
+            let is_needed_soon = longest <= self.calls_from(*stage) + LARGE_LEAD_CALLS;
+            is_waiting && has_inputs && (!is_large || is_needed_soon)
+        };
+        (0..self.stages.len()).filter(can_start).collect()
+    }
+
+    /// Handles of all inputs of a stage.
+    pub(crate) fn inputs_of(&self, stage: usize) -> Vec<ResultHandle> {
+        self.specs[stage].after.iter().flat_map(|input| self.stages[*input].results.iter().flatten().cloned()).collect()
+    }
+
+    /// Handles of the stages that no other stage follows, which the request itself takes.
+    pub(crate) fn final_results(&self) -> Vec<ResultHandle> {
+        let is_final = |stage: &usize| !self.specs.iter().any(|spec| spec.after.contains(stage));
+        (0..self.stages.len())
+            .filter(is_final)
+            .flat_map(|stage| self.stages[stage].results.iter().flatten().cloned())
+            .collect()
+    }
+
+    /// Bytes of some results by failure domain.
+    pub(crate) fn bytes_by_domain(&self, stages: impl Iterator<Item = usize>) -> Vec<(FailureDomain, u64)> {
+        let mut bytes: Vec<(FailureDomain, u64)> = Vec::new();
+        for stage in stages {
+            for result in self.stages[stage].results.iter().flatten() {
+                let size = self.specs[stage].result_bytes;
+                match bytes.iter_mut().find(|(domain, _)| *domain == result.failure_domain) {
+                    Some((_, total)) => *total += size,
+                    None => bytes.push((result.failure_domain.clone(), size)),
+                }
+            }
+        }
+        bytes
+    }
+
+    /// Stages that no other stage follows.
+    pub(crate) fn final_stages(&self) -> Vec<usize> {
+        (0..self.specs.len()).filter(|stage| !self.specs.iter().any(|spec| spec.after.contains(stage))).collect()
+    }
+
+    /// Takes the result of a piece; false if it was there already.
+    pub(crate) fn on_result(&mut self, stage: usize, piece: u16, result: ResultHandle) -> bool {
+        match self.stages[stage].results.get_mut(usize::from(piece)) {
+            Some(slot) if slot.is_none() => {
+                *slot = Some(result);
+                true
+            }
+            Some(_) | None => false,
+        }
+    }
+
+    pub(crate) fn is_stage_done(&self, stage: usize) -> bool {
+        self.stages[stage].is_done()
+    }
+
+    /// Asks whose results nothing needs any more, now that `stage` is done.
+    pub(crate) fn consume_inputs(&mut self, stage: usize) -> Vec<Asked> {
+        let mut asks = Vec::new();
+        for input in self.specs[stage].after.clone() {
+            let others = (0..self.specs.len()).filter(|other| self.specs[*other].after.contains(&input));
+            let is_needed = others.into_iter().any(|other| !self.stages[other].is_done());
+            if !is_needed && !self.stages[input].is_consumed {
+                self.stages[input].is_consumed = true;
+                asks.extend(self.stages[input].asked.clone());
+            }
+        }
+        asks
+    }
+
+    /// Starts a stage and all that it needs over, because an input is gone; the asks to give up.
+    pub(crate) fn restart(&mut self, stage: usize) -> Vec<Asked> {
+        let mut asks = Vec::new();
+        for input in self.specs[stage].after.clone() {
+            asks.extend(self.restart(input));
+        }
+        let own = &mut self.stages[stage];
+        asks.extend(own.asked.take());
+        own.is_consumed = false;
+        own.results.iter_mut().for_each(|result| *result = None);
+        asks
+    }
+}
--- a/crates/boragepass_server/src/clock.rs
+++ b/crates/boragepass_server/src/clock.rs
@@ -9,29 +9,29 @@
 
 /// Monotonic clock.
 #[derive(Debug, Clone, Copy)]
-pub(crate) struct Clock {
+pub struct Clock {
     started: Instant,
 }
 
 impl Clock {
     /// Clock that starts now.
-    pub(crate) fn start() -> Self {
+    pub fn start() -> Self {
         Self { started: Instant::now() }
     }
 
     /// Time now.
-    pub(crate) fn now(&self) -> TimeMs {
+    pub fn now(&self) -> TimeMs {
         TimeMs(START_MS + self.started.elapsed().as_millis() as u64)
     }
 
     /// Instant of a time.
-    pub(crate) fn instant(&self, at: TimeMs) -> Instant {
+    pub fn instant(&self, at: TimeMs) -> Instant {
         self.started + Duration::from_millis(at.0.saturating_sub(START_MS))
     }
 }
 
 /// Incarnation of a process that starts now: later starts on a VM have larger numbers.
-pub(crate) fn new_incarnation() -> Incarnation {
+pub fn new_incarnation() -> Incarnation {
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     Incarnation(since_epoch.as_micros() as u64)
 }
--- a/crates/boragepass_server/src/daemon.rs
+++ b/crates/boragepass_server/src/daemon.rs
@@ -7,8 +7,8 @@
 use async_std::channel::{Receiver, Sender, bounded};
 use async_std::future::timeout;
 use async_std::net::TcpListener;
-use boragepass_core::{Counter, Event, Node, NodeSettings};
 use boragepass_clients::HttpClient;
+use boragepass_core::{Counter, Event, Node, NodeSettings};
 use boragepass_settings::Settings;
 
 use crate::caller_http::{CallerContext, serve_callers};
@@ -17,6 +17,7 @@
 use crate::metrics::Metrics;
 use crate::operator_http::{OperatorContext, serve_operators};
 use crate::peer_link::{Identity, PeerLinks};
+use crate::peer_server::EventInbox;
 use crate::replies::Replies;
 use crate::tasks::Tasks;
 use crate::{executor, peer_server};
@@ -103,7 +104,12 @@
         };
         tasks.spawn(serve_callers(caller_listener, caller_context, tasks.clone()));
         tasks.spawn(serve_operators(operator_listener, operator_context, tasks.clone()));
-        tasks.spawn(peer_server::serve(peer_listener, settings.peer_key.clone(), events.clone(), tasks.clone()));
+        tasks.spawn(peer_server::serve(
+            peer_listener,
+            settings.peer_key.clone(),
+            EventInbox(events.clone()),
+            tasks.clone(),
+        ));
         tasks.spawn(reduce(node, receiver, executor.clone(), end));
         Ok(Self { events, tasks, executor, ended, callers, operators, peers })
     }
--- a/crates/boragepass_server/src/executor.rs
+++ b/crates/boragepass_server/src/executor.rs
@@ -5,8 +5,8 @@
 use std::sync::{Arc, Mutex};
 
 use async_std::channel::Sender;
-use boragepass_core::{Counter, Dispatch, Effect, Event};
 use boragepass_clients::{HttpClient, ask_objects, ask_table, ask_vm_list, poll_load, run_stage, send_order};
+use boragepass_core::{Counter, Dispatch, Effect, Event};
 use boragepass_types::{AttemptId, TimeMs};
 use futures::future::AbortHandle;
 
--- a/crates/boragepass_server/src/lib.rs
+++ b/crates/boragepass_server/src/lib.rs
@@ -14,5 +14,8 @@
 mod replies;
 mod tasks;
 
+pub use clock::{Clock, new_incarnation};
 pub use daemon::{Daemon, StartError};
+pub use peer_link::{Identity, PeerLinks, Traffic};
+pub use peer_server::{Inbox, serve as serve_peers};
 pub use tasks::Tasks;
--- a/crates/boragepass_server/src/peer_link.rs
+++ b/crates/boragepass_server/src/peer_link.rs
@@ -17,6 +17,7 @@
 use boragepass_wire::encode_message;
 use bytes::{BufMut, Bytes, BytesMut};
 use h2::SendStream;
+use socket2::SockRef;
 use tokio_util::compat::FuturesAsyncReadCompatExt;
 
 use crate::tasks::Tasks;
@@ -25,6 +26,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 const SEND_TIMEOUT: Duration = Duration::from_secs(3);
 const RECONNECT_PAUSE: Duration = Duration::from_millis(200);
+/// Time after which a connection whose bytes are not acknowledged is closed.
+const UNACKNOWLEDGED_MAX: Duration = Duration::from_secs(2);
 const FRAME_HEAD_BYTES: usize = 4;
 
 /// Header that names the sending VM.
@@ -36,18 +39,24 @@
 
 /// Who this VM is towards others.
 #[derive(Debug, Clone)]
-pub(crate) struct Identity {
-    pub(crate) vm: VmId,
-    pub(crate) incarnation: Incarnation,
-    pub(crate) key: AccessKey,
+pub struct Identity {
+    /// The VM.
+    pub vm: VmId,
+    /// Start of its process.
+    pub incarnation: Incarnation,
+    /// Key that VMs present to each other.
+    pub key: AccessKey,
 }
 
 /// Traffic to other VMs since the start.
 #[derive(Debug, Default)]
-pub(crate) struct Traffic {
-    pub(crate) bytes: AtomicU64,
-    pub(crate) messages: AtomicU64,
-    pub(crate) dropped: AtomicU64,
+pub struct Traffic {
+    /// Bytes sent.
+    pub bytes: AtomicU64,
+    /// Messages sent.
+    pub messages: AtomicU64,
+    /// Messages that were not sent.
+    pub dropped: AtomicU64,
 }
 
 /// Queues by VM and address; a VM that starts anew may have another address.
@@ -55,16 +64,17 @@
 
 /// Links to all VMs that were sent something.
 #[derive(Clone)]
-pub(crate) struct PeerLinks {
+pub struct PeerLinks {
     identity: Arc<Identity>,
     tasks: Tasks,
     links: Arc<Mutex<Links>>,
-    pub(crate) traffic: Arc<Traffic>,
+    /// What was sent.
+    pub traffic: Arc<Traffic>,
 }
 
 impl PeerLinks {
     /// Links of a VM that has sent nothing yet.
-    pub(crate) fn new(identity: Identity, tasks: Tasks) -> Self {
+    pub fn new(identity: Identity, tasks: Tasks) -> Self {
         Self { identity: Arc::new(identity), tasks, links: Arc::default(), traffic: Arc::default() }
     }
 
@@ -74,9 +84,14 @@
             self.traffic.dropped.fetch_add(1, Ordering::Relaxed);
             return;
         };
+        self.send_encoded(to, address, &encoded);
+    }
+
+    /// Queues a message that is encoded already.
+    pub fn send_encoded(&self, to: &VmId, address: SocketAddr, encoded: &[u8]) {
         let mut frame = BytesMut::with_capacity(FRAME_HEAD_BYTES + encoded.len());
         frame.put_u32(encoded.len() as u32);
-        frame.put_slice(&encoded);
+        frame.put_slice(encoded);
         self.traffic.bytes.fetch_add(frame.len() as u64, Ordering::Relaxed);
         self.traffic.messages.fetch_add(1, Ordering::Relaxed);
         let sender = self.link(to, address);
@@ -153,6 +168,7 @@
 async fn open(identity: &Identity, address: SocketAddr) -> Result<(SendStream<Bytes>, Driver), std::io::Error> {
     let stream = TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
+    SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_MAX))?;
     let (client, connection) = h2::client::handshake(stream.compat()).await.map_err(std::io::Error::other)?;
     let driver: Driver = Box::pin(async move {
         // An error ends the connection; the link opens another.
--- a/crates/boragepass_server/src/peer_server.rs
+++ b/crates/boragepass_server/src/peer_server.rs
@@ -21,19 +21,41 @@
 const WINDOW_BYTES: u32 = 1_048_576;
 const FRAME_HEAD_BYTES: usize = 4;
 
+/// Takes the messages of other VMs.
+pub trait Inbox: Clone + Send + Sync + 'static {
+    /// Takes a message; false ends the connection.
+    fn take(&self, vm: &VmId, incarnation: Incarnation, message: &[u8]) -> impl Future<Output = bool> + Send;
+}
+
+/// Feeds messages to the reducer of a daemon.
+#[derive(Clone)]
+pub(crate) struct EventInbox(pub(crate) Sender<Event>);
+
+impl Inbox for EventInbox {
+    async fn take(&self, vm: &VmId, incarnation: Incarnation, message: &[u8]) -> bool {
+        match decode_message(message) {
+            Ok(message) => self.0.send(Event::Peer { from: vm.clone(), incarnation, message }).await.is_ok(),
+            Err(error) => {
+                log::warn!("message of VM {vm} refused: {error}");
+                false
+            }
+        }
+    }
+}
+
 /// Accepts connections of other VMs.
-pub(crate) async fn serve(listener: TcpListener, key: AccessKey, events: Sender<Event>, tasks: Tasks) {
+pub async fn serve(listener: TcpListener, key: AccessKey, inbox: impl Inbox, tasks: Tasks) {
     let mut incoming = listener.incoming();
     while let Some(stream) = incoming.next().await {
         let Ok(stream) = stream else {
             continue;
         };
-        let (key, events, inner) = (key.clone(), events.clone(), tasks.clone());
-        tasks.spawn(async move { serve_connection(stream, key, events, inner).await });
+        let (key, inbox, inner) = (key.clone(), inbox.clone(), tasks.clone());
+        tasks.spawn(async move { serve_connection(stream, key, inbox, inner).await });
     }
 }
 
-async fn serve_connection(stream: TcpStream, key: AccessKey, events: Sender<Event>, tasks: Tasks) {
+async fn serve_connection(stream: TcpStream, key: AccessKey, inbox: impl Inbox, tasks: Tasks) {
     stream.set_nodelay(true).ok();
     let mut builder = h2::server::Builder::new();
     builder.initial_window_size(WINDOW_BYTES).initial_connection_window_size(WINDOW_BYTES);
@@ -43,8 +65,8 @@
         return;
     };
     while let Some(Ok((request, respond))) = connection.accept().await {
-        let (key, events) = (key.clone(), events.clone());
-        tasks.spawn(async move { serve_stream(request, respond, &key, &events).await });
+        let (key, inbox) = (key.clone(), inbox.clone());
+        tasks.spawn(async move { serve_stream(request, respond, &key, &inbox).await });
     }
 }
 
@@ -67,7 +89,7 @@
     request: http::Request<RecvStream>,
     mut respond: SendResponse<Bytes>,
     key: &AccessKey,
-    events: &Sender<Event>,
+    inbox: &impl Inbox,
 ) {
     let Some(peer) = identify(&request, key) else {
         log::warn!("refused a connection of a VM without the key");
@@ -86,7 +108,7 @@
             return;
         }
         while let Some(frame) = take_frame(&mut buffer) {
-            if !feed(&frame, &peer, events).await {
+            if !inbox.take(&peer.vm, peer.incarnation, &frame).await {
                 return;
             }
         }
@@ -97,19 +119,6 @@
     }
 }
 
-async fn feed(frame: &[u8], peer: &Peer, events: &Sender<Event>) -> bool {
-    match decode_message(frame) {
-        Ok(message) => {
-            let event = Event::Peer { from: peer.vm.clone(), incarnation: peer.incarnation, message };
-            events.send(event).await.is_ok()
-        }
-        Err(error) => {
-            log::warn!("message of VM {} refused: {error}", peer.vm);
-            false
-        }
-    }
-}
-
 fn take_frame(buffer: &mut BytesMut) -> Option<BytesMut> {
     let head = buffer.get(..FRAME_HEAD_BYTES)?;
     let len = u32::from_be_bytes(head.try_into().ok()?) as usize;
--- a/crates/boragepass_settings/src/lib.rs
+++ b/crates/boragepass_settings/src/lib.rs
@@ -3,6 +3,7 @@
 //! The file is parsed raw in one place (`raw`), then resolved (`resolve`). Every problem is found in
 //! one pass and carries its file and line.
 
+mod entry;
 mod limit_keys;
 mod raw;
 mod reference;
@@ -14,6 +15,7 @@
 use boragepass_core::Limits;
 use boragepass_types::{AccessKey, Bytes, FailureDomain, Findings, Pipeline, Region, SpanMs, VmId};
 
+pub use entry::{EntrySettings, parse_entry};
 pub use reference::reference;
 
 /// Settings of one process.
--- a/crates/boragepass_settings/src/resolve.rs
+++ b/crates/boragepass_settings/src/resolve.rs
@@ -18,7 +18,7 @@
 const MIN_KEY_LEN: usize = 8;
 
 /// Reads the entries of one section.
-struct Reader<'a> {
+pub(crate) struct Reader<'a> {
     raw: &'a RawSettings,
     section: Option<&'a RawSection>,
     name: &'a str,
@@ -26,7 +26,7 @@
 }
 
 impl<'a> Reader<'a> {
-    fn new(raw: &'a RawSettings, name: &'a str, known: &[&str], findings: &'a mut Findings) -> Self {
+    pub(crate) fn new(raw: &'a RawSettings, name: &'a str, known: &[&str], findings: &'a mut Findings) -> Self {
         let section = raw.sections.iter().find(|section| section.name == name);
         if let Some(section) = section {
             check_keys(raw, section, known, findings);
@@ -47,7 +47,7 @@
         self.findings.push(self.raw.place(entry.line), kind, None);
     }
 
-    fn optional<T: FromStr>(&mut self, key: &str) -> Option<T>
+    pub(crate) fn optional<T: FromStr>(&mut self, key: &str) -> Option<T>
     where
         T::Err: std::fmt::Display,
     {
@@ -61,7 +61,7 @@
         }
     }
 
-    fn required<T: FromStr>(&mut self, key: &str) -> Option<T>
+    pub(crate) fn required<T: FromStr>(&mut self, key: &str) -> Option<T>
     where
         T::Err: std::fmt::Display,
     {
@@ -73,7 +73,7 @@
         self.optional(key)
     }
 
-    fn access_key(&mut self, key: &str) -> Option<AccessKey> {
+    pub(crate) fn access_key(&mut self, key: &str) -> Option<AccessKey> {
         let text: String = self.required(key)?;
         if text.len() < MIN_KEY_LEN {
             let entry = self.entry(key)?;
