Begin an ask with large results only if all of them fit

Change: space is reserved for whole asks, asks that have begun go first, large results start with the last call of the path.

--- a/crates/boragepass_path/src/stages/mod.rs
+++ b/crates/boragepass_path/src/stages/mod.rs
@@ -3,6 +3,7 @@
 mod pool;
 mod progress;
 mod rank;
+mod space;
 
 pub use pool::{CallEnd, PieceTask, Pool, PoolCall, Usable};
 pub(crate) use progress::{Asked, StageProgress};
--- a/crates/boragepass_path/src/stages/pool.rs
+++ b/crates/boragepass_path/src/stages/pool.rs
@@ -4,12 +4,13 @@
 //! any requests that matter most then. A call that runs far longer than expected has its pieces
 //! made again elsewhere; the first result of a piece counts.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
 
 use boragepass_types::{EndpointId, FailureDomain, SpanMs, TimeMs};
 
 use super::PieceRank;
+use super::space::Space;
 use crate::configuration::StagePool;
 use crate::effect::{CallEntry, EntrySource};
 use crate::event::{CallFailure, CallOutcome, PieceOutcome};
@@ -26,6 +27,8 @@
 const CALL_TIMEOUT_FACTOR: f64 = 12.0;
 /// Pause before an endpoint that stated that it is full is asked again.
 const FULL_PAUSE: SpanMs = SpanMs(60);
+/// How long results of a size that had no room are not tried again at an endpoint.
+const NO_ROOM_PAUSE: SpanMs = SpanMs(300);
 /// How long an ask is remembered after its last result, so that a repeated one is answered again.
 const REMEMBERED: SpanMs = SpanMs(5_000);
 /// Gain of a new sample in the usual ratio of a call's time to its expected time.
@@ -95,6 +98,8 @@
 struct Worker {
     calls: Vec<CallNumber>,
     full_until: TimeMs,
+    /// Largest result that still fitted when it last had no room, and for how long that is believed.
+    room_cap: Option<(u64, TimeMs)>,
     /// Bytes of results that lie there, with the time at which they are dropped.
     kept: Vec<(TimeMs, Arc<str>, u64)>,
     /// Usual time of a call there over the time that the configuration expects.
@@ -291,7 +296,7 @@
                 break;
             };
             let endpoint = endpoint.endpoint.clone();
-            let pieces = self.take_batch(now, &endpoint, usable.len() > 1);
+            let pieces = self.take_batch(now, &endpoint, usable);
             if pieces.is_empty() {
                 break;
             }
@@ -316,15 +321,23 @@
     }
 
     /// Takes the pieces that matter most and whose results fit.
-    fn take_batch(&mut self, now: TimeMs, endpoint: &EndpointId, has_others: bool) -> Vec<PieceTask> {
+    ///
+    /// An ask whose results fill much space is begun only if all of them fit beside what the asks
+    /// that have begun still need. Otherwise asks that are half done fill the space and wait for
+    /// each other until their results lapse.
+    fn take_batch(&mut self, now: TimeMs, endpoint: &EndpointId, endpoints: &[Usable]) -> Vec<PieceTask> {
         let call_ms = self.expected_ms(self.spec.batch.min(self.queue.len()));
-        self.queue.sort_by_cached_key(|piece| PieceRank::of(piece, now, call_ms));
+        let begun = self.begun_asks();
+        self.queue.sort_by_cached_key(|piece| PieceRank::of(piece, now, call_ms, begun.contains(&piece.ask)));
         let mut room = self.room_left(now, endpoint);
+        let free: u64 = endpoints.iter().map(|usable| self.room_left(now, &usable.endpoint)).sum();
+        let mut space = Space::new(free, self.spec.room_bytes, begun, &self.queue);
         let mut batch = Vec::new();
         let mut rest = Vec::with_capacity(self.queue.len());
         for piece in std::mem::take(&mut self.queue) {
-            let is_avoided = has_others && piece.avoided.as_ref() == Some(endpoint);
-            if batch.len() < self.spec.batch && piece.result_bytes <= room && !is_avoided {
+            let is_avoided = endpoints.len() > 1 && piece.avoided.as_ref() == Some(endpoint);
+            let fits = batch.len() < self.spec.batch && piece.result_bytes <= room && !is_avoided;
+            if fits && space.admits(&piece) {
                 room -= piece.result_bytes;
                 batch.push(piece);
             } else {
@@ -335,6 +348,14 @@
         batch
     }
 
+    /// Asks of which some pieces are made or in progress while others wait.
+    fn begun_asks(&self) -> HashSet<AskId> {
+        let running = self.running.values().flat_map(|call| call.pieces.iter().map(|piece| &piece.ask));
+        let has_made = |state: &AskState| state.results.values().any(|result| matches!(result, PieceResult::Made(_)));
+        let made = self.asks.iter().filter(|(_, state)| has_made(state)).map(|(ask, _)| ask);
+        running.chain(made).cloned().collect()
+    }
+
     fn room_left(&mut self, now: TimeMs, endpoint: &EndpointId) -> u64 {
         let in_calls: u64 = self
             .running
@@ -345,7 +366,11 @@
         let worker = self.workers.entry(endpoint.clone()).or_default();
         worker.kept.retain(|(until, ..)| *until > now);
         let kept: u64 = worker.kept.iter().map(|(_, _, bytes)| bytes).sum();
-        self.spec.room_bytes.saturating_sub(kept + in_calls)
+        let room = self.spec.room_bytes.saturating_sub(kept + in_calls);
+        match worker.room_cap {
+            Some((cap, until)) if now < until => room.min(cap),
+            Some(_) | None => room,
+        }
     }
 
     fn start_call(
@@ -477,7 +502,8 @@
             PieceOutcome::NoRoom => {
                 // The space is taken by results that this lead does not know of; another try is not a failure.
                 let piece = PieceTask { tries: piece.tries.saturating_sub(1), ..piece };
-                self.workers.entry(endpoint.clone()).or_default().full_until = now + FULL_PAUSE;
+                let cap = piece.result_bytes.saturating_sub(1);
+                self.workers.entry(endpoint.clone()).or_default().room_cap = Some((cap, now + NO_ROOM_PAUSE));
                 self.retry_piece(now, piece, endpoint, false, was_overdue, end);
             }
             PieceOutcome::Failed => self.retry_piece(now, piece, endpoint, true, was_overdue, end),
--- a/crates/boragepass_path/src/stages/progress.rs
+++ b/crates/boragepass_path/src/stages/progress.rs
@@ -11,7 +11,7 @@
 /// an endpoint's space and are dropped after seconds.
 const LARGE_RESULT_BYTES: u64 = 1_000_000;
 /// Calls that a stage with large results starts ahead of the moment at which they are needed.
-const LARGE_LEAD_CALLS: usize = 1;
+const LARGE_LEAD_CALLS: usize = 0;
 
 /// Ask of a stage that is in progress.
 #[derive(Debug, Clone)]
