Keep long shared prompt parts at one endpoint for all regions

Change: a rendezvous hash over all endpoints marks a first and a second one for a long shared part; reading weighs double, since it delays others; large results are made where the marked endpoint stands.

--- a/crates/boragepass_path/src/placement/engine_choice.rs
+++ b/crates/boragepass_path/src/placement/engine_choice.rs
@@ -3,7 +3,7 @@
 //! Every candidate is priced in milliseconds: reading what it does not hold of the prompt, reading
 //! what waits there already, waiting for a slot, and distance of the endpoint and of the inputs.
 //! Requests that share parts of a prompt meet at the same endpoint without any exchange between
-//! VMs, because a rendezvous hash of the shared part marks one endpoint of each failure domain.
+//! VMs, because a rendezvous hash of the shared part marks the same endpoints on all of them.
 
 use boragepass_types::{EndpointId, FailureDomain, PoolId, TimeMs, rendezvous_weight};
 
@@ -13,16 +13,21 @@
 
 /// Prompt tokens that a model engine reads in a millisecond; both sites state 93.
 const READ_TOKENS_PER_MS: f64 = 93.0;
-/// Share of the shared parts that the marked endpoint is expected to hold.
-const MARKED_SHARE: f64 = 0.8;
+/// Shares of the shared parts that the endpoints marked first and second are expected to hold.
+const MARKED_SHARES: [f64; 2] = [0.8, 0.4];
+/// Length from which shared parts are kept at one endpoint for all regions: reading 4,000 tokens
+/// takes as long as the journey to another region and back.
+const LONG_SHARED_TOKENS: u64 = 4_000;
+/// What reading costs beside this request's own wait: it delays the tokens of all others there.
+const READ_WEIGHT: f64 = 2.0;
 /// Cost of each request that runs already: it slows every token of the others.
 const RUNNING_MS: f64 = 4.0;
 /// Cost of a request that has to wait for a slot, where its usual time is not known yet.
 const SERVICE_MS_DEFAULT: f64 = 100.0;
 /// Cost of moving a megabyte of inputs to another failure domain, in the terms of a caller's wait.
-const INPUT_MS_PER_MB: f64 = 40.0;
+const INPUT_MS_PER_MB: f64 = 8.0;
 /// Cost of an endpoint outside this region beside its travel time: bytes between regions are dear.
-const OTHER_REGION_MS: f64 = 60.0;
+const OTHER_REGION_MS: f64 = 20.0;
 /// Cost of an endpoint that was ejected; it is used only if every other one is worse.
 const EJECTED_MS: f64 = 100_000.0;
 /// Cost of an endpoint that stated a moment ago that it is full.
@@ -54,24 +59,35 @@
     prompt.len().checked_sub(2).and_then(|index| prompt.get(index))
 }
 
-/// Endpoint of each failure domain that is marked for a prompt.
-fn is_marked(table: &EndpointTable, need: &Need<'_>, candidate: &KnownEndpoint, now: TimeMs) -> bool {
+/// Tokens that requests share at the start of a prompt.
+fn shared_tokens(prompt: &[PromptPart]) -> u64 {
+    prompt.iter().rev().skip(1).map(|part| part.tokens).sum()
+}
+
+/// Endpoints that are marked for a prompt, the first one before the second.
+///
+/// A long shared part is worth a journey to the one endpoint that holds it; a short one is read
+/// again in each failure domain.
+fn marked(table: &EndpointTable, settings: &PathSettings, need: &Need<'_>, now: TimeMs) -> Vec<EndpointId> {
     let Some(part) = shared_part(need.prompt) else {
-        return false;
+        return Vec::new();
     };
     let key = part.id.to_string();
-    let domain = &candidate.endpoint.failure_domain;
-    let neighbours = table.serving(need.pool).filter(|known| known.endpoint.failure_domain == *domain);
-    let marked = neighbours
-        .filter(|known| !known.is_ejected(now))
-        .max_by_key(|known| rendezvous_weight(&key, known.endpoint.id.as_str()));
-    marked.is_some_and(|known| known.endpoint.id == candidate.endpoint.id)
+    let is_long = shared_tokens(need.prompt) >= LONG_SHARED_TOKENS;
+    let is_near = |known: &&KnownEndpoint| is_long || known.endpoint.failure_domain == settings.failure_domain;
+    let candidates = table.serving(need.pool).filter(|known| !known.is_ejected(now)).filter(is_near);
+    let mut weighted: Vec<_> = candidates
+        .map(|known| (rendezvous_weight(&key, known.endpoint.id.as_str()), known.endpoint.id.clone()))
+        .collect();
+    weighted.sort_by(|a, b| b.cmp(a));
+    weighted.into_iter().take(MARKED_SHARES.len()).map(|(_, id)| id).collect()
 }
 
-fn unread_tokens(table: &EndpointTable, need: &Need<'_>, known: &KnownEndpoint, now: TimeMs) -> u64 {
+fn unread_tokens(need: &Need<'_>, marked: &[EndpointId], known: &KnownEndpoint) -> u64 {
     let held = known.known_tokens(need.prompt);
-    let shared: u64 = need.prompt.iter().rev().skip(1).map(|part| part.tokens).sum();
-    let expected = if is_marked(table, need, known, now) { (shared as f64 * MARKED_SHARE) as u64 } else { 0 };
+    let place = marked.iter().position(|id| *id == known.endpoint.id);
+    let share = place.and_then(|place| MARKED_SHARES.get(place)).copied().unwrap_or(0.0);
+    let expected = (shared_tokens(need.prompt) as f64 * share) as u64;
     need.prompt_tokens.saturating_sub(held.max(expected))
 }
 
@@ -100,9 +116,10 @@
     now: TimeMs,
     need: &Need<'_>,
 ) -> Option<Choice> {
+    let marked = marked(table, settings, need, now);
     let untried = table.serving(need.pool).filter(|known| !need.tried.contains(&known.endpoint.id));
     let priced = untried.map(|known| {
-        let unread = unread_tokens(table, need, known, now);
+        let unread = unread_tokens(need, &marked, known);
         let active = known.active(now);
         let distance = settings.distance_to(&known.endpoint.failure_domain);
         let mut cost_ms = distance.round_trip_ms();
@@ -111,7 +128,8 @@
         }
         cost_ms += inputs_ms(settings, need, known);
         if need.prompt_tokens > 0 {
-            cost_ms += (unread + known.unread(now)) as f64 / READ_TOKENS_PER_MS + f64::from(active) * RUNNING_MS;
+            let reading_ms = (READ_WEIGHT * unread as f64 + known.unread(now) as f64) / READ_TOKENS_PER_MS;
+            cost_ms += reading_ms + f64::from(active) * RUNNING_MS;
         }
         cost_ms += slot_wait_ms(table, known, active);
         if known.is_ejected(now) {
--- a/crates/boragepass_path/src/placement/pool_choice.rs
+++ b/crates/boragepass_path/src/placement/pool_choice.rs
@@ -15,7 +15,7 @@
 /// Age at which a lead's report says nothing any more.
 const REPORT_AGE_MAX: SpanMs = SpanMs(3_000);
 /// Cost of moving a megabyte to another failure domain, in the terms of a caller's wait.
-const RESULT_MS_PER_MB: f64 = 60.0;
+const RESULT_MS_PER_MB: f64 = 20.0;
 /// Cost of leaving the region beside the travel time, which keeps work at home while it waits little.
 const OTHER_REGION_MS: f64 = 80.0;
 /// Cost of a failure domain whose endpoints all failed lately.
@@ -45,6 +45,8 @@
     pub(crate) result_bytes: u64,
     /// Bytes of its inputs by failure domain.
     pub(crate) inputs: &'a [(FailureDomain, u64)],
+    /// Failure domain in which the results are expected to be needed.
+    pub(crate) needed_in: &'a FailureDomain,
     /// Failure domains that failed this stage already.
     pub(crate) avoided: &'a [FailureDomain],
 }
@@ -115,7 +117,7 @@
             cost_ms += OTHER_REGION_MS;
         }
         let moved: u64 = wanted.inputs.iter().filter(|(place, _)| place != domain).map(|(_, bytes)| bytes).sum();
-        let results = if distance == Distance::SameDomain { 0 } else { wanted.result_bytes };
+        let results = if domain == wanted.needed_in { 0 } else { wanted.result_bytes };
         cost_ms + (moved + results) as f64 / 1e6 * RESULT_MS_PER_MB
     }
 }
--- a/crates/boragepass_path/src/reducer/stage_flow.rs
+++ b/crates/boragepass_path/src/reducer/stage_flow.rs
@@ -1,6 +1,6 @@
 //! Stages of this VM's own requests: what is asked of leads, and what comes back.
 
-use boragepass_types::{SpanMs, TimeMs, VmId};
+use boragepass_types::{FailureDomain, SpanMs, TimeMs, VmId};
 
 use super::RequestPath;
 use crate::admission::RefusalReason;
@@ -8,9 +8,9 @@
 use crate::event::PieceOutcome;
 use crate::fleet::lead_of;
 use crate::message::{Ask, AskId, Inputs, PeerMessage, PieceResult};
-use crate::placement::Wanted;
+use crate::placement::{Need, Wanted, choose_endpoint};
 use crate::record::Record;
-use crate::request::{Phase, RequestNumber};
+use crate::request::{Phase, RequestNumber, Requested};
 use crate::stages::Asked;
 use crate::timers::Timer;
 
@@ -46,12 +46,14 @@
         };
         let missing = requested.stages.missing(stage);
         let inputs_bytes = requested.stages.bytes_by_domain(spec.after.iter().copied());
+        let needed_in = self.needed_in(now, requested, stage);
         let wanted = Wanted {
             pool: &spec.pool,
             spec: pool,
             pieces: missing.len(),
             result_bytes: spec.result_bytes * missing.len() as u64,
             inputs: &inputs_bytes,
+            needed_in: &needed_in,
             avoided: requested.stages.avoided(stage),
         };
         let chosen = self.backlogs.choose(now, &self.table, &self.settings, &wanted);
@@ -106,6 +108,25 @@
         true
     }
 
+    /// Failure domain in which the results of a stage are expected to be needed: that of the endpoint
+    /// which the request itself would go to now, for a stage that no other one follows.
+    fn needed_in(&self, now: TimeMs, requested: &Requested, stage: usize) -> FailureDomain {
+        let home = self.settings.failure_domain.clone();
+        if !requested.stages.final_stages().contains(&stage) {
+            return home;
+        }
+        let need = Need {
+            pool: &requested.pool,
+            prompt: &requested.arrival.prompt,
+            prompt_tokens: requested.arrival.prompt_tokens,
+            inputs: &[],
+            tried: &[],
+        };
+        let choice = choose_endpoint(&self.table, &self.settings, now, &need);
+        let known = choice.and_then(|choice| self.table.get(&choice.endpoint));
+        known.map_or(home, |known| known.endpoint.failure_domain.clone())
+    }
+
     fn tell_ask(&mut self, now: TimeMs, lead: &VmId, ask: Ask) {
         if *lead == self.settings.vm {
             self.lead_ask(now, ask);
