Spill stages to other regions sooner and order them with the time to read the prompt

Cause: a zone with one endpoint of a pool was kept busy while others were free, since leaving the region cost 80 ms beside the journey; the wait of a pool was an average instead of the time of the soonest free endpoint; requests with long prompts were late because their reading time was not in the order. Moving large results now costs 60 ms a MB.

--- a/crates/boragepass_path/src/placement/engine_choice.rs
+++ b/crates/boragepass_path/src/placement/engine_choice.rs
@@ -8,7 +8,7 @@
 use boragepass_types::{EndpointId, FailureDomain, PoolId, TimeMs, rendezvous_weight};
 
 use super::{EndpointTable, KnownEndpoint};
-use crate::event::PromptPart;
+use crate::event::{Arrival, PromptPart};
 use crate::settings::PathSettings;
 
 /// Prompt tokens that a model engine reads in a millisecond; both sites state 93.
@@ -41,7 +41,7 @@
     pub(crate) prompt_tokens: u64,
     /// Bytes of inputs by failure domain.
     pub(crate) inputs: &'a [(FailureDomain, u64)],
-    /// Endpoints that have had the request.
+    /// Endpoints that are left out.
     pub(crate) tried: &'a [EndpointId],
 }
 
@@ -83,6 +83,17 @@
     weighted.into_iter().take(MARKED_SHARES.len()).map(|(_, id)| id).collect()
 }
 
+/// Time of attention for a million pairs of prompt tokens, as both sites state it.
+const PAIRS_MS_PER_MILLION: f64 = 0.44;
+
+/// Time in which an engine reads the prompt of a request whose shared parts it holds.
+pub(crate) fn reading_ms(arrival: &Arrival) -> f64 {
+    let tokens = arrival.prompt_tokens as f64;
+    let own_tokens = tokens - shared_tokens(&arrival.prompt) as f64 * MARKED_SHARES[0];
+    let pairs_millions = tokens * own_tokens / 2e6;
+    own_tokens.max(0.0) / READ_TOKENS_PER_MS + pairs_millions.max(0.0) * PAIRS_MS_PER_MILLION
+}
+
 fn unread_tokens(need: &Need<'_>, marked: &[EndpointId], known: &KnownEndpoint) -> u64 {
     let held = known.known_tokens(need.prompt);
     let place = marked.iter().position(|id| *id == known.endpoint.id);
--- a/crates/boragepass_path/src/placement/pool_choice.rs
+++ b/crates/boragepass_path/src/placement/pool_choice.rs
@@ -15,9 +15,9 @@
 /// Age at which a lead's report says nothing any more.
 const REPORT_AGE_MAX: SpanMs = SpanMs(3_000);
 /// Cost of moving a megabyte to another failure domain, in the terms of a caller's wait.
-const RESULT_MS_PER_MB: f64 = 20.0;
+const RESULT_MS_PER_MB: f64 = 60.0;
 /// Cost of leaving the region beside the travel time, which keeps work at home while it waits little.
-const OTHER_REGION_MS: f64 = 80.0;
+const OTHER_REGION_MS: f64 = 10.0;
 /// Cost of a failure domain whose endpoints all failed lately.
 const UNUSABLE_MS: f64 = 20_000.0;
 
--- a/crates/boragepass_path/src/reducer/leading.rs
+++ b/crates/boragepass_path/src/reducer/leading.rs
@@ -208,13 +208,13 @@
     /// Backlogs of the pools that this VM leads.
     pub(super) fn own_backlogs(&self, now: TimeMs) -> Vec<PoolLoad> {
         let load = |((pool, domain), queue): (&PoolKey, &Pool)| {
-            let healthy = self.usable(now, &(pool.clone(), domain.clone()));
-            let healthy = healthy.iter().filter(|endpoint| !endpoint.is_ejected).count();
+            let usable = self.usable(now, &(pool.clone(), domain.clone()));
+            let healthy: Vec<_> = usable.iter().filter(|endpoint| !endpoint.is_ejected).collect();
             PoolLoad {
                 pool: pool.clone(),
                 failure_domain: domain.clone(),
-                wait_ms: queue.wait_ms(now, healthy) as f32,
-                endpoints: healthy as u16,
+                wait_ms: queue.wait_ms(now, healthy.iter().map(|usable| &usable.endpoint)) as f32,
+                endpoints: healthy.len() as u16,
             }
         };
         self.pools.iter().map(load).collect()
--- a/crates/boragepass_path/src/reducer/stage_flow.rs
+++ b/crates/boragepass_path/src/reducer/stage_flow.rs
@@ -8,7 +8,7 @@
 use crate::event::PieceOutcome;
 use crate::fleet::lead_of;
 use crate::message::{Ask, AskId, Inputs, PeerMessage, PieceResult};
-use crate::placement::{Need, Wanted, choose_endpoint};
+use crate::placement::{Need, Wanted, choose_endpoint, reading_ms};
 use crate::record::Record;
 use crate::request::{Phase, RequestNumber, Requested};
 use crate::stages::Asked;
@@ -21,8 +21,6 @@
 const RESTARTS_MAX: u32 = 2;
 /// Failure domains that are tried for one stage.
 const DOMAINS_MAX: usize = 3;
-/// Usual time from the send of a request to its first byte, kept free behind its stages.
-const FIRST_BYTE_RESERVE_MS: f64 = 100.0;
 
 impl RequestPath {
     pub(super) fn start_stages(&mut self, now: TimeMs, request: RequestNumber) {
@@ -73,7 +71,8 @@
         } else {
             Inputs::Results(requested.stages.inputs_of(stage).into_iter().map(|result| result.handle).collect())
         };
-        let after_ms = requested.stages.after_ms(stage, &requested.configuration) + FIRST_BYTE_RESERVE_MS;
+        let first_byte_ms = self.first_byte_ms(&requested.pool) + reading_ms(&requested.arrival);
+        let after_ms = requested.stages.after_ms(stage, &requested.configuration) + first_byte_ms;
         let ask = Ask {
             id: id.clone(),
             pool: spec.pool.clone(),
--- a/crates/boragepass_path/src/stages/pool.rs
+++ b/crates/boragepass_path/src/stages/pool.rs
@@ -535,13 +535,27 @@
         self.queue.push(PieceTask { tries, avoided: Some(endpoint.clone()), ..piece });
     }
 
-    /// Time until a piece that comes now would begin, with this many endpoints.
-    pub fn wait_ms(&self, now: TimeMs, endpoints: usize) -> f64 {
-        let endpoints = endpoints.max(1) as f64;
-        let running: f64 =
-            self.running.values().map(|call| (call.expected_ms - now.since(call.started_at).0 as f64).max(0.0)).sum();
-        let full_call_ms = self.expected_ms(self.spec.batch);
-        let calls = self.queue.len() as f64 / self.spec.batch.max(1) as f64;
-        (running + calls * full_call_ms) / endpoints
+    /// Time until a piece that comes now would begin, with these endpoints.
+    pub fn wait_ms<'a>(&self, now: TimeMs, endpoints: impl Iterator<Item = &'a EndpointId>) -> f64 {
+        let mut free_in_ms: Vec<f64> = endpoints.map(|endpoint| self.free_in_ms(now, endpoint)).collect();
+        let Some(first) = free_in_ms.first().copied() else {
+            return 0.0;
+        };
+        let mut pieces = self.queue.len();
+        while pieces > 0 {
+            let taken = pieces.min(self.spec.batch);
+            let call_ms = self.expected_ms(taken);
+            if let Some(soonest) = free_in_ms.iter_mut().min_by(|a, b| a.total_cmp(b)) {
+                *soonest += call_ms;
+            }
+            pieces -= taken;
+        }
+        free_in_ms.into_iter().fold(first.max(f64::MAX), f64::min)
+    }
+
+    /// Time until an endpoint has made the calls that it has.
+    fn free_in_ms(&self, now: TimeMs, endpoint: &EndpointId) -> f64 {
+        let calls = self.running.values().filter(|call| call.endpoint == *endpoint);
+        calls.map(|call| (call.expected_ms - now.since(call.started_at).0 as f64).max(0.0)).fold(0.0, f64::max)
     }
 }
