--- a/crates/boragepass_path/src/reducer/arrivals.rs
+++ b/crates/boragepass_path/src/reducer/arrivals.rs
@@ -123,14 +123,8 @@
         let waits = (0..stages.len())
             .filter(|stage| stages.pieces(*stage) > 0)
             .filter_map(|stage| self.backlogs.shortest_wait_ms(now, &self.table, &stages.spec(stage).pool));
-        let need = Need {
-            pool,
-            prompt: &arrival.prompt,
-            prompt_tokens: arrival.prompt_tokens,
-            inputs: &[],
-            tried: &[],
-            ,
-        };
+        let need =
+            Need { pool, prompt: &arrival.prompt, prompt_tokens: arrival.prompt_tokens, inputs: &[], tried: &[] };
         let endpoint = choose_endpoint(&self.table, &self.settings, now, &need);
         Forecast::of(Backlog {
             stages_wait_ms: waits.fold(0.0, f64::max),
