Ignore copies of pieces that are made already, and model the platform path

Cause: pieces of an overdue call are made again elsewhere. Change: a failure of a piece that is there already is ignored, by the lead and by the VM that asked; a request that was sent is never refused as not run. Besides: a stopping VM answers what it cannot finish; a lead drops the asks of dead VMs, counts slowness into its wait, and gives pieces up when another failure domain can make them; an ask that waits moves.

--- a/crates/boragepass_fakes/src/lib.rs
+++ b/crates/boragepass_fakes/src/lib.rs
@@ -6,6 +6,7 @@
 mod endpoint;
 mod fake_http;
 mod object_store;
+pub mod path_fleet;
 mod slots;
 mod stage_output;
 mod table;
--- a/crates/boragepass_path/src/reducer/endings.rs
+++ b/crates/boragepass_path/src/reducer/endings.rs
@@ -24,9 +24,11 @@
             self.break_off(now, request);
             return;
         }
+        // An endpoint may run what it was sent, whatever ends the request here.
+        let runs = requested.runs + u32::from(matches!(requested.phase, Phase::Sent(_)));
         // A request that an endpoint may have run is never refused as one that did not run.
         let reason = match reason.status() {
-            503 if requested.runs > 0 => RefusalReason::EndpointLost,
+            503 if runs > 0 => RefusalReason::EndpointLost,
             _ => reason,
         };
         let record = Record::new("request given up")
--- a/crates/boragepass_path/src/reducer/leading.rs
+++ b/crates/boragepass_path/src/reducer/leading.rs
@@ -1,11 +1,14 @@
 //! Pools that this VM leads: asks of all VMs, shared calls, results.
 
+use std::collections::BTreeSet;
+
 use boragepass_types::{EndpointId, SpanMs, TimeMs, VmId};
 
 use super::{PoolKey, RequestPath};
 use crate::effect::{Effect, SendTarget};
 use crate::event::{CallFailure, CallOutcome};
 use crate::message::{Ask, AskId, PeerMessage, PieceResult, PoolLoad};
+use crate::placement::KnownEndpoint;
 use crate::record::Record;
 use crate::request::CallNumber;
 use crate::settings::Distance;
@@ -42,6 +45,19 @@
         self.free(unneeded);
     }
 
+    /// Gives up the asks of VMs that are dead or started anew.
+    pub(super) fn release_orphans(&mut self, now: TimeMs) {
+        let open: BTreeSet<AskId> = self.pools.values().flat_map(Pool::open_asks).cloned().collect();
+        let is_orphan = |ask: &AskId| {
+            let is_current = self.fleet.record(&ask.vm).is_some_and(|vm| vm.incarnation == ask.incarnation);
+            !is_current || !self.fleet.is_live(now, &ask.vm)
+        };
+        let orphans: Vec<AskId> = open.into_iter().filter(is_orphan).collect();
+        for ask in orphans {
+            self.lead_release(now, &ask);
+        }
+    }
+
     fn free(&mut self, unneeded: Vec<(EndpointId, std::sync::Arc<str>)>) {
         let mut by_endpoint: Vec<(EndpointId, Vec<std::sync::Arc<str>>)> = Vec::new();
         for (endpoint, handle) in unneeded {
@@ -68,11 +84,12 @@
     /// Answers what is hopeless and makes the calls that can be made.
     fn run_pool(&mut self, now: TimeMs, key: &PoolKey) {
         let usable = self.usable(now, key);
+        let is_lost = usable.iter().all(|endpoint| endpoint.is_ejected) && self.is_served_elsewhere(now, key);
         let Some(pool) = self.pools.get_mut(key) else {
             return;
         };
         let mut results = pool.expire(now);
-        if usable.is_empty() {
+        if is_lost {
             results.extend(pool.give_up(now));
         }
         let calls = pool.next_calls(now, &usable, &mut self.call_counter);
@@ -97,6 +114,13 @@
         }
     }
 
+    /// Whether endpoints of another failure domain can take over, or none is left here at all.
+    fn is_served_elsewhere(&self, now: TimeMs, key: &PoolKey) -> bool {
+        let mut serving = self.table.serving(&key.0);
+        let is_elsewhere = |known: &KnownEndpoint| known.endpoint.failure_domain != key.1 && !known.is_ejected(now);
+        serving.any(is_elsewhere) || !self.table.serving(&key.0).any(|known| known.endpoint.failure_domain == key.1)
+    }
+
     fn usable(&self, now: TimeMs, key: &PoolKey) -> Vec<Usable> {
         let at_home = self.table.serving(&key.0).filter(|known| known.endpoint.failure_domain == key.1);
         at_home.map(|known| Usable { endpoint: known.endpoint.id.clone(), is_ejected: known.is_ejected(now) }).collect()
--- a/crates/boragepass_path/src/reducer/mod.rs
+++ b/crates/boragepass_path/src/reducer/mod.rs
@@ -15,6 +15,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
+use crate::admission::RefusalReason;
 use crate::configuration::Configuration;
 use crate::effect::Effect;
 use crate::event::Event;
@@ -34,6 +35,9 @@
 const DRAIN_INTERVAL: SpanMs = SpanMs(100);
 /// How long a stopping process serves at least, since clients keep addresses for a while.
 const STOP_SERVES: SpanMs = SpanMs(3_000);
+/// Time before the end of the grace period at which requests in progress are given up, so that
+/// their clients get an answer.
+const STOP_GIVES_UP: SpanMs = SpanMs(1_200);
 /// Time of the grace period that is kept for the last answers to leave.
 const STOP_RESERVE: SpanMs = SpanMs(700);
 
@@ -185,6 +189,7 @@
             Timer::Sweep => {
                 self.table.sweep(now);
                 self.crashes.sweep(now);
+                self.release_orphans(now);
                 self.pools.values_mut().for_each(|pool| pool.sweep(now));
                 self.run_all_pools(now);
                 self.timers.set(now + SWEEP_INTERVAL, Timer::Sweep);
@@ -242,6 +247,13 @@
         };
         let stopped_for = now.since(since);
         let is_idle = self.requests.is_empty() && self.pools.values().all(Pool::is_idle);
+        if stopped_for.0 + STOP_GIVES_UP.0 >= self.settings.stop_grace_ms.0 {
+            let mut requests: Vec<_> = self.requests.keys().copied().collect();
+            requests.sort();
+            for request in requests {
+                self.finish(now, request, RefusalReason::Stopping);
+            }
+        }
         let is_over = stopped_for.0 + STOP_RESERVE.0 >= self.settings.stop_grace_ms.0;
         if is_over || (is_idle && stopped_for >= STOP_SERVES) {
             self.log(
--- a/crates/boragepass_path/src/reducer/stage_flow.rs
+++ b/crates/boragepass_path/src/reducer/stage_flow.rs
@@ -17,6 +17,11 @@
 /// Time after which an ask that was not acknowledged goes to another lead, and one that was is
 /// repeated: two round trips between regions and some processing are under 150 ms.
 const ASK_AGAIN: SpanMs = SpanMs(400);
+/// Wait after which an ask may move to another failure domain: longer than a full call takes.
+const MOVES_AFTER: SpanMs = SpanMs(700);
+/// How much sooner the other failure domain has to begin: a journey there and back, and a call that
+/// may already run here.
+const MOVE_GAIN_MS: f64 = 500.0;
 /// Times that the stages of a request are started over because a result is gone.
 const RESTARTS_MAX: u32 = 2;
 /// Failure domains that are tried for one stage.
@@ -172,12 +177,36 @@
             self.ask_for(now, request, stage, Some(&asked.lead));
             return;
         }
+        if self.waits_too_long(now, requested, stage, &asked) {
+            self.log(
+                Record::new("ask moved to another failure domain")
+                    .text("request", &requested.arrival.client_id)
+                    .number("stage", stage)
+                    .text("failure_domain", &asked.failure_domain),
+            );
+            self.release(now, &asked);
+            self.ask_for(now, request, stage, None);
+            return;
+        }
         if asked.lead != self.settings.vm {
             self.tell(&asked.lead.clone(), PeerMessage::Results(ask.clone(), Vec::new()));
         }
         self.timers.set(now + ASK_AGAIN, Timer::AskAgain(ask.clone()));
     }
 
+    /// Whether none of an ask's pieces is made yet while another failure domain would make them much
+    /// sooner than its own would begin them.
+    fn waits_too_long(&self, now: TimeMs, requested: &Requested, stage: usize, asked: &Asked) -> bool {
+        let spec = requested.stages.spec(stage);
+        let has_waited = now.since(asked.sent_at) >= MOVES_AFTER;
+        if !has_waited || requested.stages.missing(stage).len() < requested.stages.pieces(stage) {
+            return false;
+        }
+        let here = self.backlogs.wait_ms(now, &spec.pool, &asked.failure_domain);
+        let shortest = self.backlogs.shortest_wait_ms(now, &self.table, &spec.pool).unwrap_or(here);
+        here > shortest + MOVE_GAIN_MS
+    }
+
     /// Gives up an ask: what waits is dropped, what was made is freed.
     pub(super) fn release(&mut self, now: TimeMs, asked: &Asked) {
         self.asks.remove(&asked.id);
@@ -203,6 +232,13 @@
             asked.heard_at = Some(now);
         }
         for (piece, result) in results {
+            // A copy of a piece that is there already says nothing about the request.
+            let is_missing = self.requests.get(&request).is_some_and(|requested| {
+                matches!(requested.phase, Phase::InStages) && requested.stages.missing(stage).contains(&piece)
+            });
+            if !is_missing {
+                continue;
+            }
             match result {
                 PieceResult::Made(made) => {
                     let Some(requested) = self.requests.get_mut(&request) else {
--- a/crates/boragepass_path/src/stages/pool.rs
+++ b/crates/boragepass_path/src/stages/pool.rs
@@ -174,6 +174,13 @@
         self.spec.call_ms + pieces as f64 * self.spec.piece_ms
     }
 
+    /// How many times as long as expected an endpoint takes, by its last calls and the one that runs.
+    fn slowness_of(&self, now: TimeMs, endpoint: &EndpointId) -> f64 {
+        let usual = self.workers.get(endpoint).map_or(1.0, |worker| worker.slowness.max(1.0));
+        let running = self.running.values().filter(|call| call.endpoint == *endpoint);
+        running.map(|call| now.since(call.started_at).0 as f64 / call.expected_ms.max(1.0)).fold(usual, f64::max)
+    }
+
     /// Takes an ask; one that is known gets the results that there are.
     pub fn ask(&mut self, now: TimeMs, ask: Ask) -> Vec<(u16, PieceResult)> {
         if let Some(known) = self.asks.get_mut(&ask.id) {
@@ -223,6 +230,11 @@
         unneeded
     }
 
+    /// Asks that have not been given up.
+    pub fn open_asks(&self) -> impl Iterator<Item = &AskId> {
+        self.asks.iter().filter(|(_, state)| !state.is_released).map(|(ask, _)| ask)
+    }
+
     /// Results of an ask so far, if it is known.
     pub fn results_of(&mut self, now: TimeMs, ask: &AskId) -> Option<Vec<(u16, PieceResult)>> {
         let state = self.asks.get_mut(ask)?;
@@ -476,12 +488,10 @@
         was_overdue: bool,
         end: &mut CallEnd,
     ) {
+        let is_wanted =
+            self.asks.get(&piece.ask).is_some_and(|ask| !ask.is_released && !ask.results.contains_key(&piece.piece));
         match outcome {
             PieceOutcome::Made(handle) => {
-                let is_wanted = self
-                    .asks
-                    .get(&piece.ask)
-                    .is_some_and(|ask| !ask.is_released && !ask.results.contains_key(&piece.piece));
                 if !is_wanted {
                     end.unneeded.push((endpoint.clone(), handle));
                     return;
@@ -494,6 +504,8 @@
                 self.note_result(now, &piece.ask, piece.piece, made.clone());
                 end.results.push((piece.ask, piece.piece, made));
             }
+            // Another copy was made sooner; the inputs of this one may have been given up over it.
+            PieceOutcome::Late | PieceOutcome::InputGone if !is_wanted => {}
             PieceOutcome::Late | PieceOutcome::InputGone => {
                 let result = PieceResult::NotMade(outcome);
                 self.note_result(now, &piece.ask, piece.piece, result.clone());
@@ -537,25 +549,29 @@
 
     /// Time until a piece that comes now would begin, with these endpoints.
     pub fn wait_ms<'a>(&self, now: TimeMs, endpoints: impl Iterator<Item = &'a EndpointId>) -> f64 {
-        let mut free_in_ms: Vec<f64> = endpoints.map(|endpoint| self.free_in_ms(now, endpoint)).collect();
-        let Some(first) = free_in_ms.first().copied() else {
-            return 0.0;
-        };
+        let mut endpoints: Vec<(f64, f64)> =
+            endpoints.map(|endpoint| (self.free_in_ms(now, endpoint), self.slowness_of(now, endpoint))).collect();
         let mut pieces = self.queue.len();
         while pieces > 0 {
             let taken = pieces.min(self.spec.batch);
             let call_ms = self.expected_ms(taken);
-            if let Some(soonest) = free_in_ms.iter_mut().min_by(|a, b| a.total_cmp(b)) {
-                *soonest += call_ms;
+            let end = |(free_in_ms, slowness): &(f64, f64)| free_in_ms + call_ms * slowness;
+            match endpoints.iter_mut().min_by(|a, b| end(a).total_cmp(&end(b))) {
+                Some(soonest) => soonest.0 = end(soonest),
+                None => return 0.0,
             }
             pieces -= taken;
         }
-        free_in_ms.into_iter().fold(first.max(f64::MAX), f64::min)
+        // A slow endpoint that is free makes a piece later than a fast one that is not.
+        let delay = |(free_in_ms, slowness): &(f64, f64)| free_in_ms + (slowness - 1.0) * self.expected_ms(1);
+        endpoints.iter().map(delay).min_by(f64::total_cmp).unwrap_or(0.0)
     }
 
     /// Time until an endpoint has made the calls that it has.
     fn free_in_ms(&self, now: TimeMs, endpoint: &EndpointId) -> f64 {
+        let slowness = self.slowness_of(now, endpoint);
         let calls = self.running.values().filter(|call| call.endpoint == *endpoint);
-        calls.map(|call| (call.expected_ms - now.since(call.started_at).0 as f64).max(0.0)).fold(0.0, f64::max)
+        let left = calls.map(|call| call.expected_ms * slowness - now.since(call.started_at).0 as f64);
+        left.fold(0.0, f64::max)
     }
 }
