Follow the store with two VMs of each failure domain

Change: two followers a failure domain, named by a rendezvous hash over VMs that live and that the store answers, pass changes on; a newer version in any heartbeat is asked for; a pause of 200 ms after changes gathers those that come together.

--- a/crates/boragepass_entry/src/driver.rs
+++ b/crates/boragepass_entry/src/driver.rs
@@ -70,6 +70,8 @@
     pub(crate) metrics: Metrics,
     pub(crate) peers: Peers,
     pub(crate) is_ready: Cell<bool>,
+    /// Whether this VM waits for changes at the store.
+    pub(crate) follows_store: Cell<bool>,
     /// Closed when clients' connections shall not be kept any longer.
     closing: RefCell<Option<Sender<()>>>,
     pub(crate) closed: Receiver<()>,
@@ -93,6 +95,7 @@
             metrics,
             peers,
             is_ready: Cell::new(false),
+            follows_store: Cell::new(true),
             closing: RefCell::new(Some(closing)),
             closed,
             exit: bounded(1),
@@ -185,10 +188,10 @@
             Effect::Free(target, handles) => stage_calls::start_free(self, target, handles),
             Effect::Tell(vm, address, message) => self.peers.tell(&vm, address, &message),
             Effect::Datagram(_, address, message) => self.peers.datagram(address, &message),
-            Effect::ShareState(vm, address) => {
-                let state = self.path.borrow();
-                self.peers.share_state(&vm, address, &state);
+            Effect::ShareState { vm, address, with_configuration } => {
+                self.peers.share_state(&vm, address, &self.path.borrow(), with_configuration);
             }
+            Effect::FollowStore(follows) => self.follows_store.set(follows),
             Effect::SetReady(is_ready) => self.is_ready.set(is_ready),
             Effect::CloseConnections => {
                 self.closing.borrow_mut().take();
--- a/crates/boragepass_entry/src/peer_wire.rs
+++ b/crates/boragepass_entry/src/peer_wire.rs
@@ -67,6 +67,7 @@
 pub(crate) struct WireHeartbeat {
     vm: WireVm,
     configuration: u64,
+    has_store: bool,
     endpoints_version: u64,
     pools: Vec<(String, String, f32, u16)>,
     endpoints: Vec<(String, u16, u32)>,
@@ -184,6 +185,7 @@
         Self {
             vm: (&heartbeat.vm).into(),
             configuration: heartbeat.configuration.0,
+            has_store: heartbeat.has_store,
             endpoints_version: heartbeat.endpoints_version,
             pools: heartbeat.pools.iter().map(pool).collect(),
             endpoints: heartbeat.endpoints.iter().map(endpoint).collect(),
@@ -206,6 +208,7 @@
         Ok(Self {
             vm: wire.vm.try_into()?,
             configuration: ConfigurationVersion(wire.configuration),
+            has_store: wire.has_store,
             endpoints_version: wire.endpoints_version,
             pools: wire.pools.into_iter().map(pool).collect::<Result<_, PeerWireError>>()?,
             endpoints: wire.endpoints.into_iter().map(endpoint).collect::<Result<_, PeerWireError>>()?,
--- a/crates/boragepass_entry/src/peers.rs
+++ b/crates/boragepass_entry/src/peers.rs
@@ -88,9 +88,14 @@
     }
 
     /// Sends configuration and endpoints to a VM that lacks them.
-    pub(crate) fn share_state(&self, vm: &VmId, address: SocketAddr, path: &RequestPath) {
+    pub(crate) fn share_state(&self, vm: &VmId, address: SocketAddr, path: &RequestPath, with_configuration: bool) {
         let state = WireState {
-            configuration: self.configuration.borrow().as_ref().map(|value| value.to_vec()),
+            configuration: self
+                .configuration
+                .borrow()
+                .as_ref()
+                .filter(|_| with_configuration)
+                .map(|value| value.to_vec()),
             endpoints: path.endpoints().map(Into::into).collect(),
             endpoints_version: path.endpoints_version(),
         };
--- a/crates/boragepass_entry/src/store_feed.rs
+++ b/crates/boragepass_entry/src/store_feed.rs
@@ -28,6 +28,11 @@
 const FEED_SLACK: Duration = Duration::from_millis(1_500);
 /// Longest time of any other call.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Pause after changes, so that those which come together cost one call. Endpoints that drain have
+/// to be known within 2.5 s.
+const FEED_PAUSE: Duration = Duration::from_millis(200);
+/// Interval at which a VM that leaves the store to others looks whether it still does.
+const ROLE_INTERVAL: Duration = Duration::from_millis(200);
 /// Shortest pause after a failure, and the spread on top of it.
 const PAUSE_MS: u64 = 150;
 const PAUSE_SPREAD_MS: u64 = 350;
@@ -122,6 +127,10 @@
 
     async fn follow(&mut self, mut after: u64) {
         loop {
+            // Other VMs pass on what they learn; a VM that lost the store goes on until it is back.
+            while self.is_reachable && !self.driver.follows_store.get() {
+                task::sleep(ROLE_INTERVAL).await;
+            }
             let path = feed_path(self.table.name(), after, FEED_WAIT.as_millis() as u64);
             let body = self.client.get(&path, FEED_WAIT + FEED_SLACK).await;
             let changes = body.and_then(|body| decode_changes(&body).map_err(StoreError::Unreadable));
@@ -129,9 +138,13 @@
                 Ok(changes) => {
                     self.note_reached();
                     after = changes.version.max(after);
+                    let has_changes = !changes.rows.is_empty();
                     for change in changes.rows {
                         self.take_change(change);
                     }
+                    if has_changes {
+                        task::sleep(FEED_PAUSE).await;
+                    }
                 }
                 Err(StoreError::HistoryGone) => {
                     self.driver.record(&Record::new("store forgot its history").text("table", self.table.name()));
--- a/crates/boragepass_path/src/effect.rs
+++ b/crates/boragepass_path/src/effect.rs
@@ -110,8 +110,17 @@
     Tell(VmId, SocketAddr, Box<PeerMessage>),
     /// Sends a message that may be lost.
     Datagram(VmId, SocketAddr, Box<PeerMessage>),
-    /// Sends the configuration and the endpoints that are known to another VM.
-    ShareState(VmId, SocketAddr),
+    /// Sends the endpoints that are known to another VM, and the configuration if it lacks that.
+    ShareState {
+        /// To whom.
+        vm: VmId,
+        /// Where it listens.
+        address: SocketAddr,
+        /// Whether the configuration is sent too.
+        with_configuration: bool,
+    },
+    /// Starts or stops to follow the store's changes.
+    FollowStore(bool),
     /// Changes whether this VM counts as ready.
     SetReady(bool),
     /// Stops keeping clients' connections open.
--- a/crates/boragepass_path/src/fleet/members.rs
+++ b/crates/boragepass_path/src/fleet/members.rs
@@ -9,6 +9,7 @@
 use boragepass_types::{FailureDomain, Incarnation, Region, SpanMs, TimeMs, VmId};
 use derive_more::Display;
 
+use crate::configuration::ConfigurationVersion;
 use crate::settings::PathSettings;
 
 /// Shortest interval between two heartbeats to the same VM.
@@ -60,6 +61,8 @@
     record: VmRecord,
     heard_at: Option<TimeMs>,
     named_at: TimeMs,
+    has_store: bool,
+    configuration: ConfigurationVersion,
 }
 
 /// All VMs as this one knows them.
@@ -70,6 +73,8 @@
     /// Addresses without a name yet, from the settings.
     seeds: Vec<SocketAddr>,
     cursor: usize,
+    /// Whether the store answers this VM.
+    pub(crate) has_store: bool,
 }
 
 /// What a heartbeat changed.
@@ -96,7 +101,7 @@
             peer_address: settings.peer_address,
             state: VmState::Starting,
         };
-        Self { me, members: BTreeMap::new(), seeds: Vec::new(), cursor: 0 }
+        Self { me, members: BTreeMap::new(), seeds: Vec::new(), cursor: 0, has_store: true }
     }
 
     /// Takes the addresses of VMs whose names are not known.
@@ -114,12 +119,27 @@
         }
         let is_newer = self.members.get(&record.vm).is_none_or(|member| member.record.incarnation < record.incarnation);
         if is_newer {
-            self.members.insert(record.vm.clone(), Member { record, heard_at: None, named_at: now });
+            self.members.insert(
+                record.vm.clone(),
+                Member {
+                    record,
+                    heard_at: None,
+                    named_at: now,
+                    has_store: false,
+                    configuration: ConfigurationVersion(0),
+                },
+            );
         }
     }
 
     /// Takes a heartbeat.
-    pub(crate) fn on_heard(&mut self, now: TimeMs, record: VmRecord) -> Heard {
+    pub(crate) fn on_heard(
+        &mut self,
+        now: TimeMs,
+        record: VmRecord,
+        has_store: bool,
+        configuration: ConfigurationVersion,
+    ) -> Heard {
         if record.vm == self.me.vm {
             return Heard::Stale;
         }
@@ -132,7 +152,7 @@
             }
             Some(_) | None => Heard::New,
         };
-        let member = Member { record, heard_at: Some(now), named_at: now };
+        let member = Member { record, heard_at: Some(now), named_at: now, has_store, configuration };
         self.members.insert(member.record.vm.clone(), member);
         heard
     }
@@ -163,6 +183,24 @@
         std::iter::once(&self.me).chain(others).filter(|record| record.state == VmState::Serving)
     }
 
+    /// VMs of a failure domain that live, with whether the store answers them; this one included.
+    pub(crate) fn live_in<'a>(
+        &'a self,
+        now: TimeMs,
+        domain: &'a FailureDomain,
+    ) -> impl Iterator<Item = (&'a VmRecord, bool)> {
+        let others = self.members.values().filter(move |member| self.is_live(now, &member.record.vm));
+        let others = others.map(|member| (&member.record, member.has_store));
+        std::iter::once((&self.me, self.has_store))
+            .chain(others)
+            .filter(move |(record, _)| record.failure_domain == *domain)
+    }
+
+    /// Configuration that a VM stated last.
+    pub(crate) fn configuration_of(&self, vm: &VmId) -> ConfigurationVersion {
+        self.members.get(vm).map(|member| member.configuration).unwrap_or_default()
+    }
+
     /// VMs that live, this one included.
     pub(crate) fn live_count(&self, now: TimeMs) -> usize {
         1 + self.members.keys().filter(|vm| self.is_live(now, vm)).count()
--- a/crates/boragepass_path/src/message.rs
+++ b/crates/boragepass_path/src/message.rs
@@ -111,6 +111,8 @@
     pub vm: VmRecord,
     /// Configuration in force.
     pub configuration: ConfigurationVersion,
+    /// Whether the store answers it.
+    pub has_store: bool,
     /// Version of the endpoint table that it has seen.
     pub endpoints_version: u64,
     /// Pools that it leads.
--- a/crates/boragepass_path/src/reducer/mod.rs
+++ b/crates/boragepass_path/src/reducer/mod.rs
@@ -68,6 +68,8 @@
     ask_counter: u64,
     stopping_since: Option<TimeMs>,
     behind_since: Option<TimeMs>,
+    follows_store: bool,
+    is_sharing: bool,
     effects: Vec<Effect>,
 }
 
@@ -97,6 +99,9 @@
             ask_counter: 0,
             stopping_since: None,
             behind_since: None,
+            // A VM that knows no other one follows the store itself.
+            follows_store: true,
+            is_sharing: false,
             effects: Vec::new(),
             settings,
         }
@@ -115,10 +120,15 @@
             Event::Configured(configuration) => self.on_configured(now, configuration),
             Event::Endpoints(update) => {
                 self.table.update(now, update);
+                self.on_store_news(now);
                 self.check_ready(now);
                 self.run_all_pools(now);
             }
-            Event::StoreReachable(is_reachable) => self.table.on_store(now, is_reachable),
+            Event::StoreReachable(is_reachable) => {
+                self.table.on_store(now, is_reachable);
+                self.fleet.has_store = is_reachable;
+                self.check_following(now);
+            }
             Event::Vms(records) => {
                 for record in records {
                     self.fleet.on_listed(now, record);
@@ -177,6 +187,7 @@
     fn on_timer(&mut self, now: TimeMs, timer: Timer) {
         match timer {
             Timer::Heartbeat => {
+                self.check_following(now);
                 self.send_heartbeats(now);
                 let interval = self.fleet.interval();
                 self.timers.set(now + interval, Timer::Heartbeat);
@@ -185,6 +196,7 @@
             Timer::RequestTimeout(request) => self.on_timeout(now, request),
             Timer::AskAgain(ask) => self.on_ask_again(now, &ask),
             Timer::Pools => self.run_all_pools(now),
+            Timer::Share => self.share_with_domain(now),
             Timer::Drain => self.check_drained(now),
             Timer::Sweep => {
                 self.table.sweep(now);
@@ -214,6 +226,7 @@
             }
         }
         self.configuration = Some(configuration);
+        self.on_store_news(now);
         self.check_ready(now);
     }
 
--- a/crates/boragepass_path/src/reducer/peers.rs
+++ b/crates/boragepass_path/src/reducer/peers.rs
@@ -4,14 +4,18 @@
 
 use super::RequestPath;
 use crate::effect::Effect;
-use crate::fleet::Heard;
+use crate::fleet::{Heard, is_follower};
 use crate::message::{Heartbeat, PeerMessage};
 use crate::record::Record;
+use crate::timers::Timer;
 
 /// Time for which this VM may know less than another before it asks that one; the store's own feed
 /// brings changes sooner.
 const BEHIND_MAX: SpanMs = SpanMs(200);
 
+/// Time in which changes of the store are gathered before they are passed on.
+const SHARE_AFTER: SpanMs = SpanMs(40);
+
 impl RequestPath {
     pub(super) fn on_peer(&mut self, now: TimeMs, from: &VmId, incarnation: Incarnation, message: PeerMessage) {
         match message {
@@ -27,10 +31,7 @@
             }
             PeerMessage::Release(ask) => self.lead_release(now, &ask),
             PeerMessage::WantState => {
-                if let Some(record) = self.fleet.record(from) {
-                    let effect = Effect::ShareState(from.clone(), record.peer_address);
-                    self.effects.push(effect);
-                }
+                self.share_state(from);
             }
         }
     }
@@ -38,7 +39,7 @@
     fn on_heartbeat(&mut self, now: TimeMs, heartbeat: Heartbeat) {
         let vm = heartbeat.vm.vm.clone();
         let (state, incarnation) = (heartbeat.vm.state, heartbeat.vm.incarnation);
-        match self.fleet.on_heard(now, heartbeat.vm) {
+        match self.fleet.on_heard(now, heartbeat.vm, heartbeat.has_store, heartbeat.configuration) {
             Heard::Stale => return,
             Heard::New | Heard::Changed => {
                 self.log(
@@ -73,6 +74,50 @@
         }
     }
 
+    fn share_state(&mut self, vm: &VmId) {
+        let configuration = self.configuration.as_ref().map(|known| known.version).unwrap_or_default();
+        if let Some(record) = self.fleet.record(vm) {
+            let effect = Effect::ShareState {
+                vm: vm.clone(),
+                address: record.peer_address,
+                with_configuration: self.fleet.configuration_of(vm) < configuration,
+            };
+            self.effects.push(effect);
+        }
+    }
+
+    /// Follows the store or leaves that to others, as the live VMs of the failure domain call for.
+    pub(super) fn check_following(&mut self, now: TimeMs) {
+        let follows = is_follower(&self.fleet, now, &self.settings.vm);
+        if follows != self.follows_store {
+            self.follows_store = follows;
+            self.log(Record::new("following the store changes").text("follows", follows));
+            self.effects.push(Effect::FollowStore(follows));
+        }
+    }
+
+    /// The store told something: passes it on soon to the VMs that do not follow it.
+    pub(super) fn on_store_news(&mut self, now: TimeMs) {
+        if self.follows_store && !self.is_sharing {
+            self.is_sharing = true;
+            self.timers.set(now + SHARE_AFTER, Timer::Share);
+        }
+    }
+
+    pub(super) fn share_with_domain(&mut self, now: TimeMs) {
+        self.is_sharing = false;
+        let domain = self.settings.failure_domain.clone();
+        let others: Vec<VmId> = self
+            .fleet
+            .live_in(now, &domain)
+            .map(|(record, _)| record.vm.clone())
+            .filter(|vm| *vm != self.settings.vm && !is_follower(&self.fleet, now, vm))
+            .collect();
+        for vm in others {
+            self.share_state(&vm);
+        }
+    }
+
     pub(super) fn send_heartbeats(&mut self, now: TimeMs) {
         let contacts = self.fleet.contacts(now);
         if contacts.is_empty() {
@@ -81,6 +126,7 @@
         let heartbeat = Heartbeat {
             vm: self.fleet.me.clone(),
             configuration: self.configuration.as_ref().map(|known| known.version).unwrap_or_default(),
+            has_store: self.fleet.has_store,
             endpoints_version: self.table.version,
             pools: self.own_backlogs(now),
             endpoints: self.table.own_loads(),
--- a/crates/boragepass_path/src/timers.rs
+++ b/crates/boragepass_path/src/timers.rs
@@ -22,6 +22,8 @@
     Pools,
     /// A drain may be over.
     Drain,
+    /// News of the store are passed on.
+    Share,
     /// Old entries may be dropped.
     Sweep,
 }
