Bound the late work that waits at a pool, urgent requests first

Change: of late requests only as many wait as an endpoint makes in 1 s, the most urgent first; the others are refused at once with a time to come back; a late ask does not move; a request whose path cannot end in time is given up between its stages.

--- a/crates/boragepass_path/src/reducer/arrivals.rs
+++ b/crates/boragepass_path/src/reducer/arrivals.rs
@@ -112,7 +112,7 @@
     }
 
     /// How long a request would take if it were let in now.
-    fn forecast(
+    pub(super) fn forecast(
         &self,
         now: TimeMs,
         configuration: &Configuration,
@@ -121,7 +121,7 @@
         arrival: &Arrival,
     ) -> Forecast {
         let waits = (0..stages.len())
-            .filter(|stage| stages.pieces(*stage) > 0)
+            .filter(|stage| !stages.is_stage_done(*stage))
             .filter_map(|stage| self.backlogs.shortest_wait_ms(now, &self.table, &stages.spec(stage).pool));
         let need =
             Need { pool, prompt: &arrival.prompt, prompt_tokens: arrival.prompt_tokens, inputs: &[], tried: &[] };
--- a/crates/boragepass_path/src/reducer/leading.rs
+++ b/crates/boragepass_path/src/reducer/leading.rs
@@ -88,7 +88,7 @@
         let Some(pool) = self.pools.get_mut(key) else {
             return;
         };
-        let mut results = pool.expire(now);
+        let mut results = pool.expire(now, usable.len());
         if is_lost {
             results.extend(pool.give_up(now));
         }
--- a/crates/boragepass_path/src/reducer/stage_flow.rs
+++ b/crates/boragepass_path/src/reducer/stage_flow.rs
@@ -177,6 +177,10 @@
             self.ask_for(now, request, stage, Some(&asked.lead));
             return;
         }
+        if self.is_hopeless(now, requested) {
+            self.finish(now, request, RefusalReason::LateAtStage);
+            return;
+        }
         if self.waits_too_long(now, requested, stage, &asked) {
             self.log(
                 Record::new("ask moved to another failure domain")
@@ -194,12 +198,21 @@
         self.timers.set(now + ASK_AGAIN, Timer::AskAgain(ask.clone()));
     }
 
+    /// Whether a request that is in its stages would surely miss its deadline.
+    fn is_hopeless(&self, now: TimeMs, requested: &Requested) -> bool {
+        let stages = &requested.stages;
+        let forecast = self.forecast(now, &requested.configuration, &requested.pool, stages, &requested.arrival);
+        forecast.misses(requested.left(now))
+    }
+
     /// Whether none of an ask's pieces is made yet while another failure domain would make them much
     /// sooner than its own would begin them.
     fn waits_too_long(&self, now: TimeMs, requested: &Requested, stage: usize, asked: &Asked) -> bool {
         let spec = requested.stages.spec(stage);
         let has_waited = now.since(asked.sent_at) >= MOVES_AFTER;
-        if !has_waited || requested.stages.missing(stage).len() < requested.stages.pieces(stage) {
+        // One that is late goes behind all others there as well.
+        let is_late = requested.objective_at <= now;
+        if !has_waited || is_late || requested.stages.missing(stage).len() < requested.stages.pieces(stage) {
             return false;
         }
         let here = self.backlogs.wait_ms(now, &spec.pool, &asked.failure_domain);
@@ -307,10 +320,7 @@
             return;
         };
         requested.restarts += 1;
-        if requested.restarts > RESTARTS_MAX {
-            self.finish(now, request, RefusalReason::StageFailed);
-            return;
-        }
+        let is_over = requested.restarts > RESTARTS_MAX;
         let asks = requested.stages.restart(stage);
         requested.phase = Phase::InStages;
         let record = Record::new("stage starts over, a result is gone")
@@ -320,6 +330,12 @@
         for asked in asks {
             self.release(now, &asked);
         }
+        // Results that lapsed while their request waited are made again only if that still helps it.
+        let is_hopeless = self.requests.get(&request).is_some_and(|requested| self.is_hopeless(now, requested));
+        if is_over || is_hopeless {
+            self.finish(now, request, if is_over { RefusalReason::StageFailed } else { RefusalReason::LateAtStage });
+            return;
+        }
         self.go_on(now, request);
     }
 }
--- a/crates/boragepass_path/src/stages/pool.rs
+++ b/crates/boragepass_path/src/stages/pool.rs
@@ -27,6 +27,9 @@
 const CALL_TIMEOUT_FACTOR: f64 = 12.0;
 /// Pause before an endpoint that stated that it is full is asked again.
 const FULL_PAUSE: SpanMs = SpanMs(60);
+/// Work for late requests that waits at each endpoint. It is done as soon as what is in time leaves
+/// place; more would hold clients that are better told to come back.
+const LATE_BACKLOG_MS: f64 = 1_000.0;
 /// How long results of a size that had no room are not tried again at an endpoint.
 const NO_ROOM_PAUSE: SpanMs = SpanMs(300);
 /// How long an ask is remembered after its last result, so that a repeated one is answered again.
@@ -248,10 +251,13 @@
         }
     }
 
-    /// Removes pieces that cannot be made in time any more.
-    pub fn expire(&mut self, now: TimeMs) -> Vec<(AskId, u16, PieceResult)> {
+    /// Removes pieces that cannot be made in time any more, or that too many late ones are before.
+    pub fn expire(&mut self, now: TimeMs, endpoints: usize) -> Vec<(AskId, u16, PieceResult)> {
         let call_ms = self.expected_ms(1) as u64;
-        let is_hopeless = |piece: &PieceTask| piece.deadline_at < now + SpanMs(call_ms + piece.after_ms.0);
+        let surplus = self.surplus_asks(now, endpoints);
+        let is_hopeless = |piece: &PieceTask| {
+            piece.deadline_at < now + SpanMs(call_ms + piece.after_ms.0) || surplus.contains(&piece.ask)
+        };
         let mut expired = Vec::new();
         self.queue.retain(|piece| {
             let is_hopeless = is_hopeless(piece);
@@ -266,6 +272,19 @@
         expired
     }
 
+    /// Asks of late requests beyond those that can be made soon.
+    fn surplus_asks(&self, now: TimeMs, endpoints: usize) -> HashSet<AskId> {
+        let begun = self.begun_asks();
+        let call_ms = self.expected_ms(self.spec.batch.min(self.queue.len()));
+        let ranked =
+            self.queue.iter().map(|piece| (PieceRank::of(piece, now, call_ms, begun.contains(&piece.ask)), &piece.ask));
+        let mut late: Vec<_> = ranked.filter(|(rank, _)| rank.is_late()).collect();
+        late.sort_by_key(|(rank, _)| *rank);
+        let piece_ms = self.spec.piece_ms + self.spec.call_ms / self.spec.batch as f64;
+        let kept = (LATE_BACKLOG_MS * endpoints.max(1) as f64 / piece_ms) as usize;
+        late.into_iter().skip(kept).map(|(_, ask)| ask.clone()).collect()
+    }
+
     fn note_result(&mut self, now: TimeMs, ask: &AskId, piece: u16, result: PieceResult) {
         if let Some(state) = self.asks.get_mut(ask) {
             state.touched_at = now;
--- a/crates/boragepass_path/src/stages/rank.rs
+++ b/crates/boragepass_path/src/stages/rank.rs
@@ -2,7 +2,9 @@
 //!
 //! Pieces whose request can still meet its objective go first, by the time at which they have to be
 //! made; each step of urgency moves that time forward by [`RANK_STEP_MS`]. Pieces that are late
-//! already come after them, so that they do not make others late, and are ordered by deadline.
+//! already come after them, so that they do not make others late, the most urgent ones first. Only
+//! as many of them wait as can be made soon; the others are given up at once, so that their clients
+//! can come back when there is place.
 
 use boragepass_types::TimeMs;
 
@@ -10,6 +12,8 @@
 
 /// Head start of a request over one that is a rank less urgent.
 const RANK_STEP_MS: i64 = 250;
+/// The same among requests that are late: longer than any deadline, so that urgency decides.
+const LATE_RANK_STEP_MS: i64 = 20_000;
 
 /// Place of a piece in the queue; smaller ones are made first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -20,13 +24,18 @@
 }
 
 impl PieceRank {
+    /// Whether the request misses its objective even if the piece is made at once.
+    pub fn is_late(&self) -> bool {
+        self.is_late
+    }
+
     /// Rank of a piece at a moment, where a call takes `call_ms`. Pieces of an ask that has begun
     /// go first: what was made of it fills space until the rest is there.
     pub fn of(piece: &PieceTask, now: TimeMs, call_ms: f64, has_begun: bool) -> Self {
         let start_by_ms = piece.objective_at_ms - piece.after_ms.0 as i64 - call_ms as i64;
-        let urgency_ms = i64::from(piece.rank) * RANK_STEP_MS;
         let is_late = start_by_ms < now.0 as i64 && !has_begun;
-        let due_ms = if is_late { piece.deadline_at.0 as i64 } else { start_by_ms };
-        Self { is_late, is_new: !has_begun, due_ms: due_ms + urgency_ms }
+        let (due_ms, step_ms) =
+            if is_late { (piece.deadline_at.0 as i64, LATE_RANK_STEP_MS) } else { (start_by_ms, RANK_STEP_MS) };
+        Self { is_late, is_new: !has_begun, due_ms: due_ms + i64::from(piece.rank) * step_ms }
     }
 }
