--- a/crates/boragepass_bench/src/main.rs
+++ b/crates/boragepass_bench/src/main.rs
@@ -2,6 +2,9 @@
 
 use std::process::ExitCode;
 
+use boragepass_fakes::path_fleet::Site;
+use boragepass_path::Batching;
+use boragepass_types::EndpointId;
 use gumdrop::Options;
 use serde::Serialize;
 
@@ -25,6 +28,8 @@
     Attainment(AttainmentArguments),
     /// lists in force, control traffic, detection of dead VMs
     Agreement(JsonArguments),
+    /// loads on the platform's request path in virtual time
+    Platform(PlatformArguments),
     /// slopes and what they come to at the size of letter 1
     Slopes(JsonArguments),
 }
@@ -59,6 +64,32 @@
     only: Option<String>,
 }
 
+#[derive(Debug, Options)]
+struct PlatformArguments {
+    /// print this help
+    help: bool,
+    /// print one JSON value and nothing else
+    json: bool,
+    /// site to play: gigdesk or lampu
+    #[options(default = "gigdesk", meta = "SITE")]
+    site: Site,
+    /// multiple of the usual rate
+    #[options(default = "1.0", meta = "X")]
+    load: f64,
+    /// who composes the calls of stage pools: led or alone
+    #[options(default = "led", meta = "HOW")]
+    batching: Batching,
+    /// seed
+    #[options(default = "1", meta = "N")]
+    seed: u64,
+    /// seconds that are measured
+    #[options(default = "20", meta = "S")]
+    seconds: u64,
+    /// endpoint that is down meanwhile
+    #[options(meta = "ENDPOINT")]
+    down: Option<EndpointId>,
+}
+
 fn main() -> ExitCode {
     let arguments = Arguments::parse_args_default_or_exit();
     match run(&arguments) {
@@ -83,6 +114,19 @@
             print(attainment.json, &figures)?;
         }
         Some(Command::Agreement(agreement)) => print(agreement.json, &boragepass_bench::agreement()?)?,
+        Some(Command::Platform(chosen)) => {
+            let load = boragepass_bench::PlatformLoad {
+                site: chosen.site,
+                load: chosen.load,
+                batching: chosen.batching,
+                seed: chosen.seed,
+                seconds: chosen.seconds,
+                down: chosen.down.clone(),
+            };
+            let figures = boragepass_bench::platform(&load);
+            print(chosen.json, &figures)?;
+            return Ok(ExitCode::from(u8::from(!figures.violations.is_empty())));
+        }
         Some(Command::Slopes(slopes)) => {
             let figures = boragepass_bench::slopes()?;
             print(slopes.json, &figures)?;
--- a/crates/boragepass_entry/src/process.rs
+++ b/crates/boragepass_entry/src/process.rs
@@ -8,7 +8,7 @@
 use async_std::channel::{Receiver, bounded};
 use async_std::net::{TcpListener, UdpSocket};
 use async_std::task;
-use boragepass_path::{Event, PathSettings, Record, RequestPath, RetryLimits, VmRecord, VmState};
+use boragepass_path::{Batching, Event, PathSettings, Record, RequestPath, RetryLimits, VmRecord, VmState};
 use boragepass_server::{Clock, Identity, Tasks, new_incarnation};
 use boragepass_settings::{EntrySettings, parse_entry};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
@@ -76,6 +76,7 @@
             window_ms: settings.retry_window_ms,
         },
         stop_grace_ms: settings.stop_grace_ms,
+        batching: Batching::Led,
         seed: me.incarnation.0,
     }
 }
--- a/crates/boragepass_fakes/src/path_fleet/fleet.rs
+++ b/crates/boragepass_fakes/src/path_fleet/fleet.rs
@@ -6,9 +6,9 @@
 use std::sync::Arc;
 
 use boragepass_path::{
-    Arrival, CallFailure, CallNumber, CallOutcome, Effect, Endpoint, EndpointUpdate, Event, EventId, HeadFacts,
-    PathSettings, PeerMessage, PieceOutcome, Progress, PromptPart, Repeatability, RequestNumber, RequestPath,
-    RetryLimits, SendFailure, SendNumber, VmRecord, VmState,
+    Arrival, Batching, CallFailure, CallNumber, CallOutcome, Effect, Endpoint, EndpointUpdate, Event, EventId,
+    HeadFacts, PathSettings, PeerMessage, PieceOutcome, Progress, PromptPart, Repeatability, RequestNumber,
+    RequestPath, RetryLimits, SendFailure, SendNumber, VmRecord, VmState,
 };
 use boragepass_types::{EndpointId, FailureDomain, Hash64, Incarnation, SpanMs, TimeMs, VmId};
 use rand::rngs::SmallRng;
@@ -134,6 +134,7 @@
     requests: HashMap<(usize, u64, RequestNumber), Arc<str>>,
     call_tags: u64,
     request_numbers: u64,
+    batching: Batching,
     configuration_version: u64,
     store_version: u64,
     load: f64,
@@ -149,6 +150,11 @@
 impl PathFleet {
     /// Fleet whose VMs have just started.
     pub fn new(deployment: Deployment, seed: u64) -> Self {
+        Self::with_batching(deployment, seed, Batching::Led)
+    }
+
+    /// The same with another way to compose calls.
+    pub fn with_batching(deployment: Deployment, seed: u64, batching: Batching) -> Self {
         let endpoints = deployment.endpoints.iter().map(|endpoint| {
             let stage = deployment.stage_pool(&endpoint.pool);
             (endpoint.id.clone(), FakeEndpoint::new(endpoint.clone(), stage))
@@ -186,6 +192,7 @@
             requests: HashMap::new(),
             call_tags: 0,
             request_numbers: 0,
+            batching,
             configuration_version: 1,
             store_version: 1,
             load: 1.0,
@@ -268,6 +275,7 @@
             regions,
             retries: RetryLimits { ratio: 0.2, slack: 56.0, window_ms: SpanMs(10_000) },
             stop_grace_ms: SpanMs(8_000),
+            batching: self.batching,
             seed: vm.incarnation,
         }
     }
--- a/crates/boragepass_path/src/lib.rs
+++ b/crates/boragepass_path/src/lib.rs
@@ -43,5 +43,5 @@
 pub use record::{Record, RecordValue};
 pub use reducer::RequestPath;
 pub use request::{CallNumber, RequestNumber, SendNumber};
-pub use settings::{PathSettings, RetryLimits};
+pub use settings::{Batching, PathSettings, RetryLimits};
 pub use stages::{CallEnd, PieceRank, PieceTask, Pool, PoolCall, Usable};
--- a/crates/boragepass_path/src/reducer/stage_flow.rs
+++ b/crates/boragepass_path/src/reducer/stage_flow.rs
@@ -11,6 +11,7 @@
 use crate::placement::{Need, Wanted, choose_endpoint, reading_ms};
 use crate::record::Record;
 use crate::request::{Phase, RequestNumber, Requested};
+use crate::settings::Batching;
 use crate::stages::Asked;
 use crate::timers::Timer;
 
@@ -66,7 +67,11 @@
         };
         self.backlogs.on_asked(now, &wanted, &domain, endpoints);
         let me = self.settings.vm.clone();
-        let lead = lead_of(&self.fleet, now, &spec.pool, &domain).filter(|lead| Some(lead) != avoided_lead);
+        let lead = match self.settings.batching {
+            Batching::Led => lead_of(&self.fleet, now, &spec.pool, &domain),
+            Batching::Alone => None,
+        };
+        let lead = lead.filter(|lead| Some(lead) != avoided_lead);
         let lead = lead.unwrap_or(me);
         self.ask_counter += 1;
         let id =
--- a/crates/boragepass_path/src/settings.rs
+++ b/crates/boragepass_path/src/settings.rs
@@ -15,6 +15,18 @@
     pub window_ms: SpanMs,
 }
 
+/// Who composes the calls of a stage pool.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, derive_more::Display, derive_more::FromStr)]
+#[display(rename_all = "lowercase")]
+#[from_str(rename_all = "lowercase")]
+pub enum Batching {
+    /// One VM for each pool and failure domain.
+    #[default]
+    Led,
+    /// Each VM for its own requests; the baseline that leads are measured against.
+    Alone,
+}
+
 /// Settings of one VM's request path.
 #[derive(Debug, Clone)]
 pub struct PathSettings {
@@ -36,6 +48,8 @@
     pub retries: RetryLimits,
     /// How long a stopped process may go on.
     pub stop_grace_ms: SpanMs,
+    /// Who composes the calls of a stage pool.
+    pub batching: Batching,
     /// Seed of random choices.
     pub seed: u64,
 }
