Let a silent endpoint go on unless another one takes the request

Cause: found by over_sockets.rs: the only endpoint of a pool was silent for longer than 0.6 of the objective, the send was closed and the client got 502 although the answer would have come. Silence alone is no reason to give a request up. Change: silence is an event; the request moves only if another endpoint is healthy and the budget allows it, and the send goes on otherwise. A broken-off answer lets what was read before leave first (the same test file: the head was lost). Tests: 9 over sockets against stand-ins that speak the platform's protocol; path_load.rs 11 passed.

--- a/crates/boragepass_entry/src/answer_body.rs
+++ b/crates/boragepass_entry/src/answer_body.rs
@@ -63,6 +63,8 @@
 /// Body of an answer.
 pub(crate) struct AnswerBody {
     content: Content,
+    /// Whether what came before the break has had a chance to leave.
+    has_flushed: bool,
     guard: Option<EndGuard>,
 }
 
@@ -74,12 +76,12 @@
         {
             guard.is_whole = true;
         }
-        Self { content: Content::Whole(Some(bytes).filter(|bytes| !bytes.is_empty())), guard }
+        Self { content: Content::Whole(Some(bytes).filter(|bytes| !bytes.is_empty())), has_flushed: false, guard }
     }
 
     /// Body that comes in parts; it is broken off if its sender is dropped before the end.
     pub(crate) fn stream(parts: Receiver<Part>, guard: EndGuard) -> Self {
-        Self { content: Content::Stream(Box::pin(parts)), guard: Some(guard) }
+        Self { content: Content::Stream(Box::pin(parts)), has_flushed: false, guard: Some(guard) }
     }
 
     fn note_whole(&mut self) {
@@ -111,6 +113,12 @@
                 self.note_whole();
                 None
             }
+            // hyper drops what it has not written yet once the body fails.
+            None if !self.has_flushed => {
+                self.has_flushed = true;
+                context.waker().wake_by_ref();
+                return Poll::Pending;
+            }
             None => Some(Err(BrokenOff)),
         })
     }
--- a/crates/boragepass_entry/src/http_io.rs
+++ b/crates/boragepass_entry/src/http_io.rs
@@ -20,11 +20,11 @@
 
 /// Socket of async-std under hyper.
 #[derive(Debug)]
-pub(crate) struct HttpIo(pub(crate) TcpStream);
+pub struct HttpIo(TcpStream);
 
 impl HttpIo {
     /// Socket that notices a peer that went silent.
-    pub(crate) fn new(stream: TcpStream) -> io::Result<Self> {
+    pub fn new(stream: TcpStream) -> io::Result<Self> {
         stream.set_nodelay(true)?;
         let socket = SockRef::from(&stream);
         socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_MAX))?;
--- a/crates/boragepass_entry/src/lib.rs
+++ b/crates/boragepass_entry/src/lib.rs
@@ -20,4 +20,5 @@
 mod store_client;
 mod store_feed;
 
+pub use http_io::HttpIo;
 pub use process::{StartError, run};
--- a/crates/boragepass_entry/src/process.rs
+++ b/crates/boragepass_entry/src/process.rs
@@ -45,8 +45,12 @@
 
 impl std::error::Error for StartError {}
 
-async fn listen(address: SocketAddr) -> Result<TcpListener, StartError> {
-    TcpListener::bind(address).await.map_err(|source| StartError::Listen { address, source })
+/// Listens, and says where: the system chooses the port where the settings name none.
+async fn listen(address: SocketAddr) -> Result<(TcpListener, SocketAddr), StartError> {
+    let failed = |source| StartError::Listen { address, source };
+    let listener = TcpListener::bind(address).await.map_err(failed)?;
+    let bound = listener.local_addr().map_err(failed)?;
+    Ok((listener, bound))
 }
 
 fn signals() -> Result<Receiver<i32>, StartError> {
@@ -85,24 +89,24 @@
 pub async fn run(settings_path: PathBuf, settings: EntrySettings) -> Result<(), StartError> {
     let signals = signals()?;
     let incarnation = new_incarnation();
+    let (clients, clients_at) = listen(settings.clients).await?;
+    let (readiness, readiness_at) = listen(settings.readiness).await?;
+    let (addresses, addresses_at) = listen(settings.addresses).await?;
+    let (operators, operators_at) = listen(settings.operators).await?;
+    let (metrics, metrics_at) = listen(settings.metrics).await?;
+    let (listener, address) = listen(settings.peers).await?;
+    let datagrams = UdpSocket::bind(address).await.map_err(|source| StartError::Listen { address, source })?;
+    let datagrams = Rc::new(datagrams);
+    let sockets = PeerSockets { listener, datagrams: datagrams.clone() };
     let me = VmRecord {
         vm: settings.vm.clone(),
         incarnation,
         region: settings.region.clone(),
         failure_domain: settings.failure_domain.clone(),
-        client_address: settings.clients,
-        peer_address: settings.peers,
+        client_address: clients_at,
+        peer_address: address,
         state: VmState::Starting,
     };
-    let clients = listen(settings.clients).await?;
-    let readiness = listen(settings.readiness).await?;
-    let addresses = listen(settings.addresses).await?;
-    let operators = listen(settings.operators).await?;
-    let metrics = listen(settings.metrics).await?;
-    let address = settings.peers;
-    let datagrams = UdpSocket::bind(address).await.map_err(|source| StartError::Listen { address, source })?;
-    let datagrams = Rc::new(datagrams);
-    let sockets = PeerSockets { listener: listen(address).await?, datagrams: datagrams.clone() };
     let tasks = Tasks::default();
     let identity = Identity { vm: settings.vm.clone(), incarnation, key: settings.peer_key.clone() };
     let clock = Clock::start();
@@ -110,7 +114,15 @@
     let journal = Journal::new(settings.vm.to_string(), settings.log_lines_per_s);
     let counters = Metrics::new().map_err(StartError::Metrics)?;
     let driver = Driver::new(clock, path, journal, counters, Peers::new(identity, tasks.clone(), datagrams));
-    driver.record(&Record::new("started").number("incarnation", incarnation.0).text("clients", settings.clients));
+    let started = Record::new("started")
+        .number("incarnation", incarnation.0)
+        .text("clients", clients_at)
+        .text("readiness", readiness_at)
+        .text("addresses", addresses_at)
+        .text("operators", operators_at)
+        .text("metrics", metrics_at)
+        .text("peers", address);
+    driver.record(&started);
     peers::start(&driver, sockets, settings.peer_key.clone(), tasks.clone());
     store_feed::start(&driver, settings.store, me, incarnation.0);
     add_seeds(&driver, &settings);
--- a/crates/boragepass_entry/src/sends.rs
+++ b/crates/boragepass_entry/src/sends.rs
@@ -1,15 +1,16 @@
 //! Sends of requests to endpoints, and the relay of their replies.
 
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
 use async_std::channel::{Receiver, Sender};
-use async_std::future::timeout;
 use async_std::task;
 use boragepass_path::{Effect, Event, EventId, Progress, SendFailure, SendNumber};
 use boragepass_platform::{Forwarding, PassedHead, decode_head, forwarded_headers, passed_head};
+use boragepass_types::SpanMs;
 use bytes::{Bytes, BytesMut};
-use futures::future::abortable;
+use futures::future::{Either, abortable, select};
 use http::{Request, Uri};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -27,7 +28,7 @@
 pub(crate) struct OpenStream {
     body: Incoming,
     connection: Connection,
-    silence: Duration,
+    silence: Option<SpanMs>,
 }
 
 /// Reply of an endpoint.
@@ -55,11 +56,19 @@
     let Effect::Send { send, silence_ms, .. } = &effect else {
         return;
     };
-    let (send, silence) = (*send, Duration::from_millis(silence_ms.0));
-    let event = match timeout(silence, exchange(&driver, &effect)).await {
-        Ok(Ok(event)) => event,
-        Ok(Err(failure)) => Event::SendFailed(send, failure),
-        Err(_) => Event::SendFailed(send, SendFailure::Silent),
+    let send = *send;
+    let exchange = pin!(exchange(&driver, &effect));
+    let outcome = match select(exchange, pin!(silence(*silence_ms))).await {
+        Either::Left((outcome, _)) => outcome,
+        Either::Right(((), exchange)) => {
+            // If another endpoint gets the request, this task is aborted over it.
+            driver.dispatch(Event::Silent(send, None));
+            exchange.await
+        }
+    };
+    let event = match outcome {
+        Ok(event) => event,
+        Err(failure) => Event::SendFailed(send, failure),
     };
     if matches!(event, Event::SendFailed(..))
         && let Some(running) = driver.sends.borrow_mut().remove(&send)
@@ -70,6 +79,14 @@
     driver.dispatch(event);
 }
 
+/// Ends after a time, or never.
+async fn silence(after: Option<SpanMs>) {
+    match after {
+        Some(after) => task::sleep(Duration::from_millis(after.0)).await,
+        None => futures::future::pending().await,
+    }
+}
+
 fn request(driver: &Driver, effect: &Effect) -> Option<(Request<Full<Bytes>>, Rc<str>)> {
     let Effect::Send { request, target, deadline_ms, inputs, workspace, priority, resume_after, .. } = effect else {
         return None;
@@ -116,8 +133,7 @@
     let head = passed_head(&response);
     let facts = decode_head(response.status(), response.headers(), &client_id);
     if *is_stream && facts.is_success() {
-        let stream =
-            OpenStream { body: response.into_body(), connection, silence: Duration::from_millis(silence_ms.0) };
+        let stream = OpenStream { body: response.into_body(), connection, silence: *silence_ms };
         keep_reply(driver, *send, Reply::Stream { head, stream: Some(Box::new(stream)), parts: None });
         return Ok(Event::Replied(*send, facts));
     }
@@ -189,12 +205,18 @@
     let mut buffer = BytesMut::new();
     let mut has_event = false;
     loop {
-        let frame = match timeout(stream.silence, stream.body.frame()).await {
-            Ok(Some(Ok(frame))) => frame,
-            Ok(Some(Err(_))) => return Err(SendFailure::Lost),
-            Ok(None) if buffer.is_empty() => return Ok(()),
-            Ok(None) => return Err(SendFailure::Lost),
-            Err(_) => return Err(SendFailure::Silent),
+        let next = match select(stream.body.frame(), pin!(silence(stream.silence))).await {
+            Either::Left((next, _)) => next,
+            Either::Right(((), next)) => {
+                driver.dispatch(Event::Silent(send, *last_event));
+                next.await
+            }
+        };
+        let frame = match next {
+            Some(Ok(frame)) => frame,
+            Some(Err(_)) => return Err(SendFailure::Lost),
+            None if buffer.is_empty() => return Ok(()),
+            None => return Err(SendFailure::Lost),
         };
         let Ok(data) = frame.into_data() else {
             continue;
--- /dev/null
+++ b/crates/boragepass_entry/tests/support/mod.rs
@@ -0,0 +1,266 @@
+//! Stand-ins that speak the platform's protocol, and an entry VM as a process of its own.
+
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use async_std::net::{TcpListener, TcpStream};
+use async_std::stream::StreamExt;
+use async_std::task;
+use boragepass_entry::HttpIo;
+use boragepass_path::{Endpoint, PieceOutcome};
+use boragepass_platform::{
+    Row, Rows, decode_call, decode_put, encode_changes, encode_endpoint, encode_results, encode_rows, names,
+};
+use bytes::Bytes;
+use http::{HeaderName, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+
+/// Request that a stand-in got.
+#[derive(Debug, Clone)]
+pub(crate) struct Got {
+    pub(crate) path: String,
+    pub(crate) headers: http::HeaderMap,
+    pub(crate) body: Bytes,
+}
+
+impl Got {
+    pub(crate) fn header(&self, name: &HeaderName) -> Option<&str> {
+        self.headers.get(name).and_then(|value| value.to_str().ok())
+    }
+}
+
+/// Reply of a stand-in.
+pub(crate) struct Reply {
+    pub(crate) status: u16,
+    pub(crate) headers: Vec<(HeaderName, String)>,
+    pub(crate) body: Vec<u8>,
+    pub(crate) after: Duration,
+}
+
+impl Reply {
+    pub(crate) fn new(status: u16, body: impl Into<Vec<u8>>) -> Self {
+        Self { status, headers: Vec::new(), body: body.into(), after: Duration::ZERO }
+    }
+
+    /// Signed reply to a request.
+    pub(crate) fn signed(got: &Got, body: impl Into<Vec<u8>>) -> Self {
+        let id = got.header(&names::ATTEMPT_ID).unwrap_or_default().to_owned();
+        let headers = vec![(names::ATTEMPT_ID, id), (names::SIGNATURE, "sealed".to_owned())];
+        Self { headers, ..Self::new(200, body) }
+    }
+}
+
+type Handler = Arc<dyn Fn(&Got) -> Option<Reply> + Send + Sync>;
+
+/// HTTP server on a free port; a handler that gives no reply loses the connection.
+pub(crate) fn serve(
+    handler: impl Fn(&Got) -> Option<Reply> + Send + Sync + 'static,
+) -> (SocketAddr, Arc<Mutex<Vec<Got>>>) {
+    let got = Arc::new(Mutex::new(Vec::new()));
+    let handler: Handler = Arc::new(handler);
+    let listener = task::block_on(TcpListener::bind("127.0.0.1:0")).expect("a free port");
+    let address = listener.local_addr().expect("a bound address");
+    let seen = got.clone();
+    std::thread::spawn(move || task::block_on(accept(listener, handler, seen)));
+    (address, got)
+}
+
+async fn accept(listener: TcpListener, handler: Handler, seen: Arc<Mutex<Vec<Got>>>) {
+    let mut incoming = listener.incoming();
+    while let Some(Ok(stream)) = incoming.next().await {
+        task::spawn_local(answer(stream, handler.clone(), seen.clone()));
+    }
+}
+
+#[derive(Debug, displaydoc::Display)]
+/// the reply is lost
+struct Lost;
+
+impl std::error::Error for Lost {}
+
+async fn answer(stream: TcpStream, handler: Handler, seen: Arc<Mutex<Vec<Got>>>) {
+    let io = HttpIo::new(stream).expect("a socket takes options");
+    let service = service_fn(|request: Request<Incoming>| {
+        let (handler, seen) = (handler.clone(), seen.clone());
+        async move {
+            let (parts, body) = request.into_parts();
+            let body = body.collect().await.map_err(|_| Lost)?.to_bytes();
+            let path = parts.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned();
+            let got = Got { path, headers: parts.headers, body };
+            let reply = handler(&got);
+            seen.lock().expect("no holder panics").push(got);
+            let reply = reply.ok_or(Lost)?;
+            task::sleep(reply.after).await;
+            let mut response = Response::new(Full::new(Bytes::from(reply.body)));
+            *response.status_mut() = StatusCode::from_u16(reply.status).expect("a valid status");
+            for (name, value) in reply.headers {
+                response.headers_mut().insert(name, value.parse().expect("a valid value"));
+            }
+            Ok::<_, Lost>(response)
+        }
+    });
+    // A lost reply ends the connection.
+    http1::Builder::new().serve_connection(io, service).await.ok();
+}
+
+/// Store with a configuration and some endpoints that do not change.
+pub(crate) fn store(configuration: &str, endpoints: &[Endpoint]) -> SocketAddr {
+    let mut tables: BTreeMap<&str, Vec<Row>> = BTreeMap::new();
+    let value = Bytes::from(configuration.to_owned());
+    let configured = Row { key: names::CONFIGURATION_KEY.to_owned(), value, version: 1 };
+    tables.insert(names::CONFIGURATION_TABLE, vec![configured]);
+    let listed = endpoints.iter().map(|endpoint| Row {
+        key: endpoint.id.to_string(),
+        value: encode_endpoint(endpoint).into(),
+        version: 2,
+    });
+    tables.insert(names::ENDPOINT_TABLE, listed.collect());
+    let (address, _) = serve(move |got| {
+        if got.path.starts_with(names::ROWS_CHANGE_PATH) {
+            decode_put(&got.body).expect("a readable change");
+            return Some(Reply::new(200, r#"{"ver":3,"nowMs":1}"#));
+        }
+        let table = tables.keys().find(|table| got.path.contains(&format!("table={table}&")));
+        let rows = table.and_then(|table| tables.get(table)).cloned().unwrap_or_default();
+        if got.path.contains("waitMs=") {
+            let nothing = encode_changes("", &Rows { rows: Vec::new(), version: 3, has_more: false });
+            return Some(Reply { after: Duration::from_millis(500), ..Reply::new(200, nothing) });
+        }
+        Some(Reply::new(
+            200,
+            encode_rows(table.copied().unwrap_or_default(), &Rows { rows, version: 3, has_more: false }),
+        ))
+    });
+    address
+}
+
+/// Stage endpoint that makes every piece.
+pub(crate) fn stage_endpoint() -> (SocketAddr, Arc<Mutex<Vec<Got>>>) {
+    let made = AtomicU64::new(0);
+    serve(move |got| {
+        if got.path.starts_with(names::STAGE_FREE_PATH) {
+            return Some(Reply::new(200, ""));
+        }
+        let entries = decode_call(&got.body).expect("a readable call");
+        let results: Vec<PieceOutcome> = entries
+            .iter()
+            .map(|_| PieceOutcome::Made(format!("10.0.0.1:1/{}", made.fetch_add(1, Ordering::Relaxed)).into()))
+            .collect();
+        Some(Reply::new(200, encode_results(&results)))
+    })
+}
+
+/// Entry VM as a process of its own.
+pub(crate) struct EntryVm {
+    process: Child,
+    addresses: BTreeMap<String, SocketAddr>,
+    lines: Arc<Mutex<Vec<String>>>,
+}
+
+impl EntryVm {
+    pub(crate) fn start(store: SocketAddr) -> Self {
+        let folder = std::env::temp_dir().join(format!("boragepass-entry-{}-{}", std::process::id(), store.port()));
+        std::fs::create_dir_all(&folder).expect("a temporary folder");
+        let path = folder.join("settings.ini");
+        let settings = include_str!("../fixtures/settings.ini").replace("STORE", &store.to_string());
+        std::fs::write(&path, settings).expect("a settings file");
+        let mut process = Command::new(env!("CARGO_BIN_EXE_boragepass-entry"))
+            .arg("--settings")
+            .arg(&path)
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("the program starts");
+        let output = process.stdout.take().expect("piped output");
+        let lines = Arc::new(Mutex::new(Vec::new()));
+        let mut reader = BufReader::new(output);
+        let mut first = String::new();
+        reader.read_line(&mut first).expect("a first line");
+        let started: serde_json::Value = serde_json::from_str(&first).expect("a JSON line");
+        let names = ["clients", "readiness", "addresses", "operators", "metrics"];
+        let address = |name: &str| started[name].as_str().and_then(|text| text.parse().ok());
+        let addresses = names.iter().filter_map(|name| Some(((*name).to_owned(), address(name)?))).collect();
+        let seen = lines.clone();
+        std::thread::spawn(move || {
+            for line in reader.lines().map_while(Result::ok) {
+                seen.lock().expect("no holder panics").push(line);
+            }
+        });
+        Self { process, addresses, lines }
+    }
+
+    pub(crate) fn address(&self, name: &str) -> SocketAddr {
+        self.addresses[name]
+    }
+
+    /// Asks until this VM is ready.
+    pub(crate) fn wait_ready(&self) {
+        for _ in 0..100 {
+            if get(self.address("readiness"), names::READINESS_PATH).status == 200 {
+                return;
+            }
+            std::thread::sleep(Duration::from_millis(50));
+        }
+        panic!("not ready after 5 s");
+    }
+
+    /// Lines of the log that name a request.
+    pub(crate) fn lines_of(&self, request: &str) -> Vec<String> {
+        std::thread::sleep(Duration::from_millis(100));
+        let lines = self.lines.lock().expect("no holder panics");
+        lines.iter().filter(|line| line.contains(request)).cloned().collect()
+    }
+
+    pub(crate) fn process(&mut self) -> &mut Child {
+        &mut self.process
+    }
+}
+
+impl Drop for EntryVm {
+    fn drop(&mut self) {
+        // It may have ended by itself.
+        self.process.kill().ok();
+        self.process.wait().ok();
+    }
+}
+
+/// Answer that a client got.
+#[derive(Debug)]
+pub(crate) struct ClientAnswer {
+    pub(crate) status: u16,
+    pub(crate) headers: http::HeaderMap,
+    pub(crate) body: Result<String, String>,
+}
+
+/// One request of a client on a connection of its own.
+pub(crate) fn ask(address: SocketAddr, request: Request<Full<Bytes>>) -> ClientAnswer {
+    task::block_on(async move {
+        let stream = TcpStream::connect(address).await.expect("the VM listens");
+        let io = HttpIo::new(stream).expect("a socket takes options");
+        let (mut sender, connection) = hyper::client::conn::http1::handshake(io).await.expect("a handshake");
+        task::spawn_local(async move {
+            // An error reaches the exchange below.
+            connection.await.ok();
+        });
+        let response = sender.send_request(request).await.expect("an answer");
+        let (parts, body) = response.into_parts();
+        let body = body.collect().await.map(|body| String::from_utf8_lossy(&body.to_bytes()).into_owned());
+        ClientAnswer {
+            status: parts.status.as_u16(),
+            headers: parts.headers,
+            body: body.map_err(|error| error.to_string()),
+        }
+    })
+}
+
+pub(crate) fn get(address: SocketAddr, path: &str) -> ClientAnswer {
+    let request = Request::get(path).header("host", "any.example").body(Full::new(Bytes::new()));
+    ask(address, request.expect("a valid request"))
+}
--- a/crates/boragepass_fakes/src/path_fleet/fleet.rs
+++ b/crates/boragepass_fakes/src/path_fleet/fleet.rs
@@ -559,7 +559,9 @@
             Effect::Send { send, request, target, silence_ms, inputs, resume_after, .. } => {
                 let key = (vm, incarnation, send);
                 self.start_send(key, request, &target.endpoint, inputs.unwrap_or_default(), resume_after);
-                self.push(now + silence_ms, Item::Silence(key));
+                if let Some(silence_ms) = silence_ms {
+                    self.push(now + silence_ms, Item::Silence(key));
+                }
             }
             Effect::CancelSend(send) => self.cancel_send((vm, incarnation, send)),
             Effect::Relay(request, send) => self.relay((vm, incarnation, send), request),
@@ -976,8 +978,7 @@
     fn check_silence(&mut self, key: SendKey) {
         let (vm, _, send) = key;
         if self.sends.get(&key).is_some_and(|sent| !sent.has_head) {
-            self.sends.remove(&key);
-            self.deliver(vm, 0, Event::SendFailed(send, SendFailure::Silent));
+            self.deliver(vm, 0, Event::Silent(send, None));
         }
     }
 
--- a/crates/boragepass_path/src/effect.rs
+++ b/crates/boragepass_path/src/effect.rs
@@ -68,8 +68,9 @@
         target: SendTarget,
         /// Time that the endpoint is given, counted from now.
         deadline_ms: SpanMs,
-        /// Longest silence until the head of the reply, and between events of a stream.
-        silence_ms: SpanMs,
+        /// Silence until the head of the reply, or between events of a stream, after which to ask
+        /// whether another endpoint shall get the request; the send goes on meanwhile.
+        silence_ms: Option<SpanMs>,
         /// Whether a connection that carried something before may be used.
         may_reuse_connection: bool,
         /// Whether the reply is relayed as it comes.
--- a/crates/boragepass_path/src/event.rs
+++ b/crates/boragepass_path/src/event.rs
@@ -101,7 +101,7 @@
     /// The reply is not HTTP or belongs to another request.
     #[display("unusable reply")]
     Unusable,
-    /// No event came for too long.
+    /// Nothing came for too long, so another endpoint got the request.
     #[display("silent")]
     Silent,
 }
@@ -173,6 +173,8 @@
     SendFailed(SendNumber, SendFailure),
     /// Progress of a stream.
     Streamed(SendNumber, Progress),
+    /// An endpoint has been silent for as long as its send allows; the last event that the client has.
+    Silent(SendNumber, Option<EventId>),
     /// A call of pieces ended.
     CallEnded(CallNumber, CallOutcome),
     /// A configuration came, from the store or another VM.
--- a/crates/boragepass_path/src/reducer/mod.rs
+++ b/crates/boragepass_path/src/reducer/mod.rs
@@ -116,6 +116,7 @@
             Event::Replied(send, facts) => self.on_replied(now, send, facts),
             Event::SendFailed(send, failure) => self.on_send_failed(now, send, failure),
             Event::Streamed(send, progress) => self.on_streamed(now, send, progress),
+            Event::Silent(send, last_event) => self.on_silent(now, send, last_event),
             Event::CallEnded(call, outcome) => self.on_call_ended(now, call, outcome),
             Event::Configured(configuration) => self.on_configured(now, configuration),
             Event::Endpoints(update) => {
--- a/crates/boragepass_path/src/reducer/sends.rs
+++ b/crates/boragepass_path/src/reducer/sends.rs
@@ -8,7 +8,7 @@
 use crate::admission::RefusalReason;
 use crate::configuration::{Repeatability, ServiceKind};
 use crate::effect::{Effect, SendTarget};
-use crate::event::{HeadFacts, Progress, SendFailure};
+use crate::event::{EventId, HeadFacts, Progress, SendFailure};
 use crate::placement::{Need, choose_endpoint};
 use crate::record::Record;
 use crate::request::{Phase, RequestNumber, Requested, SendNumber, Sending};
@@ -67,7 +67,7 @@
             Some(ServiceKind::Model(model)) => model.memory_tokens,
             Some(ServiceKind::Plain | ServiceKind::Stage(_)) | None => 0,
         };
-        let silence_ms = self.silence(requested, left, choice.cost_ms);
+        let silence_ms = self.silence(requested, choice.cost_ms);
         let send = SendNumber::take(&mut self.send_counter);
         let record = Record::new("request sent")
             .text("request", &requested.arrival.client_id)
@@ -109,24 +109,47 @@
         self.effects.push(effect);
     }
 
-    /// Longest silence of an endpoint before another one gets the request.
-    fn silence(&self, requested: &Requested, left: SpanMs, cost_ms: f64) -> SpanMs {
-        let has_another = requested.runs + 1 < requested.route.endpoints_max;
+    /// Silence of an endpoint after which another one may get the request, if the route allows that.
+    fn silence(&self, requested: &Requested, cost_ms: f64) -> Option<SpanMs> {
+        if requested.runs + 1 >= requested.route.endpoints_max {
+            return None;
+        }
         let silence_ms = match requested.route.repeatability {
-            Repeatability::Idempotent if has_another => {
+            Repeatability::Idempotent => {
                 let usual = self.table.service_ms(&requested.pool).unwrap_or(0.0);
                 (requested.route.objective_ms.0 as f64 * SILENCE_SHARE).max(usual * SILENCE_FACTOR)
             }
-            Repeatability::ResumableStream if has_another => {
+            Repeatability::ResumableStream => {
                 let expected = cost_ms.min(10_000.0) + self.first_byte_ms(&requested.pool);
                 expected * 2.0 + STREAM_SILENCE_MS
             }
-            Repeatability::Idempotent
-            | Repeatability::ResumableStream
-            | Repeatability::Once
-            | Repeatability::StreamOnce => return left,
+            Repeatability::Once | Repeatability::StreamOnce => return None,
+        };
+        Some(SpanMs(silence_ms as u64))
+    }
+
+    /// An endpoint is silent: another one gets the request if there is one and the budget allows it.
+    /// Otherwise the send goes on, since silence alone is no reason to give a request up.
+    pub(super) fn on_silent(&mut self, now: TimeMs, send: SendNumber, last_event: Option<EventId>) {
+        let Some(request) = self.sends.get(&send).copied() else {
+            return;
         };
-        SpanMs(silence_ms as u64).min(left)
+        let Some(requested) = self.requests.get_mut(&request) else {
+            return;
+        };
+        requested.last_event = last_event.or(requested.last_event);
+        let tried = &requested.tried;
+        let has_other = self
+            .table
+            .serving(&requested.pool)
+            .any(|known| !tried.contains(&known.endpoint.id) && !known.is_ejected(now));
+        let pool = requested.pool.clone();
+        let live = self.fleet.live_count(now);
+        if !has_other || tried.len() >= OFFERS_MAX || !self.budget.take(now, &pool, 1, live) {
+            return;
+        }
+        self.effects.push(Effect::CancelSend(send));
+        self.on_send_failed(now, send, SendFailure::Silent);
     }
 
     /// Ends a send in the books; its request and what is known of it.
@@ -316,7 +339,9 @@
         self.log(record);
         self.note_send_health(now, &sending.endpoint, failure, digest);
         let live = self.fleet.live_count(now);
-        let is_allowed = failure == SendFailure::NotSent || self.budget.take(now, &pool, 1, live);
+        // A silent endpoint is replaced only after the budget has been asked.
+        let is_paid = matches!(failure, SendFailure::NotSent | SendFailure::Silent);
+        let is_allowed = is_paid || self.budget.take(now, &pool, 1, live);
         if may_run_again && is_allowed {
             self.send_request(now, request);
         } else if is_relaying {
--- a/crates/boragepass_path/src/stages/pool.rs
+++ b/crates/boragepass_path/src/stages/pool.rs
@@ -37,6 +37,11 @@
 /// Gain of a new sample in the usual ratio of a call's time to its expected time.
 const SPEED_GAIN: f64 = 0.2;
 
+/// Time for which a result lies at its endpoint, before any was given up: a call of the next stage.
+const HOLD_MS_DEFAULT: f64 = 400.0;
+/// Gain of a new sample in that time.
+const HOLD_GAIN: f64 = 0.05;
+
 /// Piece that waits for a call.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PieceTask {
@@ -141,6 +146,8 @@
     asks: HashMap<AskId, AskState>,
     running: BTreeMap<CallNumber, RunningCall>,
     workers: BTreeMap<EndpointId, Worker>,
+    /// Usual time for which a result lies at its endpoint.
+    hold_ms: f64,
 }
 
 impl Pool {
@@ -155,6 +162,7 @@
             asks: HashMap::new(),
             running: BTreeMap::new(),
             workers: BTreeMap::new(),
+            hold_ms: HOLD_MS_DEFAULT,
         }
     }
 
@@ -226,7 +234,7 @@
         let mut unneeded = Vec::new();
         for result in results.into_values() {
             if let PieceResult::Made(made) = result {
-                self.forget_kept(&made.endpoint, &made.handle);
+                self.forget_kept(now, &made.endpoint, &made.handle);
                 unneeded.push((made.endpoint, made.handle));
             }
         }
@@ -245,9 +253,15 @@
         Some(state.results.iter().map(|(piece, result)| (*piece, result.clone())).collect())
     }
 
-    fn forget_kept(&mut self, endpoint: &EndpointId, handle: &str) {
-        if let Some(worker) = self.workers.get_mut(endpoint) {
-            worker.kept.retain(|(_, kept, _)| **kept != *handle);
+    fn forget_kept(&mut self, now: TimeMs, endpoint: &EndpointId, handle: &str) {
+        let Some(worker) = self.workers.get_mut(endpoint) else {
+            return;
+        };
+        if let Some(place) = worker.kept.iter().position(|(_, kept, _)| **kept == *handle) {
+            let (until, ..) = worker.kept.swap_remove(place);
+            let left_ms = until.since(now).0 as f64;
+            let held_ms = (self.spec.result_ttl_ms.0 as f64 - left_ms).max(0.0);
+            self.hold_ms += HOLD_GAIN * (held_ms - self.hold_ms);
         }
     }
 
@@ -568,8 +582,9 @@
 
     /// Time until a piece that comes now would begin, with these endpoints.
     pub fn wait_ms<'a>(&self, now: TimeMs, endpoints: impl Iterator<Item = &'a EndpointId>) -> f64 {
+        let ids: Vec<&EndpointId> = endpoints.collect();
         let mut endpoints: Vec<(f64, f64)> =
-            endpoints.map(|endpoint| (self.free_in_ms(now, endpoint), self.slowness_of(now, endpoint))).collect();
+            ids.iter().map(|endpoint| (self.free_in_ms(now, endpoint), self.slowness_of(now, endpoint))).collect();
         let mut pieces = self.queue.len();
         while pieces > 0 {
             let taken = pieces.min(self.spec.batch);
@@ -581,9 +596,25 @@
             }
             pieces -= taken;
         }
+        let room_wait_ms = self.room_wait_ms(now, &ids);
         // A slow endpoint that is free makes a piece later than a fast one that is not.
         let delay = |(free_in_ms, slowness): &(f64, f64)| free_in_ms + (slowness - 1.0) * self.expected_ms(1);
-        endpoints.iter().map(delay).min_by(f64::total_cmp).unwrap_or(0.0)
+        endpoints.iter().map(delay).min_by(f64::total_cmp).unwrap_or(0.0).max(room_wait_ms)
+    }
+
+    /// Time until results that lie at endpoints have made space for what waits.
+    fn room_wait_ms(&self, now: TimeMs, endpoints: &[&EndpointId]) -> f64 {
+        let room = self.spec.room_bytes as f64 * endpoints.len() as f64;
+        let workers = endpoints.iter().filter_map(|endpoint| self.workers.get(*endpoint));
+        let kept: u64 = workers
+            .flat_map(|worker| worker.kept.iter())
+            .filter(|(until, ..)| *until > now)
+            .map(|(_, _, bytes)| bytes)
+            .sum();
+        let running = self.running.values().flat_map(|call| call.pieces.iter().map(|piece| piece.result_bytes));
+        let queued: u64 = self.queue.iter().map(|piece| piece.result_bytes).sum();
+        let lacking = queued as f64 - (room - kept as f64 - running.sum::<u64>() as f64);
+        if lacking <= 0.0 || room <= 0.0 { 0.0 } else { lacking / room * self.hold_ms }
     }
 
     /// Time until an endpoint has made the calls that it has.
