Hand log lines to their writer in chunks

Cause: each line woke the writing thread, some ten times a request. Change: lines are gathered for 50 ms, 256 KB at most. Kept, since it bounds hand-overs under load.

--- a/crates/boragepass_entry/src/journal.rs
+++ b/crates/boragepass_entry/src/journal.rs
@@ -1,7 +1,7 @@
 //! Structured log: one JSON line for each record, written by a thread of its own.
 //!
-//! The writer's queue is bounded and drops lines when it is full, so a slow reader never holds the
-//! request path up. A rate limit bounds the volume; what was dropped is counted and stated.
+//! Lines are gathered for some milliseconds, since each hand-over wakes the writer. Its queue is
+//! bounded and drops chunks when it is full, so a slow reader never holds the request path up. A rate limit bounds the volume; what was dropped is counted and stated.
 
 use std::cell::{Cell, RefCell};
 use std::io::Write;
@@ -11,12 +11,15 @@
 use serde_json::{Map, Value};
 use tracing_appender::non_blocking::{NonBlocking, NonBlockingBuilder, WorkerGuard};
 
-/// Lines that wait for the writer.
-const QUEUE_LINES: usize = 4_096;
+/// Chunks of lines that wait for the writer.
+const QUEUE_CHUNKS: usize = 64;
+/// Bytes of lines that are gathered into a chunk at most; further lines are dropped.
+const CHUNK_BYTES_MAX: usize = 256 * 1_024;
 
 /// Log of this process.
 pub(crate) struct Journal {
     vm: String,
+    gathered: RefCell<Vec<u8>>,
     writer: RefCell<NonBlocking>,
     _guard: WorkerGuard,
     lines_per_s: f64,
@@ -29,9 +32,10 @@
     /// Log on standard output.
     pub(crate) fn new(vm: String, lines_per_s: u32) -> Self {
         let (writer, guard) =
-            NonBlockingBuilder::default().lossy(true).buffered_lines_limit(QUEUE_LINES).finish(std::io::stdout());
+            NonBlockingBuilder::default().lossy(true).buffered_lines_limit(QUEUE_CHUNKS).finish(std::io::stdout());
         Self {
             vm,
+            gathered: RefCell::default(),
             writer: RefCell::new(writer),
             _guard: guard,
             lines_per_s: f64::from(lines_per_s),
@@ -78,8 +82,22 @@
         }
         if let Ok(mut text) = serde_json::to_vec(&Value::Object(line)) {
             text.push(b'\n');
-            // The lossy writer never fails; it counts the lines that it drops.
-            let _written = self.writer.borrow_mut().write(&text);
+            let mut gathered = self.gathered.borrow_mut();
+            if gathered.len() + text.len() > CHUNK_BYTES_MAX {
+                self.dropped.set(self.dropped.get() + 1);
+            } else {
+                gathered.append(&mut text);
+            }
+        }
+    }
+
+    /// Hands the gathered lines to the writer.
+    pub(crate) fn flush(&self) {
+        let mut gathered = self.gathered.borrow_mut();
+        if !gathered.is_empty() {
+            // The lossy writer never fails; it counts the chunks that it drops.
+            let _written = self.writer.borrow_mut().write(&gathered);
+            gathered.clear();
         }
     }
 }
--- a/crates/boragepass_entry/src/process.rs
+++ b/crates/boragepass_entry/src/process.rs
@@ -24,6 +24,8 @@
 const SETTINGS_INTERVAL: Duration = Duration::from_secs(3);
 /// Interval at which idle connections are looked at.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
+/// Interval at which gathered log lines are written; what is gathered is lost if the process is killed.
+const FLUSH_INTERVAL: Duration = Duration::from_millis(50);
 /// Time for the last log lines.
 const FLUSH_BEFORE_EXIT: Duration = Duration::from_millis(50);
 
@@ -133,10 +135,12 @@
     task::spawn_local(front::serve(driver.clone(), clients));
     task::spawn_local(driver.clone().run_timers());
     task::spawn_local(sweep(driver.clone()));
+    task::spawn_local(flush_journal(driver.clone()));
     task::spawn_local(watch_signals(driver.clone(), signals, settings_path.clone()));
     task::spawn_local(watch_settings(driver.clone(), settings_path));
     driver.wait_for_exit().await;
     driver.record(&Record::new("ended"));
+    driver.journal.flush();
     task::sleep(FLUSH_BEFORE_EXIT).await;
     tasks.abort_all();
     Ok(())
@@ -148,6 +152,13 @@
     driver.dispatch(Event::Seeds(seeds));
 }
 
+async fn flush_journal(driver: Rc<Driver>) {
+    loop {
+        driver.journal.flush();
+        task::sleep(FLUSH_INTERVAL).await;
+    }
+}
+
 async fn sweep(driver: Rc<Driver>) {
     loop {
         task::sleep(SWEEP_INTERVAL).await;
