--- a/crates/boragepass_path/src/configuration/mod.rs
+++ b/crates/boragepass_path/src/configuration/mod.rs
@@ -223,6 +223,11 @@
         !self.workspaces.is_empty()
     }
 
+    /// All workspaces.
+    pub fn workspaces(&self) -> &[Workspace] {
+        &self.workspaces
+    }
+
     /// Workspace that holds a key.
     pub fn workspace_of(&self, key: &ApiKey) -> Option<&Workspace> {
         self.workspace_by_key.get(key).map(|index| &self.workspaces[*index])
--- a/crates/boragepass_path/src/reducer/mod.rs
+++ b/crates/boragepass_path/src/reducer/mod.rs
@@ -215,11 +215,17 @@
         if current.is_some_and(|version| version >= configuration.version) {
             return;
         }
+        let workspaces = configuration.workspaces();
+        let keys: usize = workspaces.iter().map(|workspace| workspace.keys.len()).sum();
+        let without_key = workspaces.iter().filter(|workspace| workspace.keys.is_empty()).count();
         self.log(
             Record::new("configuration in force")
                 .number("version", configuration.version.0)
                 .number("replaced", current.unwrap_or_default().0)
-                .number("routes", configuration.routes().count()),
+                .number("routes", configuration.routes().count())
+                .number("workspaces", workspaces.len())
+                .number("keys", keys)
+                .number("workspaces_without_key", without_key),
         );
         for ((pool, _), queue) in &mut self.pools {
             if let Some(spec) = configuration.stage_pool(pool) {
