Accept a list only once the fleet is known, and wait for VMs that were never heard

Change: a VM that was never heard counts as unheard like a dead one, and nothing is accepted before the VM list has been read.

--- a/crates/boragepass_core/src/domain_lists.rs
+++ b/crates/boragepass_core/src/domain_lists.rs
@@ -71,14 +71,14 @@
     ///
     /// A VM that hears nobody stops admitting after `isolation`, so a VM that nobody hears need
     /// not be waited for after that time; but several unheard VMs may hear each other and are
-    /// waited for until the VM list drops them.
+    /// waited for until the VM list drops them. A VM that this one has never heard counts as
+    /// unheard: after a restart behind a cut it may well serve.
     pub(crate) fn behind(&self, now: TimeMs, version: ListVersion, isolation: SpanMs) -> Vec<VmId> {
         let is_behind = |member: &&Member| member.listed != Some(VmState::Gone) && self.lists_of(member) < version;
-        let is_dead = |member: &&Member| member.record.state == MemberState::Dead;
-        let dead = self.members.values().filter(is_behind).filter(is_dead).count();
+        let is_unheard = |member: &&Member| matches!(member.record.state, MemberState::Dead | MemberState::Listed);
+        let unheard = self.members.values().filter(is_behind).filter(is_unheard).count();
         let is_excused = |member: &Member| {
-            member.record.state == MemberState::Listed
-                || (is_dead(&member) && dead == 1 && now.since(member.state_since) > isolation + EXCUSE_MARGIN)
+            is_unheard(&member) && unheard == 1 && now.since(member.state_since) > isolation + EXCUSE_MARGIN
         };
         let waiting = self.members.values().filter(is_behind).filter(|member| !is_excused(member));
         waiting.map(|member| member.record.vm.clone()).collect()
--- a/crates/boragepass_core/src/list_commit.rs
+++ b/crates/boragepass_core/src/list_commit.rs
@@ -245,7 +245,9 @@
     /// VMs that may still act on lists before `version`.
     pub(crate) fn waiting_for(&self, now: TimeMs, version: ListVersion) -> Vec<VmId> {
         let mut waiting = self.membership.behind(now, version, self.settings.limits.isolation_limit_ms);
-        if self.lists.version() < Some(version) {
+        // Before the VM list is known, nobody can say who else admits requests.
+        let is_fleet_known = self.watch.knows_vm_list();
+        if self.lists.version() < Some(version) || !is_fleet_known {
             waiting.push(self.settings.vm.clone());
         }
         waiting
--- a/crates/boragepass_core/src/watch.rs
+++ b/crates/boragepass_core/src/watch.rs
@@ -42,6 +42,13 @@
     told: Map<EndpointIdx, SharedLoad>,
 }
 
+impl Watch {
+    /// Whether the VM list has been read since the start.
+    pub(crate) fn knows_vm_list(&self) -> bool {
+        self.list_version > 0
+    }
+}
+
 impl Node {
     /// Polls the endpoints that this VM watches and passes their loads on.
     pub(crate) fn on_load_poll_timer(&mut self, now: TimeMs, out: &mut Effects) {
--- a/crates/boragepass_core/tests/agreement.rs
+++ b/crates/boragepass_core/tests/agreement.rs
@@ -605,3 +605,23 @@
     assert_eq!((status.lists, status.admits), (Some(ListVersion(u64::from(CHANGES) + 2)), true));
     assert!(fleet.table.reads > reads, "the head was read");
 }
+
+/// A VM that had just started behind a cut counted only itself and said that a list was in force everywhere.
+#[test]
+fn a_vm_that_has_just_started_accepts_nothing_without_the_others() {
+    let steps = [
+        Step::Kill { node: 0 },
+        Step::DelayCommits { count: 1 },
+        Step::Cut,
+        Step::Restart { node: 0 },
+        Step::Advance { ms: 12 },
+        Step::CommitTwice { first: 0, second: 0 },
+        Step::Advance { ms: 6 },
+        Step::Advance { ms: 3_000 },
+    ];
+    let mut world = AgreementTest::init_test(&());
+    for step in steps {
+        world = AgreementTest::apply(world, &(), step);
+    }
+    AgreementTest::teardown(world, ());
+}
