--- a/crates/boragepass_entry/src/store_feed.rs
+++ b/crates/boragepass_entry/src/store_feed.rs
@@ -16,6 +16,8 @@
     put_row,
 };
 use boragepass_types::Incarnation;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 use serde::{Deserialize, Serialize};
 
 use crate::driver::Driver;
@@ -60,7 +62,7 @@
     is_reachable: bool,
     /// Keys of entries that could not be read and were logged.
     unreadable: HashSet<String>,
-    random: u64,
+    random: SmallRng,
 }
 
 /// Starts to follow the store and lists this VM there.
@@ -72,21 +74,15 @@
             table,
             is_reachable: true,
             unreadable: HashSet::new(),
-            random: seed,
+            random: SmallRng::seed_from_u64(seed),
         };
         task::spawn_local(feed.run());
     }
-    task::spawn_local(list_vm(driver.clone(), StoreClient::new(store), me, seed));
+    task::spawn_local(list_vm(driver.clone(), StoreClient::new(store), me, SmallRng::seed_from_u64(seed)));
 }
 
-/// Next number of a small generator for jitter.
-fn next_random(state: &mut u64) -> u64 {
-    *state = state.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
-    *state >> 33
-}
-
-async fn pause(random: &mut u64) {
-    task::sleep(Duration::from_millis(PAUSE_MS + next_random(random) % PAUSE_SPREAD_MS)).await;
+async fn pause(random: &mut SmallRng) {
+    task::sleep(Duration::from_millis(PAUSE_MS + random.random_range(0..PAUSE_SPREAD_MS))).await;
 }
 
 impl Feed {
@@ -270,7 +266,7 @@
 }
 
 /// Lists this VM, then reads which others are listed. Later ones introduce themselves by heartbeats.
-async fn list_vm(driver: Rc<Driver>, client: StoreClient, me: VmRecord, mut random: u64) {
+async fn list_vm(driver: Rc<Driver>, client: StoreClient, me: VmRecord, mut random: SmallRng) {
     let value = serde_json::to_vec(&VmRow::from(&me)).unwrap_or_default();
     let body = put_row(names::VM_TABLE, me.vm.as_str(), &value);
     while let Err(error) = client.post(names::ROWS_CHANGE_PATH, body.clone(), CALL_TIMEOUT).await {
--- a/crates/boragepass_path/src/placement/engine_choice.rs
+++ b/crates/boragepass_path/src/placement/engine_choice.rs
@@ -12,7 +12,7 @@
 use crate::settings::PathSettings;
 
 /// Prompt tokens that a model engine reads in a millisecond; both sites state 93.
-const READ_TOKENS_PER_MS: f64 = 93.0;
+pub(crate) const READ_TOKENS_PER_MS: f64 = 93.0;
 /// Shares of the shared parts that the endpoints marked first and second are expected to hold.
 const MARKED_SHARES: [f64; 2] = [0.8, 0.4];
 /// Length from which shared parts are kept at one endpoint for all regions: reading 4,000 tokens
--- a/crates/boragepass_path/src/reducer/sends.rs
+++ b/crates/boragepass_path/src/reducer/sends.rs
@@ -9,7 +9,8 @@
 use crate::configuration::{Repeatability, ServiceKind};
 use crate::effect::{Effect, SendTarget};
 use crate::event::{EventId, HeadFacts, Progress, SendFailure};
-use crate::placement::{Need, choose_endpoint};
+use crate::message::ResultHandle;
+use crate::placement::{Choice, Need, READ_TOKENS_PER_MS, choose_endpoint};
 use crate::record::Record;
 use crate::request::{Phase, RequestNumber, Requested, SendNumber, Sending};
 
@@ -39,7 +40,6 @@
         let Some(requested) = self.requests.get(&request) else {
             return;
         };
-        let left = requested.left(now);
         let inputs = requested.stages.final_results();
         let inputs_bytes = requested.stages.bytes_by_domain(requested.stages.final_stages().into_iter());
         let need = Need {
@@ -55,6 +55,15 @@
             self.finish(now, request, reason);
             return;
         };
+        self.send_to(now, request, &choice, inputs);
+    }
+
+    /// Sends a request to a chosen endpoint and notes that in the books.
+    fn send_to(&mut self, now: TimeMs, request: RequestNumber, choice: &Choice, inputs: Vec<ResultHandle>) {
+        let Some(requested) = self.requests.get(&request) else {
+            return;
+        };
+        let left = requested.left(now);
         let Some(known) = self.table.get_mut(&choice.endpoint) else {
             return;
         };
@@ -99,7 +108,7 @@
             requested.tried.push(choice.endpoint.clone());
             requested.phase = Phase::Sent(Sending {
                 send,
-                endpoint: choice.endpoint,
+                endpoint: choice.endpoint.clone(),
                 sent_at: now,
                 unread_tokens: choice.unread_tokens,
             });
@@ -431,7 +440,7 @@
         if let Some(known) = self.table.get_mut(&endpoint) {
             known.unread_tokens = known.unread_tokens.saturating_sub(unread);
         }
-        let beside_reading = (took_ms - unread as f64 / 93.0).max(10.0);
+        let beside_reading = (took_ms - unread as f64 / READ_TOKENS_PER_MS).max(10.0);
         let usual = self.first_byte_ms.entry(pool).or_insert(beside_reading);
         *usual += FIRST_BYTE_GAIN * (beside_reading - *usual);
         self.log(record);
--- a/crates/boragepass_path/src/reducer/stage_flow.rs
+++ b/crates/boragepass_path/src/reducer/stage_flow.rs
@@ -74,29 +74,8 @@
         let lead = lead.filter(|lead| Some(lead) != avoided_lead);
         let lead = lead.unwrap_or(me);
         self.ask_counter += 1;
-        let id =
-            AskId { vm: self.settings.vm.clone(), incarnation: self.settings.incarnation, number: self.ask_counter };
-        let inputs = if spec.after.is_empty() {
-            Inputs::Key(requested.arrival.piece_key.clone())
-        } else {
-            Inputs::Results(requested.stages.inputs_of(stage).into_iter().map(|result| result.handle).collect())
-        };
-        let first_byte_ms = self.first_byte_ms(&requested.pool) + reading_ms(&requested.arrival);
-        let after_ms = requested.stages.after_ms(stage, &requested.configuration) + first_byte_ms;
-        let ask = Ask {
-            id: id.clone(),
-            pool: spec.pool.clone(),
-            failure_domain: domain.clone(),
-            client_id: requested.arrival.client_id.clone(),
-            stage,
-            pieces: missing,
-            inputs,
-            result_bytes: spec.result_bytes,
-            rank: requested.rank,
-            objective_left_ms: requested.objective_at.0 as i64 - now.0 as i64,
-            deadline_left_ms: requested.left(now),
-            after_ms: SpanMs(after_ms as u64),
-        };
+        let ask = self.new_ask(now, requested, stage, &domain);
+        let id = ask.id.clone();
         self.log(
             Record::new("pieces asked for")
                 .text("request", &ask.client_id)
@@ -117,6 +96,36 @@
         true
     }
 
+    /// Ask for the missing pieces of a stage, with the number that was counted last.
+    fn new_ask(&self, now: TimeMs, requested: &Requested, stage: usize, domain: &FailureDomain) -> Ask {
+        let spec = requested.stages.spec(stage);
+        let inputs = if spec.after.is_empty() {
+            Inputs::Key(requested.arrival.piece_key.clone())
+        } else {
+            Inputs::Results(requested.stages.inputs_of(stage).into_iter().map(|result| result.handle).collect())
+        };
+        let first_byte_ms = self.first_byte_ms(&requested.pool) + reading_ms(&requested.arrival);
+        let after_ms = requested.stages.after_ms(stage, &requested.configuration) + first_byte_ms;
+        Ask {
+            id: AskId {
+                vm: self.settings.vm.clone(),
+                incarnation: self.settings.incarnation,
+                number: self.ask_counter,
+            },
+            pool: spec.pool.clone(),
+            failure_domain: domain.clone(),
+            client_id: requested.arrival.client_id.clone(),
+            stage,
+            pieces: requested.stages.missing(stage),
+            inputs,
+            result_bytes: spec.result_bytes,
+            rank: requested.rank,
+            objective_left_ms: requested.objective_at.0 as i64 - now.0 as i64,
+            deadline_left_ms: requested.left(now),
+            after_ms: SpanMs(after_ms as u64),
+        }
+    }
+
     /// Failure domain in which the results of a stage are expected to be needed: that of the endpoint
     /// which the request itself would go to now, for a stage that no other one follows.
     fn needed_in(&self, now: TimeMs, requested: &Requested, stage: usize) -> FailureDomain {
--- a/crates/boragepass_path/src/stages/pool.rs
+++ b/crates/boragepass_path/src/stages/pool.rs
@@ -267,6 +267,9 @@
 
     /// Removes pieces that cannot be made in time any more, or that too many late ones are before.
     pub fn expire(&mut self, now: TimeMs, endpoints: usize) -> Vec<(AskId, u16, PieceResult)> {
+        if self.queue.is_empty() {
+            return Vec::new();
+        }
         let call_ms = self.expected_ms(1) as u64;
         let surplus = self.surplus_asks(now, endpoints);
         let is_hopeless = |piece: &PieceTask| {
@@ -288,14 +291,17 @@
 
     /// Asks of late requests beyond those that can be made soon.
     fn surplus_asks(&self, now: TimeMs, endpoints: usize) -> HashSet<AskId> {
+        let piece_ms = self.spec.piece_ms + self.spec.call_ms / self.spec.batch as f64;
+        let kept = (LATE_BACKLOG_MS * endpoints.max(1) as f64 / piece_ms) as usize;
+        if self.queue.len() <= kept {
+            return HashSet::new();
+        }
         let begun = self.begun_asks();
         let call_ms = self.expected_ms(self.spec.batch.min(self.queue.len()));
         let ranked =
             self.queue.iter().map(|piece| (PieceRank::of(piece, now, call_ms, begun.contains(&piece.ask)), &piece.ask));
         let mut late: Vec<_> = ranked.filter(|(rank, _)| rank.is_late()).collect();
         late.sort_by_key(|(rank, _)| *rank);
-        let piece_ms = self.spec.piece_ms + self.spec.call_ms / self.spec.batch as f64;
-        let kept = (LATE_BACKLOG_MS * endpoints.max(1) as f64 / piece_ms) as usize;
         late.into_iter().skip(kept).map(|(_, ask)| ask.clone()).collect()
     }
 
