Hand events to a VM of the model that stood still in the order in which they came

The trace shows overlapping pauses: the hang-up was put behind the second pause at once, its request only after the first one, so the VM heard the hang-up before the request. No connection does that; the model did. Change: a VM that stands still has one queue. The check stays as it is.

--- a/crates/boragepass_fakes/src/path_fleet/fleet/mod.rs
+++ b/crates/boragepass_fakes/src/path_fleet/fleet/mod.rs
@@ -5,7 +5,7 @@
 mod stage_calls;
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -65,6 +65,8 @@
     /// Whether it hears of changes from the store itself.
     follows_store: bool,
     paused_until: TimeMs,
+    /// Events that came while it stood still.
+    held: VecDeque<Event>,
 }
 
 /// Send in progress, by VM and number.
@@ -82,6 +84,7 @@
 
 enum Item {
     Wake(usize, u64),
+    Resume(usize, u64),
     Handle(usize, u64, Event),
     Peer(SocketAddr, VmId, u64, PeerMessage),
     Asked(usize),
@@ -178,6 +181,7 @@
                 is_cut_from_store: false,
                 follows_store: true,
                 paused_until: TimeMs(0),
+                held: VecDeque::new(),
             }
         });
         let vms = vms.collect();
@@ -259,6 +263,7 @@
         let (now, incarnation) = (self.now, settings.incarnation.0);
         self.vms[vm].path = Some(RequestPath::new(now, settings));
         self.vms[vm].wakes_at = None;
+        self.vms[vm].held.clear();
         self.vms[vm].follows_store = true;
         self.feed_vm(vm);
         self.push(now, Item::Wake(vm, incarnation));
@@ -501,6 +506,7 @@
                     self.handle(vm, incarnation, Event::Tick);
                 }
             }
+            Item::Resume(vm, incarnation) => self.resume(vm, incarnation),
             Item::Handle(vm, incarnation, event) => self.handle(vm, incarnation, event),
             Item::Peer(address, from, incarnation, message) => {
                 if let Some(vm) = self.vms.iter().position(|vm| vm.peer_address == address) {
@@ -528,14 +534,40 @@
     }
 
     fn handle(&mut self, vm: usize, incarnation: u64, event: Event) {
+        if self.vms[vm].incarnation != incarnation {
+            return;
+        }
+        if self.vms[vm].paused_until > self.now || !self.vms[vm].held.is_empty() {
+            self.hold(vm, event);
+            return;
+        }
+        self.hand_over(vm, incarnation, event);
+    }
+
+    /// Keeps an event for a VM that stands still; they are handed over in the order in which they came.
+    fn hold(&mut self, vm: usize, event: Event) {
+        if self.vms[vm].held.is_empty() {
+            let (at, incarnation) = (self.vms[vm].paused_until, self.vms[vm].incarnation);
+            self.push(at, Item::Resume(vm, incarnation));
+        }
+        self.vms[vm].held.push_back(event);
+    }
+
+    fn resume(&mut self, vm: usize, incarnation: u64) {
         if self.vms[vm].incarnation != incarnation {
             return;
         }
         if self.vms[vm].paused_until > self.now {
             let at = self.vms[vm].paused_until;
-            self.push(at, Item::Handle(vm, incarnation, event));
+            self.push(at, Item::Resume(vm, incarnation));
             return;
         }
+        while let Some(event) = self.vms[vm].held.pop_front() {
+            self.hand_over(vm, incarnation, event);
+        }
+    }
+
+    fn hand_over(&mut self, vm: usize, incarnation: u64, event: Event) {
         let now = self.now;
         let Some(path) = self.vms[vm].path.as_mut() else {
             return;
