Keep verdicts on harmful contents in a row of the table service

Cause: verdicts were soft state. Change: one row holds all contents in quarantine. A VM reads it with the head of the lists before it admits anything, the finder writes it, the first VM of the fleet corrects it. One more key in a read that was made anyway. Ruled out: asking more VMs at start (there was only one left that knew); waiting longer (nobody answers any more).

--- a/crates/boragepass_bench/src/decisions.rs
+++ b/crates/boragepass_bench/src/decisions.rs
@@ -93,9 +93,9 @@
 fn answer_head(node: &mut Node, now: TimeMs, effects: Vec<Effect>) {
     for effect in effects {
         if let Effect::Table { op, request: TableRequest::Read(keys) } = effect
-            && keys == [RowKey::Head]
+            && keys.first() == Some(&RowKey::Head)
         {
-            node.handle(now, Event::Table { op, reply: TableReply::Rows(vec![None]) });
+            node.handle(now, Event::Table { op, reply: TableReply::Rows(vec![None; keys.len()]) });
         }
     }
 }
--- a/crates/boragepass_core/src/lib.rs
+++ b/crates/boragepass_core/src/lib.rs
@@ -58,6 +58,7 @@
 mod timers;
 mod trial;
 mod usage;
+mod verdict_row;
 mod watch;
 
 pub use address::{AddressAnswer, EntryAddress};
--- a/crates/boragepass_core/src/list_sync.rs
+++ b/crates/boragepass_core/src/list_sync.rs
@@ -60,7 +60,8 @@
         }
         let gather = self.settings.limits.start_gather_ms;
         let has_waited = self.started_at.is_some_and(|at| now.since(at) >= gather);
-        if !self.list_sync.verdicts_known && !has_waited {
+        let knows_verdicts = self.list_sync.verdicts_known && self.verdict_row.is_known();
+        if !knows_verdicts && !has_waited {
             return;
         }
         let has_gathered = self.list_sync.peer_heard_at.is_some_and(|at| now.since(at) >= gather);
@@ -105,11 +106,15 @@
         self.tell_abroad_now(now, out);
     }
 
+    /// Whether this VM does what one VM of the fleet has to do; two may think so for a moment.
+    pub(crate) fn is_first_vm(&self) -> bool {
+        self.membership.serving().map(|record| &record.vm).min() == Some(&self.settings.vm)
+    }
+
     /// One relay a fleet keeps the snapshot in the object store near the head.
     fn store_snapshot(&mut self, version: ListVersion, out: &mut Effects) {
         let is_due = version.0 >= self.list_sync.snapshot_at.0 + SNAPSHOT_EVERY;
-        let is_first_vm = self.membership.serving().map(|record| &record.vm).min() == Some(&self.settings.vm);
-        if !is_due || !is_first_vm {
+        if !is_due || !self.is_first_vm() {
             return;
         }
         self.list_sync.snapshot_at = version;
@@ -128,17 +133,19 @@
         }
     }
 
-    /// Asks the table service for the latest version.
+    /// Asks the table service for the latest version and the contents in quarantine.
     pub(crate) fn poll_head(&mut self, out: &mut Effects) {
-        self.ask_table(TableRequest::Read(vec![RowKey::Head]), TableUse::HeadPoll, out);
+        self.ask_table(TableRequest::Read(vec![RowKey::Head, RowKey::Verdicts]), TableUse::HeadPoll, out);
     }
 
-    /// Takes over the latest version in the table service.
+    /// Takes over the latest version and the contents in quarantine from the table service.
     pub(crate) fn on_head(&mut self, now: TimeMs, reply: TableReply, out: &mut Effects) {
         let TableReply::Rows(rows) = reply else {
             return;
         };
-        let head = rows.into_iter().next().flatten();
+        let mut rows = rows.into_iter();
+        let head = rows.next().flatten();
+        let verdicts = rows.next().flatten();
         match head.map(|row| row.value) {
             Some(RowValue::Head(version)) => self.lists.note_shown(version),
             Some(_) => return,
@@ -151,6 +158,7 @@
         if self.lists.is_behind() {
             self.read_changes(now, out);
         }
+        self.on_verdict_row(now, verdicts, out);
         self.check_ready(now, out);
     }
 
--- a/crates/boragepass_core/src/member_flow.rs
+++ b/crates/boragepass_core/src/member_flow.rs
@@ -179,7 +179,7 @@
             PeerMessage::Snapshot(snapshot) => self.load_snapshot(now, &snapshot, out),
             PeerMessage::Loads(loads) => self.on_loads(now, &loads, out),
             PeerMessage::VmEntries(entries) => self.on_entries(now, &entries, out),
-            PeerMessage::Verdict(verdict) => self.on_verdict(now, &from, verdict, out),
+            PeerMessage::Verdict(verdict) => self.on_verdict(now, SpreadFrom::Peer(&from), verdict, out),
             PeerMessage::Verdicts(verdicts) => self.on_verdicts(now, &from, verdicts, out),
             PeerMessage::VerdictsQuery => self.on_verdicts_query(now, &from, out),
             PeerMessage::ClaimWrites(writes) => {
@@ -268,14 +268,16 @@
         }
     }
 
-    fn on_verdict(&mut self, now: TimeMs, from: &VmId, verdict: Verdict, out: &mut Effects) {
+    /// Takes over a verdict of another VM, or one that the table service keeps.
+    pub(crate) fn on_verdict(&mut self, now: TimeMs, from: SpreadFrom<'_>, verdict: Verdict, out: &mut Effects) {
         let spans = self.settings.limits.verdict_spans();
         match self.quarantine.apply(now, &self.settings.vm, &verdict, spans) {
             VerdictNews::None => return,
-            VerdictNews::Noted => self.spread(SpreadFrom::Peer(from), &PeerMessage::Verdict(verdict.clone()), out),
+            VerdictNews::Noted => self.spread(from, &PeerMessage::Verdict(verdict.clone()), out),
             VerdictNews::Quarantine => {
                 let kind = VerdictKind::Quarantined;
                 self.spread_verdict(verdict.digest, &verdict.workspace, kind, spans.quarantine, out);
+                self.save_verdicts(now, out);
             }
         }
         match self.quarantine.clearance(now, verdict.digest) {
@@ -313,7 +315,7 @@
 
     fn on_verdicts(&mut self, now: TimeMs, from: &VmId, verdicts: Vec<Verdict>, out: &mut Effects) {
         for verdict in verdicts {
-            self.on_verdict(now, from, verdict, out);
+            self.on_verdict(now, SpreadFrom::Peer(from), verdict, out);
         }
         self.list_sync.verdicts_known = true;
         self.check_ready(now, out);
--- a/crates/boragepass_core/src/node.rs
+++ b/crates/boragepass_core/src/node.rs
@@ -44,6 +44,7 @@
 use crate::stage_flow::PoolPace;
 use crate::timers::{Timer, Timers};
 use crate::usage::Usage;
+use crate::verdict_row::VerdictRow;
 use crate::watch::Watch;
 
 /// What a table operation is for.
@@ -58,6 +59,7 @@
     ListConflict(OpId),
     LeaseRead,
     LeaseWrite,
+    VerdictsWrite,
 }
 
 /// Observed times of one stage of one pipeline.
@@ -114,6 +116,7 @@
     /// Lists of this failure domain that other domains were told.
     pub(crate) told_abroad: ListVersion,
     pub(crate) verdicts_asked_at: Option<TimeMs>,
+    pub(crate) verdict_row: VerdictRow,
     pub(crate) address_turn: usize,
 }
 
@@ -171,6 +174,7 @@
             distrust_until: None,
             told_abroad: ListVersion(0),
             verdicts_asked_at: None,
+            verdict_row: VerdictRow::default(),
             address_turn: 0,
             settings,
         }
@@ -265,6 +269,7 @@
     fn on_sweep_timer(&mut self, now: TimeMs, out: &mut Effects) {
         self.timers.set(now + crate::watch::SWEEP_INTERVAL, Timer::Sweep);
         self.quarantine.sweep(now);
+        self.check_verdict_row(now, out);
         self.shares.sweep(now);
         self.finished.sweep(now, self.settings.limits.finished_ms);
         self.progress.sweep(now);
@@ -295,6 +300,7 @@
             TableUse::ListConflict(commit) => self.on_commit_conflict_read(now, commit, reply, out),
             TableUse::LeaseRead => self.on_lease_read(now, reply, out),
             TableUse::LeaseWrite => self.on_lease_written(now, reply, out),
+            TableUse::VerdictsWrite => self.on_verdicts_written(now, reply, out),
         }
     }
 
--- a/crates/boragepass_core/src/operator_flow.rs
+++ b/crates/boragepass_core/src/operator_flow.rs
@@ -42,6 +42,9 @@
             self.quarantine.release(now, entry.digest);
             self.spread_verdict(entry.digest, &entry.workspace, VerdictKind::Released, SpanMs(0), out);
         }
+        if !chosen.is_empty() {
+            self.save_verdicts(now, out);
+        }
         chosen.len()
     }
 
--- a/crates/boragepass_core/src/platform.rs
+++ b/crates/boragepass_core/src/platform.rs
@@ -9,6 +9,7 @@
 use crate::claim_row::ClaimRow;
 use crate::lease_row::LeaseRow;
 use crate::list_change::ListChange;
+use crate::message::Verdict;
 
 /// Key of a row in the table service.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, derive_more::Display)]
@@ -31,6 +32,9 @@
     /// Lease for orders in a region.
     #[display("lease/{_0}")]
     Lease(Region),
+    /// Contents in quarantine.
+    #[display("verdicts")]
+    Verdicts,
 }
 
 /// Content of a row.
@@ -44,6 +48,8 @@
     Claim(ClaimRow),
     /// Lease.
     Lease(LeaseRow),
+    /// Contents in quarantine.
+    Verdicts(Vec<Verdict>),
 }
 
 /// Row as read.
--- a/crates/boragepass_core/src/trial.rs
+++ b/crates/boragepass_core/src/trial.rs
@@ -38,6 +38,7 @@
                 let for_ms = spans.quarantine;
                 out.log(StateChange::Quarantined { digest, workspace: workspace.clone(), for_ms });
                 self.spread_verdict(digest, &workspace, VerdictKind::Quarantined, for_ms, out);
+                self.save_verdicts(now, out);
                 true
             }
         }
--- /dev/null
+++ b/crates/boragepass_core/src/verdict_row.rs
@@ -0,0 +1,128 @@
+//! Contents in quarantine, kept in the table service.
+//!
+//! Verdicts travel between VMs, but a VM may start just when the last one that knows them dies. So
+//! all contents in quarantine lie in one row as well: a VM reads it before it admits anything, and
+//! relays read it with the head of the lists. Each version of the row is applied once. Whoever
+//! finds a content guilty or lets it go writes the row; the first VM of the fleet does so too when
+//! the row and its own verdicts differ, because the finder died or a verdict lapsed.
+
+use boragepass_types::{ContentDigest, RowVersion, TimeMs};
+
+use crate::effect::Effects;
+use crate::member_flow::SpreadFrom;
+use crate::message::Verdict;
+use crate::node::{Node, TableUse};
+use crate::platform::{Expect, Row, RowKey, RowValue, RowWrite, TableReply, TableRequest, WriteId};
+
+/// Contents that the row holds at most; at about 150 bytes each it stays below 64 KiB.
+const STORED_MAX: usize = 256;
+
+/// What this VM knows of the row.
+#[derive(Debug, Default)]
+pub(crate) struct VerdictRow {
+    /// Whether the row, or its absence, was read.
+    is_known: bool,
+    /// Version that was applied or written last; none while there is no row.
+    version: Option<RowVersion>,
+    /// Contents of that version.
+    stored: Vec<ContentDigest>,
+    /// Write under way, with its contents.
+    writing: Option<Vec<ContentDigest>>,
+    /// Whether the verdicts here have changed since the last write.
+    has_news: bool,
+}
+
+impl VerdictRow {
+    /// Whether the row, or its absence, was read.
+    pub(crate) fn is_known(&self) -> bool {
+        self.is_known
+    }
+
+    /// Whether the row has to be read or written soon.
+    pub(crate) fn is_due(&self) -> bool {
+        self.has_news
+    }
+}
+
+impl Node {
+    /// Takes over the row as it was read.
+    pub(crate) fn on_verdict_row(&mut self, now: TimeMs, row: Option<Row>, out: &mut Effects) {
+        self.verdict_row.is_known = true;
+        let version = row.as_ref().map(|row| row.version);
+        if version > self.verdict_row.version {
+            if let Some(Row { value: RowValue::Verdicts(verdicts), .. }) = row {
+                self.verdict_row.stored = verdicts.iter().map(|verdict| verdict.digest).collect();
+                for verdict in verdicts {
+                    self.on_verdict(now, SpreadFrom::Here, verdict, out);
+                }
+            }
+            self.verdict_row.version = version;
+        }
+        if self.verdict_row.has_news {
+            self.write_verdicts(now, out);
+        }
+    }
+
+    /// Notes that verdicts have changed here, and writes them.
+    pub(crate) fn save_verdicts(&mut self, now: TimeMs, out: &mut Effects) {
+        self.verdict_row.has_news = true;
+        if self.verdict_row.is_known {
+            self.write_verdicts(now, out);
+        } else {
+            self.poll_head(out);
+        }
+    }
+
+    fn write_verdicts(&mut self, now: TimeMs, out: &mut Effects) {
+        if self.verdict_row.writing.is_some() {
+            return;
+        }
+        self.verdict_row.has_news = false;
+        let mut verdicts: Vec<Verdict> = self.quarantine.verdicts(now, &self.settings.vm);
+        verdicts.sort_by_key(|verdict| (std::cmp::Reverse(verdict.for_ms), verdict.digest));
+        verdicts.truncate(STORED_MAX);
+        self.verdict_row.writing = Some(verdicts.iter().map(|verdict| verdict.digest).collect());
+        let op = self.new_op();
+        let write = RowWrite {
+            key: RowKey::Verdicts,
+            expect: self.verdict_row.version.map_or(Expect::Absent, Expect::Version),
+            id: WriteId { vm: self.settings.vm.clone(), incarnation: self.settings.incarnation, op },
+            value: RowValue::Verdicts(verdicts),
+        };
+        self.ask_table(TableRequest::Commit(vec![write]), TableUse::VerdictsWrite, out);
+    }
+
+    /// Takes over the fate of a write; after a failed one the row is read again at the next poll.
+    pub(crate) fn on_verdicts_written(&mut self, now: TimeMs, reply: TableReply, out: &mut Effects) {
+        let written = self.verdict_row.writing.take().unwrap_or_default();
+        match reply {
+            TableReply::Committed(versions) => {
+                self.verdict_row.version = versions.first().copied();
+                self.verdict_row.stored = written;
+                if self.verdict_row.has_news {
+                    self.write_verdicts(now, out);
+                }
+            }
+            TableReply::Conflict(rows) => {
+                self.verdict_row.has_news = true;
+                let row = rows.into_iter().find(|(key, _)| *key == RowKey::Verdicts).and_then(|(_, row)| row);
+                self.on_verdict_row(now, row, out);
+            }
+            TableReply::Rows(_) | TableReply::Unavailable | TableReply::Lost => self.verdict_row.has_news = true,
+        }
+    }
+
+    /// As the first VM of the fleet, writes the row if it no longer says what is in force.
+    pub(crate) fn check_verdict_row(&mut self, now: TimeMs, out: &mut Effects) {
+        if !self.verdict_row.is_known || !self.is_ready() || !self.is_first_vm() {
+            return;
+        }
+        let in_force: Vec<_> = self.quarantine.entries(now).into_iter().map(|entry| entry.digest).collect();
+        let is_stored = |digest: &ContentDigest| self.verdict_row.stored.contains(digest);
+        let is_missing = !in_force.iter().all(is_stored) && self.verdict_row.stored.len() < STORED_MAX;
+        let is_lapsed = self.verdict_row.stored.iter().any(|digest| !in_force.contains(digest));
+        if is_missing || is_lapsed {
+            self.save_verdicts(now, out);
+        }
+    }
+}
--- a/crates/boragepass_core/src/watch.rs
+++ b/crates/boragepass_core/src/watch.rs
@@ -268,7 +268,7 @@
             self.watch.list_polled_at = Some(now);
             out.push(Effect::PollVmList { since: self.watch.list_version });
             self.poll_head(out);
-        } else if !self.is_ready() {
+        } else if !self.is_ready() || self.verdict_row.is_due() {
             self.poll_head(out);
         }
     }
--- a/crates/boragepass_core/tests/decisions.rs
+++ b/crates/boragepass_core/tests/decisions.rs
@@ -336,6 +336,31 @@
     fn invariants_hold_under_faults(sequential 1..60 => DecisionsTest);
 }
 
+/// Plays steps on a new fleet and checks it as the stateful test does.
+fn play(steps: Vec<Step>) {
+    let mut system = DecisionsTest::init_test(&());
+    for step in steps {
+        system = DecisionsTest::apply(system, &(), step);
+        DecisionsTest::check_invariants(&system, &());
+    }
+    DecisionsTest::teardown(system, ());
+}
+
+/// Shrunk from seed 613: the last VM that knows the verdict dies just after another one has started.
+#[test]
+fn a_verdict_outlives_the_vms_that_found_it() {
+    play(vec![
+        Step::Harmful { node: 0 },
+        Step::DrainNode { node: 2 },
+        Step::DrainNode { node: 1 },
+        Step::Advance { ms: 5_000 },
+        Step::RestartNode { node: 1 },
+        Step::KillNode { node: 0 },
+        Step::Advance { ms: 1_500 },
+        Step::Harmful { node: 1 },
+    ]);
+}
+
 /// Call ids are only compared, never looked into.
 #[test]
 fn a_quiet_fleet_answers_everything() {
--- a/crates/boragepass_wire/src/lib.rs
+++ b/crates/boragepass_wire/src/lib.rs
@@ -13,6 +13,7 @@
 mod outcomes;
 mod rows;
 mod stage;
+mod verdict;
 mod vms;
 
 pub use error::WireError;
@@ -25,4 +26,5 @@
 pub use outcomes::{AddressesJson, OutcomeJson, request_from_json};
 pub use rows::{WireExpect, WireRow, WireRowValue, WireTableReply, WireTableRequest, WireWrite, WireWriteId};
 pub use stage::{LoadJson, OrderJson, StageLine, StageRequestJson, WireTag};
+pub use verdict::WireVerdict;
 pub use vms::{VmListJson, WireEntry};
--- a/crates/boragepass_wire/src/messages.rs
+++ b/crates/boragepass_wire/src/messages.rs
@@ -2,9 +2,8 @@
 
 use boragepass_core::{
     ClaimStatus, ClaimWrite, ClaimWriteReply, ClaimWriteResult, Part, PeerMessage, Progress, Question, RowValue,
-    Verdict, VerdictKind,
 };
-use boragepass_types::{ContentDigest, Hash64, ListVersion, OpId, Payload, RowVersion, SpanMs};
+use boragepass_types::{ContentDigest, ListVersion, OpId, Payload, RowVersion};
 use serde::{Deserialize, Serialize};
 
 use crate::error::{field, try_all};
@@ -12,7 +11,7 @@
 use crate::members::{WireHeartbeat, WireLoad};
 use crate::operators::{WireTrace, WireUsage};
 use crate::rows::{WireClaim, WireRow, WireRowValue, WireWrite, WireWriteId, row_key};
-use crate::{WireEntry, WireError};
+use crate::{WireEntry, WireError, WireVerdict};
 
 /// Message on the wire.
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -37,24 +36,6 @@
     Gathered { op: u64, part: WirePart },
 }
 
-#[derive(Debug, Clone, Serialize, Deserialize)]
-pub(crate) struct WireVerdict {
-    digest: String,
-    workspace: String,
-    kind: WireVerdictKind,
-    lost: Vec<u64>,
-    tester: String,
-    for_ms: u64,
-}
-
-#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
-pub(crate) enum WireVerdictKind {
-    UnderTrial,
-    Cleared,
-    Quarantined,
-    Released,
-}
-
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) enum WireClaimResult {
     Committed(u64),
@@ -182,46 +163,6 @@
     }
 }
 
-impl From<&Verdict> for WireVerdict {
-    fn from(verdict: &Verdict) -> Self {
-        let kind = match verdict.kind {
-            VerdictKind::UnderTrial => WireVerdictKind::UnderTrial,
-            VerdictKind::Cleared => WireVerdictKind::Cleared,
-            VerdictKind::Quarantined => WireVerdictKind::Quarantined,
-            VerdictKind::Released => WireVerdictKind::Released,
-        };
-        Self {
-            digest: verdict.digest.to_string(),
-            workspace: verdict.workspace.to_string(),
-            kind,
-            lost: verdict.lost.iter().map(|endpoint| endpoint.0).collect(),
-            tester: verdict.tester.to_string(),
-            for_ms: verdict.for_ms.0,
-        }
-    }
-}
-
-impl TryFrom<WireVerdict> for Verdict {
-    type Error = WireError;
-
-    fn try_from(wire: WireVerdict) -> Result<Self, Self::Error> {
-        let kind = match wire.kind {
-            WireVerdictKind::UnderTrial => VerdictKind::UnderTrial,
-            WireVerdictKind::Cleared => VerdictKind::Cleared,
-            WireVerdictKind::Quarantined => VerdictKind::Quarantined,
-            WireVerdictKind::Released => VerdictKind::Released,
-        };
-        Ok(Self {
-            digest: field::<ContentDigest>("digest", &wire.digest)?,
-            workspace: field("workspace", &wire.workspace)?,
-            kind,
-            lost: wire.lost.into_iter().map(Hash64).collect(),
-            tester: field("tester", &wire.tester)?,
-            for_ms: SpanMs(wire.for_ms),
-        })
-    }
-}
-
 impl From<&ClaimWriteResult> for WireClaimResult {
     fn from(result: &ClaimWriteResult) -> Self {
         match result {
--- a/crates/boragepass_wire/src/rows.rs
+++ b/crates/boragepass_wire/src/rows.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::error::{field, try_all};
-use crate::{WireChange, WireError};
+use crate::{WireChange, WireError, WireVerdict};
 
 /// Name of a write on the wire.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -143,6 +143,8 @@
     Claim(WireClaim),
     /// Lease: holder, incarnation, fencing number, renewal.
     Lease(String, u64, u64, u64),
+    /// Contents in quarantine.
+    Verdicts(Vec<WireVerdict>),
 }
 
 impl From<&RowValue> for WireRowValue {
@@ -154,6 +156,7 @@
             RowValue::Lease(lease) => {
                 Self::Lease(lease.holder.to_string(), lease.incarnation.0, lease.fence.0, lease.renewal)
             }
+            RowValue::Verdicts(verdicts) => Self::Verdicts(verdicts.iter().map(Into::into).collect()),
         }
     }
 }
@@ -172,6 +175,7 @@
                 fence: FenceNumber(fence),
                 renewal,
             }),
+            WireRowValue::Verdicts(verdicts) => Self::Verdicts(try_all(verdicts)?),
         })
     }
 }
@@ -204,8 +208,10 @@
 /// Parses the text form of a row's key.
 pub(crate) fn row_key(text: &str) -> Result<RowKey, WireError> {
     let bad = || WireError::BadField { field: "key", problem: format!("names no row: {text:?}") };
-    if text == "head" {
-        return Ok(RowKey::Head);
+    match text {
+        "head" => return Ok(RowKey::Head),
+        "verdicts" => return Ok(RowKey::Verdicts),
+        _ => {}
     }
     let (kind, rest) = text.split_once('/').ok_or_else(bad)?;
     match kind {
--- a/crates/boragepass_wire/tests/decoders.rs
+++ b/crates/boragepass_wire/tests/decoders.rs
@@ -6,10 +6,13 @@
 
 use boragepass_core::{
     ClaimOwner, ClaimRow, ClaimState, ClaimWrite, Expect, Heartbeat, Holdings, ListChange, ListEdit, MemberRecord,
-    MemberState, PeerMessage, Progress, RowKey, SharedLoad, Verdict, VerdictKind, WriteId,
+    MemberState, PeerMessage, Progress, RowKey, RowValue, RowWrite, SharedLoad, TableRequest, Verdict, VerdictKind,
+    WriteId,
 };
 use boragepass_types::{ContentDigest, Hash64, Incarnation, ListVersion, OpId, Payload, RowVersion, SpanMs};
-use boragepass_wire::{allowlist_from_json, decode_message, encode_message, plan_from_json, request_from_json};
+use boragepass_wire::{
+    WireTableRequest, allowlist_from_json, decode_message, encode_message, plan_from_json, request_from_json,
+};
 use proptest::collection::vec;
 use proptest::prelude::{Just, Strategy, any, prop_assert_eq, prop_oneof, proptest};
 use proptest::test_runner::{Config, RngSeed};
@@ -77,6 +80,17 @@
     )
 }
 
+fn verdict() -> impl Strategy<Value = Verdict> {
+    (any::<u128>(), id(), vec(any::<u64>(), 0..3)).prop_map(|(digest, workspace, lost)| Verdict {
+        digest: ContentDigest(digest),
+        workspace: workspace.parse().unwrap(),
+        kind: VerdictKind::UnderTrial,
+        lost: lost.into_iter().map(Hash64).collect(),
+        tester: "vm-1".parse().unwrap(),
+        for_ms: SpanMs(1),
+    })
+}
+
 fn message() -> impl Strategy<Value = PeerMessage> {
     let heartbeat = (record(), any::<u64>(), vec(record(), 0..4)).prop_map(|(sender, hash, records)| {
         let domains = records.iter().map(|record| (record.failure_domain.clone(), record.lists)).collect();
@@ -106,16 +120,6 @@
         let edit = ListEdit::RemovePlan(workspace.parse().unwrap());
         PeerMessage::Change(Box::new(ListChange { version: ListVersion(version), edit }))
     });
-    let verdict = (any::<u128>(), id(), vec(any::<u64>(), 0..3)).prop_map(|(digest, workspace, lost)| {
-        PeerMessage::Verdict(Verdict {
-            digest: ContentDigest(digest),
-            workspace: workspace.parse().unwrap(),
-            kind: VerdictKind::UnderTrial,
-            lost: lost.into_iter().map(Hash64).collect(),
-            tester: "vm-1".parse().unwrap(),
-            for_ms: SpanMs(1),
-        })
-    });
     let progress = (id(), id(), any::<u8>(), any::<String>()).prop_map(|(workspace, request, stage, input)| {
         PeerMessage::Progress(Box::new(Progress {
             workspace: workspace.parse().unwrap(),
@@ -130,7 +134,7 @@
         heartbeat,
         loads,
         change,
-        verdict,
+        verdict().prop_map(PeerMessage::Verdict),
         progress,
         vec(claim_write(), 0..4).prop_map(PeerMessage::ClaimWrites)
     ]
@@ -145,6 +149,20 @@
         prop_assert_eq!(decode_message(&bytes).unwrap(), message);
     }
 
+    #[test]
+    fn a_row_of_verdicts_comes_back_as_it_was(verdicts in vec(verdict(), 0..4)) {
+        let write = RowWrite {
+            key: RowKey::Verdicts,
+            expect: Expect::Absent,
+            id: WriteId { vm: "vm-1".parse().unwrap(), incarnation: Incarnation(1), op: OpId(1) },
+            value: RowValue::Verdicts(verdicts),
+        };
+        let request = TableRequest::Commit(vec![write]);
+        let json = serde_json::to_string(&WireTableRequest::from(&request)).unwrap();
+        let wire: WireTableRequest = serde_json::from_str(&json).unwrap();
+        prop_assert_eq!(TableRequest::try_from(wire).unwrap(), request);
+    }
+
     #[test]
     fn any_bytes_are_a_message_or_an_error(mut bytes in vec(any::<u8>(), 0..512), is_versioned in any::<bool>()) {
         if is_versioned {
