--- a/crates/boragepass_core/src/claims.rs
+++ b/crates/boragepass_core/src/claims.rs
@@ -458,8 +458,15 @@
         if jobs.peek().is_none() {
             return ClaimStatus::NotKnown;
         }
-        let is_wanted = |job: &Job| job.request.is_some() || matches!(job.purpose, Purpose::Settle);
-        if jobs.any(is_wanted) { ClaimStatus::InProgress } else { ClaimStatus::WillNotRun }
+        // A release that carries a stage's result says that the stage ran; until it has landed, the row does not.
+        let has_run = |job: &Job| {
+            matches!(job.purpose, Purpose::Settle) || matches!(job.write.row.state, ClaimState::StageDone { .. })
+        };
+        if jobs.any(|job| job.request.is_some() || has_run(job)) {
+            ClaimStatus::InProgress
+        } else {
+            ClaimStatus::WillNotRun
+        }
     }
 
     /// Gives up a request that has no claim yet; it will not run.
--- a/crates/boragepass_core/tests/decisions.rs
+++ b/crates/boragepass_core/tests/decisions.rs
@@ -361,6 +361,21 @@
     ]);
 }
 
+/// Shrunk from seed 90211: a VM that stood still asks for a claim while its owner, whose next stage
+/// found no endpoint, writes that the stage under the claim is done.
+#[test]
+fn a_claim_whose_stage_ran_is_not_given_away_before_its_row_says_so() {
+    play(vec![
+        Step::KillNode { node: 0 },
+        Step::PauseNode { node: 1, ms: 469 },
+        Step::LeaveEndpoint { endpoint: 9 },
+        Step::Advance { ms: 150 },
+        Step::Book { node: 1, key: 1 },
+        Step::CrashEndpoint { endpoint: 8 },
+        Step::ResendLast { node: 2 },
+    ]);
+}
+
 /// Call ids are only compared, never looked into.
 #[test]
 fn a_quiet_fleet_answers_everything() {
