Model the grown sites, with failure domains that share a region

Journeys between failure domains of a region took as long as those between regions. Change: two more sites, 24 VMs each; 1 ms between failure domains of a region.

--- a/crates/boragepass_fakes/src/path_fleet/deployment.rs
+++ b/crates/boragepass_fakes/src/path_fleet/deployment.rs
@@ -15,13 +15,17 @@
 
 /// Site that is modelled.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display, derive_more::FromStr)]
-#[display(rename_all = "lowercase")]
-#[from_str(rename_all = "lowercase")]
+#[display(rename_all = "kebab-case")]
+#[from_str(rename_all = "kebab-case")]
 pub enum Site {
     /// Contract reviews for musicians.
     Gigdesk,
     /// Lamp collection.
     Lampu,
+    /// Contract reviews, several times as many.
+    GigdeskGrown,
+    /// Lamp collection, ten times as many.
+    LampuGrown,
 }
 
 /// Pieces of a stage: how many, and of what share of the requests.
@@ -305,35 +309,93 @@
     ]
 }
 
+/// Pool with what its endpoints do, how many stand in each failure domain, and their slots.
+type PoolSpec = (&'static str, ServiceKind, Vec<usize>, u32);
+
+/// Kinds of request at several times their rate, with as many times their subjects.
+fn grown(kinds: Vec<KindSpec>, factor: f64, events_factor: f64) -> Vec<KindSpec> {
+    let grow = |kind: KindSpec| KindSpec {
+        per_s: kind.per_s * factor,
+        subjects: (kind.subjects as f64 * factor) as u64,
+        events: (kind.events as f64 * events_factor) as u64,
+        // Plain services of the grown sites all take 60 ms and allow 400.
+        work_ms: if kind.events == 0 { 60 } else { 0 },
+        objective_ms: if kind.events == 0 { 400 } else { kind.objective_ms },
+        deadline_ms: if kind.events == 0 { 4_000 } else { kind.deadline_ms },
+        ..kind
+    };
+    kinds.into_iter().map(grow).collect()
+}
+
+/// Requests, pools and entry VMs of a site.
+fn parts_of(site: Site) -> (Vec<KindSpec>, Vec<PoolSpec>, usize) {
+    match site {
+        Site::Gigdesk => (
+            gigdesk_kinds(),
+            vec![
+                ("models", MODEL, vec![6; 3], 48),
+                ("plain", ServiceKind::Plain, vec![1; 3], 6),
+                ("rates", stage_pool(8, 16.0, 36_000_000), vec![2, 2, 1], 1),
+                ("members", stage_pool(32, 4.0, 5_700_000), vec![2, 2, 1], 1),
+                ("venues", stage_pool(64, 2.0, 1_100_000), vec![2, 2, 1], 1),
+            ],
+            8,
+        ),
+        Site::Lampu => (
+            lampu_kinds(),
+            vec![
+                ("models", MODEL, vec![3; 3], 48),
+                ("plain", ServiceKind::Plain, vec![1; 3], 6),
+                ("rates", stage_pool(8, 16.0, 41_000_000), vec![1; 3], 1),
+                ("members", stage_pool(8, 16.0, 1_400_000), vec![2, 2, 1], 1),
+                ("venues", stage_pool(22, 5.8, 390_000), vec![2, 2, 1], 1),
+            ],
+            6,
+        ),
+        Site::GigdeskGrown => (
+            grown(gigdesk_kinds(), 3.33, 0.85),
+            vec![
+                ("models", MODEL, vec![10; 6], 48),
+                ("plain", ServiceKind::Plain, vec![1; 6], 6),
+                ("rates", stage_pool(8, 16.0, 41_000_000), vec![3, 3, 3, 2, 2, 2], 1),
+                ("members", stage_pool(36, 3.6, 6_300_000), vec![3, 3, 3, 2, 2, 2], 1),
+                ("venues", stage_pool(60, 2.1, 1_000_000), vec![3; 6], 1),
+            ],
+            GROWN_VMS,
+        ),
+        Site::LampuGrown => (
+            grown(lampu_kinds(), 10.0, 0.85),
+            vec![
+                ("models", MODEL, vec![15; 6], 48),
+                ("plain", ServiceKind::Plain, vec![1; 6], 6),
+                ("rates", stage_pool(10, 13.0, 65_000_000), vec![4, 3, 3, 3, 3, 3], 1),
+                ("members", stage_pool(28, 4.6, 4_800_000), vec![3, 3, 3, 2, 2, 2], 1),
+                ("venues", stage_pool(60, 2.1, 1_100_000), vec![3; 6], 1),
+            ],
+            GROWN_VMS,
+        ),
+    }
+}
+
+/// Entry VMs of a grown site; the users' have 83 and 86, whose heartbeats would fill a run of the model.
+const GROWN_VMS: usize = 24;
+/// Failure domains; a small site has the first three, one in each region.
+const DOMAINS: [(&str, &str); 6] = [
+    ("a-1", "region-a"),
+    ("b-1", "region-b"),
+    ("c-1", "region-c"),
+    ("a-2", "region-a"),
+    ("b-2", "region-b"),
+    ("c-2", "region-c"),
+];
+
 impl Deployment {
     /// A site as it is on a calm day.
     pub fn of(site: Site) -> Self {
-        let (kinds, pools, vms) = match site {
-            Site::Gigdesk => (
-                gigdesk_kinds(),
-                vec![
-                    ("models", MODEL, [6, 6, 6], 48),
-                    ("plain", ServiceKind::Plain, [1, 1, 1], 6),
-                    ("rates", stage_pool(8, 16.0, 36_000_000), [2, 2, 1], 1),
-                    ("members", stage_pool(32, 4.0, 5_700_000), [2, 2, 1], 1),
-                    ("venues", stage_pool(64, 2.0, 1_100_000), [2, 2, 1], 1),
-                ],
-                8,
-            ),
-            Site::Lampu => (
-                lampu_kinds(),
-                vec![
-                    ("models", MODEL, [3, 3, 3], 48),
-                    ("plain", ServiceKind::Plain, [1, 1, 1], 6),
-                    ("rates", stage_pool(8, 16.0, 41_000_000), [1, 1, 1], 1),
-                    ("members", stage_pool(8, 16.0, 1_400_000), [2, 2, 1], 1),
-                    ("venues", stage_pool(22, 5.8, 390_000), [2, 2, 1], 1),
-                ],
-                6,
-            ),
-        };
+        let (kinds, pools, vms) = parts_of(site);
+        let domains_count = pools.iter().map(|(_, _, counts, _)| counts.len()).max().unwrap_or(0);
         let domains: Vec<(FailureDomain, Region)> =
-            ["a", "b", "c"].iter().map(|name| (id(&format!("{name}-1")), id(&format!("region-{name}")))).collect();
+            DOMAINS.iter().take(domains_count).map(|(domain, region)| (id(domain), id(region))).collect();
         let mut endpoints = Vec::new();
         for (pool, _, counts, slots) in &pools {
             for (place, count) in counts.iter().enumerate() {
--- a/crates/boragepass_fakes/src/path_fleet/fleet/mod.rs
+++ b/crates/boragepass_fakes/src/path_fleet/fleet/mod.rs
@@ -25,6 +25,8 @@
 const START: TimeMs = TimeMs(1_000_000);
 const CLIENT_MS: u64 = 1;
 const REGION_MS: u64 = 20;
+/// One way between failure domains of a region; the users' sites state 0.5 and 1.4 ms.
+const DOMAIN_MS: u64 = 1;
 const STORE_MS: u64 = 5;
 /// Time after which a connection to an address that does not answer is given up.
 const CONNECT_MS: u64 = 1_200;
@@ -586,7 +588,13 @@
     }
 
     fn travel_ms(&self, from: &FailureDomain, to: &FailureDomain) -> u64 {
-        if from == to { 0 } else { REGION_MS }
+        if from == to {
+            0
+        } else if self.region(from) == self.region(to) {
+            DOMAIN_MS
+        } else {
+            REGION_MS
+        }
     }
 
     fn carry_out(&mut self, vm: usize, incarnation: u64, effect: Effect) {
