Give urgent pieces a head start that grows with the queue

The head start of one rank was 250 ms, whatever waited. Change: the head start of a rank is 250 ms and the time in which the queue is made. The load tool shows the work of each pool.

--- a/crates/boragepass_bench/src/platform.rs
+++ b/crates/boragepass_bench/src/platform.rs
@@ -46,6 +46,19 @@
     pub failed: u32,
 }
 
+/// What the endpoints of one stage pool did, from the start of the run to its end.
+#[derive(Debug, Serialize)]
+pub struct PoolFigures {
+    /// Pool.
+    pub pool: String,
+    /// Calls.
+    pub calls: u32,
+    /// Pieces in a call.
+    pub pieces_a_call: f64,
+    /// Share of the time of its endpoints that calls took while requests came.
+    pub busy_share: f64,
+}
+
 /// Figures of one load.
 #[derive(Debug, Serialize)]
 pub struct PlatformFigures {
@@ -65,6 +78,8 @@
     pub calls: u32,
     /// Pieces in a call.
     pub pieces_a_call: f64,
+    /// By stage pool.
+    pub pools: Vec<PoolFigures>,
     /// Pieces that found no space.
     pub no_room: u32,
     /// Prompt tokens that model engines read.
@@ -118,6 +133,7 @@
         kinds,
         calls: ledger.calls,
         pieces_a_call: f64::from(ledger.pieces) / f64::from(ledger.calls.max(1)),
+        pools: pool_figures(&fleet, load.seconds),
         no_room: ledger.no_room,
         tokens_read: ledger.tokens_read,
         repeats: ledger.repeats,
@@ -125,3 +141,16 @@
         us_a_request: started.elapsed().as_secs_f64() * 1e6 / f64::from(asked.max(1)),
     }
 }
+
+fn pool_figures(fleet: &PathFleet, seconds: u64) -> Vec<PoolFigures> {
+    let figures = fleet.ledger.pools.iter().map(|(pool, work)| {
+        let endpoints = fleet.deployment.endpoints.iter().filter(|endpoint| endpoint.pool == *pool).count();
+        PoolFigures {
+            pool: pool.to_string(),
+            calls: work.calls,
+            pieces_a_call: f64::from(work.pieces) / f64::from(work.calls.max(1)),
+            busy_share: work.busy_ms as f64 / (endpoints.max(1) as f64 * seconds as f64 * 1e3),
+        }
+    });
+    figures.collect()
+}
--- a/crates/boragepass_fakes/src/path_fleet/fleet/stage_calls.rs
+++ b/crates/boragepass_fakes/src/path_fleet/fleet/stage_calls.rs
@@ -87,7 +87,11 @@
         };
         self.ledger.calls += 1;
         self.ledger.pieces += call.entries.len() as u32;
+        let work = self.ledger.pools.entry(maker.pool.clone()).or_default();
+        work.calls += 1;
+        work.pieces += call.entries.len() as u32;
         let run = stage.run(now, call, &maker, slowness, |handle| gone.contains(handle));
+        work.busy_ms += run.took_ms;
         let no_room = run.outcomes.iter().filter(|outcome| **outcome == PieceOutcome::NoRoom).count();
         self.ledger.no_room += no_room as u32;
         let at = now + SpanMs(run.took_ms);
--- a/crates/boragepass_fakes/src/path_fleet/ledger.rs
+++ b/crates/boragepass_fakes/src/path_fleet/ledger.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use boragepass_path::{EventId, PromptPart, Repeatability};
-use boragepass_types::{EndpointId, TimeMs};
+use boragepass_types::{EndpointId, PoolId, TimeMs};
 
 /// How a request ended for its client.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -66,6 +66,17 @@
     pub(super) is_excused: bool,
 }
 
+/// Work of the endpoints of one stage pool.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct PoolWork {
+    /// Calls.
+    pub calls: u32,
+    /// Pieces in them.
+    pub pieces: u32,
+    /// Time that endpoints spent on them.
+    pub busy_ms: u64,
+}
+
 /// What clients and endpoints saw.
 #[derive(Debug, Default)]
 pub struct Ledger {
@@ -77,6 +88,8 @@
     pub calls: u32,
     /// Pieces in them.
     pub pieces: u32,
+    /// The same by pool.
+    pub pools: BTreeMap<PoolId, PoolWork>,
     /// Pieces that found no space.
     pub no_room: u32,
     /// Prompt tokens that endpoints read.
--- a/crates/boragepass_path/src/stages/pool.rs
+++ b/crates/boragepass_path/src/stages/pool.rs
@@ -289,17 +289,27 @@
         expired
     }
 
+    /// Time that a piece takes of an endpoint in a full call.
+    fn full_call_piece_ms(&self) -> f64 {
+        self.spec.piece_ms + self.spec.call_ms / self.spec.batch as f64
+    }
+
+    /// Time in which all that waits is made by full calls.
+    fn drain_ms(&self, endpoints: usize) -> f64 {
+        self.queue.len() as f64 * self.full_call_piece_ms() / endpoints.max(1) as f64
+    }
+
     /// Asks of late requests beyond those that can be made soon.
     fn surplus_asks(&self, now: TimeMs, endpoints: usize) -> HashSet<AskId> {
-        let piece_ms = self.spec.piece_ms + self.spec.call_ms / self.spec.batch as f64;
-        let kept = (LATE_BACKLOG_MS * endpoints.max(1) as f64 / piece_ms) as usize;
+        let kept = (LATE_BACKLOG_MS * endpoints.max(1) as f64 / self.full_call_piece_ms()) as usize;
         if self.queue.len() <= kept {
             return HashSet::new();
         }
         let begun = self.begun_asks();
         let call_ms = self.expected_ms(self.spec.batch.min(self.queue.len()));
+        let drain_ms = self.drain_ms(endpoints);
         let ranked =
-            self.queue.iter().map(|piece| (PieceRank::of(piece, now, call_ms, begun.contains(&piece.ask)), &piece.ask));
+            self.queue.iter().map(|piece| (PieceRank::of(piece, now, call_ms, drain_ms, begun.contains(&piece.ask)), &piece.ask));
         let mut late: Vec<_> = ranked.filter(|(rank, _)| rank.is_late()).collect();
         late.sort_by_key(|(rank, _)| *rank);
         late.into_iter().skip(kept).map(|(_, ask)| ask.clone()).collect()
@@ -378,8 +388,9 @@
     /// each other until their results lapse.
     fn take_batch(&mut self, now: TimeMs, endpoint: &EndpointId, endpoints: &[Usable]) -> Vec<PieceTask> {
         let call_ms = self.expected_ms(self.spec.batch.min(self.queue.len()));
+        let drain_ms = self.drain_ms(endpoints.len());
         let begun = self.begun_asks();
-        self.queue.sort_by_cached_key(|piece| PieceRank::of(piece, now, call_ms, begun.contains(&piece.ask)));
+        self.queue.sort_by_cached_key(|piece| PieceRank::of(piece, now, call_ms, drain_ms, begun.contains(&piece.ask)));
         let mut room = self.room_left(now, endpoint);
         let free: u64 = endpoints.iter().map(|usable| self.room_left(now, &usable.endpoint)).sum();
         let mut space = Space::new(free, self.spec.room_bytes, begun, &self.queue);
--- a/crates/boragepass_path/src/stages/rank.rs
+++ b/crates/boragepass_path/src/stages/rank.rs
@@ -10,7 +10,7 @@
 
 use super::PieceTask;
 
-/// Head start of a request over one that is a rank less urgent.
+/// Head start of a request over one that is a rank less urgent, beside the time in which the queue is made.
 const RANK_STEP_MS: i64 = 250;
 /// The same among requests that are late: longer than any deadline, so that urgency decides.
 const LATE_RANK_STEP_MS: i64 = 20_000;
@@ -29,13 +29,13 @@
         self.is_late
     }
 
-    /// Rank of a piece at a moment, where a call takes `call_ms`. Pieces of an ask that has begun
-    /// go first: what was made of it fills space until the rest is there.
-    pub fn of(piece: &PieceTask, now: TimeMs, call_ms: f64, has_begun: bool) -> Self {
+    /// Rank of a piece at a moment, where a call takes `call_ms` and all that waits `drain_ms`. Pieces of
+    /// an ask that has begun go first: what was made of it fills space until the rest is there.
+    pub fn of(piece: &PieceTask, now: TimeMs, call_ms: f64, drain_ms: f64, has_begun: bool) -> Self {
         let start_by_ms = piece.objective_at_ms - piece.after_ms.0 as i64 - call_ms as i64;
         let is_late = start_by_ms < now.0 as i64 && !has_begun;
         let (due_ms, step_ms) =
-            if is_late { (piece.deadline_at.0 as i64, LATE_RANK_STEP_MS) } else { (start_by_ms, RANK_STEP_MS) };
+            if is_late { (piece.deadline_at.0 as i64, LATE_RANK_STEP_MS) } else { (start_by_ms, RANK_STEP_MS + drain_ms as i64) };
         Self { is_late, is_new: !has_begun, due_ms: due_ms + i64::from(piece.rank) * step_ms }
     }
 }
