Lead stage pools by region instead of by failure domain

Cause: with two failure domains a region, each of six queues saw two to four endpoints; those with two were overloaded at 1.7 times the load while others were not, and which domain gets an ask is chosen on waits that are up to 0.7 s old. Change: one queue for all endpoints of a pool in a region, led by a VM of the region. Sites with one failure domain a region are as before. The format between VMs has a new version.

--- a/crates/boragepass_entry/src/peer_wire.rs
+++ b/crates/boragepass_entry/src/peer_wire.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 /// Version of the format; another one is refused.
-const VERSION: u8 = 1;
+const VERSION: u8 = 2;
 /// Largest message.
 const MESSAGE_BYTES_MAX: usize = 16 * 1_024 * 1_024;
 
@@ -110,7 +110,7 @@
 pub(crate) struct WireAsk {
     id: WireAskId,
     pool: String,
-    failure_domain: String,
+    region: String,
     client_id: String,
     stage: u16,
     pieces: Vec<u16>,
@@ -179,8 +179,7 @@
 
 impl From<&Heartbeat> for WireHeartbeat {
     fn from(heartbeat: &Heartbeat) -> Self {
-        let pool =
-            |load: &PoolLoad| (load.pool.to_string(), load.failure_domain.to_string(), load.wait_ms, load.endpoints);
+        let pool = |load: &PoolLoad| (load.pool.to_string(), load.region.to_string(), load.wait_ms, load.endpoints);
         let endpoint = |load: &EndpointLoad| (load.endpoint.to_string(), load.in_flight, load.unread_tokens);
         Self {
             vm: (&heartbeat.vm).into(),
@@ -199,8 +198,8 @@
     type Error = PeerWireError;
 
     fn try_from(wire: WireHeartbeat) -> Result<Self, Self::Error> {
-        let pool = |(pool, domain, wait_ms, endpoints): (String, String, f32, u16)| {
-            Ok(PoolLoad { pool: parsed(&pool)?, failure_domain: parsed(&domain)?, wait_ms, endpoints })
+        let pool = |(pool, region, wait_ms, endpoints): (String, String, f32, u16)| {
+            Ok(PoolLoad { pool: parsed(&pool)?, region: parsed(&region)?, wait_ms, endpoints })
         };
         let endpoint = |(endpoint, in_flight, unread_tokens): (String, u16, u32)| {
             Ok(EndpointLoad { endpoint: parsed(&endpoint)?, in_flight, unread_tokens })
@@ -241,7 +240,7 @@
         Self {
             id: (&ask.id).into(),
             pool: ask.pool.to_string(),
-            failure_domain: ask.failure_domain.to_string(),
+            region: ask.region.to_string(),
             client_id: ask.client_id.to_string(),
             stage: ask.stage as u16,
             pieces: ask.pieces.clone(),
@@ -265,7 +264,7 @@
         Ok(Self {
             id: wire.id.try_into()?,
             pool: parsed(&wire.pool)?,
-            failure_domain: parsed(&wire.failure_domain)?,
+            region: parsed(&wire.region)?,
             client_id: wire.client_id.into(),
             stage: usize::from(wire.stage),
             pieces: wire.pieces,
--- a/crates/boragepass_path/src/message.rs
+++ b/crates/boragepass_path/src/message.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use boragepass_types::{EndpointId, FailureDomain, Hash64, Incarnation, PoolId, SpanMs, VmId};
+use boragepass_types::{EndpointId, FailureDomain, Hash64, Incarnation, PoolId, Region, SpanMs, VmId};
 
 use crate::configuration::ConfigurationVersion;
 use crate::event::PieceOutcome;
@@ -47,8 +47,8 @@
     pub id: AskId,
     /// Pool.
     pub pool: PoolId,
-    /// Failure domain whose endpoints shall work.
-    pub failure_domain: FailureDomain,
+    /// Region whose endpoints shall work.
+    pub region: Region,
     /// The client's id of the request.
     pub client_id: Arc<str>,
     /// Stage within the route.
@@ -76,17 +76,17 @@
     Made(ResultHandle),
     /// Why there is none.
     NotMade(PieceOutcome),
-    /// No endpoint of the pool is left in this failure domain.
+    /// No endpoint of the pool is left in this region.
     NoEndpoint,
 }
 
-/// Backlog of a pool within a failure domain, as its lead sees it.
+/// Backlog of a pool within a region, as its lead sees it.
 #[derive(Debug, Clone, PartialEq)]
 pub struct PoolLoad {
     /// Pool.
     pub pool: PoolId,
-    /// Failure domain.
-    pub failure_domain: FailureDomain,
+    /// Region.
+    pub region: Region,
     /// Time until a piece that comes now would begin.
     pub wait_ms: f32,
     /// Endpoints that work.
--- a/crates/boragepass_path/src/reducer/arrivals.rs
+++ b/crates/boragepass_path/src/reducer/arrivals.rs
@@ -120,9 +120,9 @@
         stages: &StageProgress,
         arrival: &Arrival,
     ) -> Forecast {
-        let waits = (0..stages.len())
-            .filter(|stage| !stages.is_stage_done(*stage))
-            .filter_map(|stage| self.backlogs.shortest_wait_ms(now, &self.table, &stages.spec(stage).pool));
+        let waits = (0..stages.len()).filter(|stage| !stages.is_stage_done(*stage)).filter_map(|stage| {
+            self.backlogs.shortest_wait_ms(now, &self.table, &self.settings, &stages.spec(stage).pool)
+        });
         let need =
             Need { pool, prompt: &arrival.prompt, prompt_tokens: arrival.prompt_tokens, inputs: &[], tried: &[] };
         let endpoint = choose_endpoint(&self.table, &self.settings, now, &need);
--- a/crates/boragepass_path/src/reducer/leading.rs
+++ b/crates/boragepass_path/src/reducer/leading.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use boragepass_types::{EndpointId, SpanMs, TimeMs, VmId};
+use boragepass_types::{EndpointId, Region, SpanMs, TimeMs, VmId};
 
 use super::{PoolKey, RequestPath};
 use crate::effect::{Effect, SendTarget};
@@ -11,7 +11,6 @@
 use crate::placement::KnownEndpoint;
 use crate::record::Record;
 use crate::request::CallNumber;
-use crate::settings::Distance;
 use crate::stages::{Pool, Usable};
 use crate::timers::Timer;
 
@@ -23,7 +22,7 @@
 impl RequestPath {
     /// Takes an ask of this or another VM.
     pub(super) fn lead_ask(&mut self, now: TimeMs, ask: Ask) {
-        let key = (ask.pool.clone(), ask.failure_domain.clone());
+        let key = (ask.pool.clone(), ask.region.clone());
         let id = ask.id.clone();
         let spec = self.configuration.as_ref().and_then(|configuration| configuration.stage_pool(&ask.pool));
         let Some(spec) = spec else {
@@ -31,8 +30,8 @@
             self.tell_results(now, &id, failed);
             return;
         };
-        let is_far = self.settings.distance_to(&ask.failure_domain) == Distance::OtherRegion;
-        let pool = self.pools.entry(key.clone()).or_insert_with(|| Pool::new(spec, key.1.clone(), is_far));
+        let is_far = ask.region != self.settings.region;
+        let pool = self.pools.entry(key.clone()).or_insert_with(|| Pool::new(spec, is_far));
         let known = pool.ask(now, ask);
         if id.vm != self.settings.vm || !known.is_empty() {
             self.tell_results(now, &id, known);
@@ -114,16 +113,25 @@
         }
     }
 
-    /// Whether endpoints of another failure domain can take over, or none is left here at all.
+    /// Whether endpoints of another region can take over, or none is left here at all.
     fn is_served_elsewhere(&self, now: TimeMs, key: &PoolKey) -> bool {
         let mut serving = self.table.serving(&key.0);
-        let is_elsewhere = |known: &KnownEndpoint| known.endpoint.failure_domain != key.1 && !known.is_ejected(now);
-        serving.any(is_elsewhere) || !self.table.serving(&key.0).any(|known| known.endpoint.failure_domain == key.1)
+        let is_elsewhere = |known: &KnownEndpoint| !self.is_in(known, &key.1) && !known.is_ejected(now);
+        serving.any(is_elsewhere) || !self.table.serving(&key.0).any(|known| self.is_in(known, &key.1))
+    }
+
+    fn is_in(&self, known: &KnownEndpoint, region: &Region) -> bool {
+        self.settings.region_of(&known.endpoint.failure_domain) == region
     }
 
     fn usable(&self, now: TimeMs, key: &PoolKey) -> Vec<Usable> {
-        let at_home = self.table.serving(&key.0).filter(|known| known.endpoint.failure_domain == key.1);
-        at_home.map(|known| Usable { endpoint: known.endpoint.id.clone(), is_ejected: known.is_ejected(now) }).collect()
+        let at_home = self.table.serving(&key.0).filter(|known| self.is_in(known, &key.1));
+        let usable = |known: &KnownEndpoint| Usable {
+            endpoint: known.endpoint.id.clone(),
+            failure_domain: known.endpoint.failure_domain.clone(),
+            is_ejected: known.is_ejected(now),
+        };
+        at_home.map(usable).collect()
     }
 
     pub(super) fn on_call_overdue(&mut self, now: TimeMs, call: CallNumber) {
@@ -231,12 +239,12 @@
 
     /// Backlogs of the pools that this VM leads.
     pub(super) fn own_backlogs(&self, now: TimeMs) -> Vec<PoolLoad> {
-        let load = |((pool, domain), queue): (&PoolKey, &Pool)| {
-            let usable = self.usable(now, &(pool.clone(), domain.clone()));
+        let load = |((pool, region), queue): (&PoolKey, &Pool)| {
+            let usable = self.usable(now, &(pool.clone(), region.clone()));
             let healthy: Vec<_> = usable.iter().filter(|endpoint| !endpoint.is_ejected).collect();
             PoolLoad {
                 pool: pool.clone(),
-                failure_domain: domain.clone(),
+                region: region.clone(),
                 wait_ms: queue.wait_ms(now, healthy.iter().map(|usable| &usable.endpoint)) as f32,
                 endpoints: healthy.len() as u16,
             }
--- a/crates/boragepass_path/src/reducer/mod.rs
+++ b/crates/boragepass_path/src/reducer/mod.rs
@@ -41,8 +41,8 @@
 /// Time of the grace period that is kept for the last answers to leave.
 const STOP_RESERVE: SpanMs = SpanMs(700);
 
-/// Pool within a failure domain.
-pub(crate) type PoolKey = (PoolId, FailureDomain);
+/// Pool within a region.
+pub(crate) type PoolKey = (PoolId, Region);
 
 /// Decisions of one VM on the requests of its clients.
 #[derive(Debug)]
--- a/crates/boragepass_path/src/reducer/stage_flow.rs
+++ b/crates/boragepass_path/src/reducer/stage_flow.rs
@@ -1,6 +1,6 @@
 //! Stages of this VM's own requests: what is asked of leads, and what comes back.
 
-use boragepass_types::{FailureDomain, SpanMs, TimeMs, VmId};
+use boragepass_types::{FailureDomain, Region, SpanMs, TimeMs, VmId};
 
 use super::RequestPath;
 use crate::admission::RefusalReason;
@@ -18,15 +18,15 @@
 /// Time after which an ask that was not acknowledged goes to another lead, and one that was is
 /// repeated: two round trips between regions and some processing are under 150 ms.
 const ASK_AGAIN: SpanMs = SpanMs(400);
-/// Wait after which an ask may move to another failure domain: longer than the largest full calls of three stages take.
+/// Wait after which an ask may move to another region: longer than the largest full calls of three stages take.
 const MOVES_AFTER: SpanMs = SpanMs(1_000);
-/// How much sooner the other failure domain has to begin. Reports of waits are up to 0.7 s old at 86 VMs, so that
-/// all VMs move their asks to the same place if less is enough.
+/// How much sooner the other region has to begin. Reports of waits are up to 0.7 s old at 86 VMs, so that all VMs move
+/// their asks to the same place if less is enough.
 const MOVE_GAIN_MS: f64 = 1_500.0;
 /// Times that the stages of a request are started over because a result is gone.
 const RESTARTS_MAX: u32 = 2;
-/// Failure domains that are tried for one stage.
-const DOMAINS_MAX: usize = 3;
+/// Regions that are tried for one stage.
+const REGIONS_MAX: usize = 3;
 
 impl RequestPath {
     pub(super) fn start_stages(&mut self, now: TimeMs, request: RequestNumber) {
@@ -61,20 +61,20 @@
             avoided: requested.stages.avoided(stage),
         };
         let chosen = self.backlogs.choose(now, &self.table, &self.settings, &wanted);
-        let Some((domain, endpoints)) = chosen else {
+        let Some((region, endpoints)) = chosen else {
             self.finish(now, request, RefusalReason::NoEndpoint);
             return false;
         };
-        self.backlogs.on_asked(now, &wanted, &domain, endpoints);
+        self.backlogs.on_asked(now, &wanted, &region, endpoints);
         let me = self.settings.vm.clone();
         let lead = match self.settings.batching {
-            Batching::Led => lead_of(&self.fleet, now, &spec.pool, &domain),
+            Batching::Led => lead_of(&self.fleet, now, &spec.pool, &region),
             Batching::Alone => None,
         };
         let lead = lead.filter(|lead| Some(lead) != avoided_lead);
         let lead = lead.unwrap_or(me);
         self.ask_counter += 1;
-        let ask = self.new_ask(now, requested, stage, &domain);
+        let ask = self.new_ask(now, requested, stage, &region);
         let id = ask.id.clone();
         self.log(
             Record::new("pieces asked for")
@@ -82,11 +82,11 @@
                 .number("stage", stage)
                 .number("pieces", ask.pieces.len())
                 .text("pool", &ask.pool)
-                .text("failure_domain", &domain)
+                .text("region", &region)
                 .text("lead", &lead)
-                .number("wait_ms", self.backlogs.wait_ms(now, &ask.pool, &domain) as i64),
+                .number("wait_ms", self.backlogs.wait_ms(now, &ask.pool, &region) as i64),
         );
-        let asked = Asked { id: id.clone(), lead: lead.clone(), failure_domain: domain, sent_at: now, heard_at: None };
+        let asked = Asked { id: id.clone(), lead: lead.clone(), region, sent_at: now, heard_at: None };
         if let Some(requested) = self.requests.get_mut(&request) {
             requested.stages.set_asked(stage, Some(asked));
         }
@@ -97,7 +97,7 @@
     }
 
     /// Ask for the missing pieces of a stage, with the number that was counted last.
-    fn new_ask(&self, now: TimeMs, requested: &Requested, stage: usize, domain: &FailureDomain) -> Ask {
+    fn new_ask(&self, now: TimeMs, requested: &Requested, stage: usize, region: &Region) -> Ask {
         let spec = requested.stages.spec(stage);
         let inputs = if spec.after.is_empty() {
             Inputs::Key(requested.arrival.piece_key.clone())
@@ -113,7 +113,7 @@
                 number: self.ask_counter,
             },
             pool: spec.pool.clone(),
-            failure_domain: domain.clone(),
+            region: region.clone(),
             client_id: requested.arrival.client_id.clone(),
             stage,
             pieces: requested.stages.missing(stage),
@@ -197,10 +197,10 @@
         }
         if self.waits_too_long(now, requested, stage, &asked) {
             self.log(
-                Record::new("ask moved to another failure domain")
+                Record::new("ask moved to another region")
                     .text("request", &requested.arrival.client_id)
                     .number("stage", stage)
-                    .text("failure_domain", &asked.failure_domain),
+                    .text("region", &asked.region),
             );
             self.release(now, &asked);
             self.ask_for(now, request, stage, None);
@@ -219,7 +219,7 @@
         forecast.misses(requested.left(now))
     }
 
-    /// Whether none of an ask's pieces is made yet while another failure domain would make them much
+    /// Whether none of an ask's pieces is made yet while another region would make them much
     /// sooner than its own would begin them.
     fn waits_too_long(&self, now: TimeMs, requested: &Requested, stage: usize, asked: &Asked) -> bool {
         let spec = requested.stages.spec(stage);
@@ -229,8 +229,8 @@
         if !has_waited || is_late || requested.stages.missing(stage).len() < requested.stages.pieces(stage) {
             return false;
         }
-        let here = self.backlogs.wait_ms(now, &spec.pool, &asked.failure_domain);
-        let shortest = self.backlogs.shortest_wait_ms(now, &self.table, &spec.pool).unwrap_or(here);
+        let here = self.backlogs.wait_ms(now, &spec.pool, &asked.region);
+        let shortest = self.backlogs.shortest_wait_ms(now, &self.table, &self.settings, &spec.pool).unwrap_or(here);
         here > shortest + MOVE_GAIN_MS
     }
 
@@ -318,8 +318,8 @@
         let Some(asked) = requested.stages.asked(stage).cloned() else {
             return;
         };
-        requested.stages.avoid(stage, asked.failure_domain.clone());
-        if requested.stages.avoided(stage).len() >= DOMAINS_MAX {
+        requested.stages.avoid(stage, asked.region.clone());
+        if requested.stages.avoided(stage).len() >= REGIONS_MAX {
             self.finish(now, request, reason);
             return;
         }
--- a/crates/boragepass_path/src/stages/pool.rs
+++ b/crates/boragepass_path/src/stages/pool.rs
@@ -1,4 +1,4 @@
-//! Queue of one pool within one failure domain, kept by the VM that leads it.
+//! Queue of one pool within one region, kept by the VM that leads it.
 //!
 //! The lead composes each call at the moment at which an endpoint can take it, from the pieces of
 //! any requests that matter most then. A call that runs far longer than expected has its pieces
@@ -89,6 +89,7 @@
 #[derive(Debug, Clone)]
 struct RunningCall {
     endpoint: EndpointId,
+    failure_domain: FailureDomain,
     pieces: Vec<PieceTask>,
     started_at: TimeMs,
     expected_ms: f64,
@@ -119,10 +120,20 @@
 pub struct Usable {
     /// Its id.
     pub endpoint: EndpointId,
+    /// Its failure domain.
+    pub failure_domain: FailureDomain,
     /// Whether it failed lately; it is used only if no other one is left.
     pub is_ejected: bool,
 }
 
+/// Endpoint that made the pieces of a call.
+#[derive(Debug)]
+struct Maker {
+    endpoint: EndpointId,
+    failure_domain: FailureDomain,
+    was_overdue: bool,
+}
+
 /// What a lead has to say and do after a call has ended.
 #[derive(Debug, Default, PartialEq)]
 pub struct CallEnd {
@@ -136,11 +147,10 @@
     pub slowness: Option<f64>,
 }
 
-/// Queue of a pool within a failure domain.
+/// Queue of a pool within a region.
 #[derive(Debug)]
 pub struct Pool {
     spec: StagePool,
-    failure_domain: FailureDomain,
     calls_per_endpoint: usize,
     queue: Vec<PieceTask>,
     asks: HashMap<AskId, AskState>,
@@ -152,11 +162,10 @@
 
 impl Pool {
     /// Empty queue. A lead that stands far from the endpoints keeps a second call waiting there.
-    pub fn new(spec: StagePool, failure_domain: FailureDomain, is_far: bool) -> Self {
+    pub fn new(spec: StagePool, is_far: bool) -> Self {
         let calls_per_endpoint = if is_far { spec.slots as usize + 1 } else { spec.slots.max(1) as usize };
         Self {
             spec,
-            failure_domain,
             calls_per_endpoint,
             queue: Vec::new(),
             asks: HashMap::new(),
@@ -308,8 +317,10 @@
         let begun = self.begun_asks();
         let call_ms = self.expected_ms(self.spec.batch.min(self.queue.len()));
         let drain_ms = self.drain_ms(endpoints);
-        let ranked =
-            self.queue.iter().map(|piece| (PieceRank::of(piece, now, call_ms, drain_ms, begun.contains(&piece.ask)), &piece.ask));
+        let ranked = self
+            .queue
+            .iter()
+            .map(|piece| (PieceRank::of(piece, now, call_ms, drain_ms, begun.contains(&piece.ask)), &piece.ask));
         let mut late: Vec<_> = ranked.filter(|(rank, _)| rank.is_late()).collect();
         late.sort_by_key(|(rank, _)| *rank);
         late.into_iter().skip(kept).map(|(_, ask)| ask.clone()).collect()
@@ -356,8 +367,8 @@
             else {
                 break;
             };
-            let endpoint = endpoint.endpoint.clone();
-            let pieces = self.take_batch(now, &endpoint, usable);
+            let endpoint = endpoint.clone();
+            let pieces = self.take_batch(now, &endpoint.endpoint, usable);
             if pieces.is_empty() {
                 break;
             }
@@ -438,7 +449,7 @@
     fn start_call(
         &mut self,
         now: TimeMs,
-        endpoint: EndpointId,
+        Usable { endpoint, failure_domain, .. }: Usable,
         mut pieces: Vec<PieceTask>,
         counter: &mut u64,
     ) -> PoolCall {
@@ -461,8 +472,14 @@
         let expected_ms = self.expected_ms(pieces.len()) + waiting;
         let worker = self.workers.entry(endpoint.clone()).or_default();
         worker.calls.push(call);
-        let running =
-            RunningCall { endpoint: endpoint.clone(), pieces, started_at: now, expected_ms, is_overdue: false };
+        let running = RunningCall {
+            endpoint: endpoint.clone(),
+            failure_domain,
+            pieces,
+            started_at: now,
+            expected_ms,
+            is_overdue: false,
+        };
         self.running.insert(call, running);
         PoolCall {
             call,
@@ -512,8 +529,13 @@
                 let usual = if worker.slowness == 0.0 { 1.0 } else { worker.slowness };
                 worker.slowness = usual + SPEED_GAIN * (slowness - usual);
                 end.slowness = Some(slowness);
+                let maker = Maker {
+                    endpoint: endpoint.clone(),
+                    failure_domain: running.failure_domain,
+                    was_overdue: running.is_overdue,
+                };
                 for (piece, outcome) in running.pieces.into_iter().zip(outcomes) {
-                    self.on_piece(now, piece, outcome, &endpoint, running.is_overdue, &mut end);
+                    self.on_piece(now, piece, outcome, &maker, &mut end);
                 }
             }
             Err(failure) => {
@@ -529,15 +551,8 @@
         end
     }
 
-    fn on_piece(
-        &mut self,
-        now: TimeMs,
-        piece: PieceTask,
-        outcome: PieceOutcome,
-        endpoint: &EndpointId,
-        was_overdue: bool,
-        end: &mut CallEnd,
-    ) {
+    fn on_piece(&mut self, now: TimeMs, piece: PieceTask, outcome: PieceOutcome, maker: &Maker, end: &mut CallEnd) {
+        let Maker { endpoint, failure_domain, was_overdue } = maker;
         let is_wanted =
             self.asks.get(&piece.ask).is_some_and(|ask| !ask.is_released && !ask.results.contains_key(&piece.piece));
         match outcome {
@@ -549,8 +564,11 @@
                 self.queue.retain(|other| other.ask != piece.ask || other.piece != piece.piece);
                 let worker = self.workers.entry(endpoint.clone()).or_default();
                 worker.kept.push((now + self.spec.result_ttl_ms, handle.clone(), piece.result_bytes));
-                let failure_domain = self.failure_domain.clone();
-                let made = PieceResult::Made(ResultHandle { handle, endpoint: endpoint.clone(), failure_domain });
+                let made = PieceResult::Made(ResultHandle {
+                    handle,
+                    endpoint: endpoint.clone(),
+                    failure_domain: failure_domain.clone(),
+                });
                 self.note_result(now, &piece.ask, piece.piece, made.clone());
                 end.results.push((piece.ask, piece.piece, made));
             }
@@ -566,9 +584,9 @@
                 let piece = PieceTask { tries: piece.tries.saturating_sub(1), ..piece };
                 let cap = piece.result_bytes.saturating_sub(1);
                 self.workers.entry(endpoint.clone()).or_default().room_cap = Some((cap, now + NO_ROOM_PAUSE));
-                self.retry_piece(now, piece, endpoint, false, was_overdue, end);
+                self.retry_piece(now, piece, endpoint, false, *was_overdue, end);
             }
-            PieceOutcome::Failed => self.retry_piece(now, piece, endpoint, true, was_overdue, end),
+            PieceOutcome::Failed => self.retry_piece(now, piece, endpoint, true, *was_overdue, end),
         }
     }
 
--- a/crates/boragepass_path/src/stages/progress.rs
+++ b/crates/boragepass_path/src/stages/progress.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use boragepass_types::{FailureDomain, TimeMs, VmId};
+use boragepass_types::{FailureDomain, Region, TimeMs, VmId};
 
 use crate::configuration::{Configuration, StageSpec};
 use crate::message::{AskId, ResultHandle};
@@ -18,7 +18,7 @@
 pub(crate) struct Asked {
     pub(crate) id: AskId,
     pub(crate) lead: VmId,
-    pub(crate) failure_domain: FailureDomain,
+    pub(crate) region: Region,
     pub(crate) sent_at: TimeMs,
     pub(crate) heard_at: Option<TimeMs>,
 }
@@ -28,7 +28,7 @@
     results: Vec<Option<ResultHandle>>,
     asked: Option<Asked>,
     is_consumed: bool,
-    avoided: Vec<FailureDomain>,
+    avoided: Vec<Region>,
 }
 
 impl Stage {
@@ -88,11 +88,11 @@
         self.stages[stage].asked = asked;
     }
 
-    pub(crate) fn avoid(&mut self, stage: usize, domain: FailureDomain) {
-        self.stages[stage].avoided.push(domain);
+    pub(crate) fn avoid(&mut self, stage: usize, region: Region) {
+        self.stages[stage].avoided.push(region);
     }
 
-    pub(crate) fn avoided(&self, stage: usize) -> &[FailureDomain] {
+    pub(crate) fn avoided(&self, stage: usize) -> &[Region] {
         &self.stages[stage].avoided
     }
 
--- a/crates/boragepass_path/src/stages/rank.rs
+++ b/crates/boragepass_path/src/stages/rank.rs
@@ -34,8 +34,11 @@
     pub fn of(piece: &PieceTask, now: TimeMs, call_ms: f64, drain_ms: f64, has_begun: bool) -> Self {
         let start_by_ms = piece.objective_at_ms - piece.after_ms.0 as i64 - call_ms as i64;
         let is_late = start_by_ms < now.0 as i64 && !has_begun;
-        let (due_ms, step_ms) =
-            if is_late { (piece.deadline_at.0 as i64, LATE_RANK_STEP_MS) } else { (start_by_ms, RANK_STEP_MS + drain_ms as i64) };
+        let (due_ms, step_ms) = if is_late {
+            (piece.deadline_at.0 as i64, LATE_RANK_STEP_MS)
+        } else {
+            (start_by_ms, RANK_STEP_MS + drain_ms as i64)
+        };
         Self { is_late, is_new: !has_begun, due_ms: due_ms + i64::from(piece.rank) * step_ms }
     }
 }
