Count tokens that other VMs report as unread only until an engine has read them

Cause: another VM's figure for the prompt tokens that wait at an engine counted in full for up to 2.5 s, though an engine reads 93 a millisecond. The engine that holds a shared prompt part looked busy, and the part was read again elsewhere. Change: a report shrinks by 93 tokens a millisecond.

--- a/crates/boragepass_path/src/placement/endpoint_table.rs
+++ b/crates/boragepass_path/src/placement/endpoint_table.rs
@@ -10,6 +10,7 @@
 use boragepass_core::{EjectionCause, Health, ejection_cap};
 use boragepass_types::{EndpointId, FailureDomain, PoolId, SpanMs, TimeMs, VmId};
 
+use super::engine_choice::READ_TOKENS_PER_MS;
 use super::prompt_memory::PromptMemory;
 use crate::event::{PromptPart, ReportedLoad};
 use crate::message::EndpointLoad;
@@ -94,7 +95,7 @@
 
     /// Requests in progress, by this VM's own count, the others' and the endpoint's report.
     pub(crate) fn active(&self, now: TimeMs) -> u32 {
-        let others: u32 = self.fresh_others(now).map(|load| u32::from(load.in_flight)).sum();
+        let others: u32 = self.fresh_others(now).map(|(_, load)| u32::from(load.in_flight)).sum();
         let counted = self.in_flight + others;
         match self.report {
             Some((at, load)) if now.since(at) < REPORT_AGE_MAX => counted.max(load.running + load.waiting),
@@ -102,15 +103,17 @@
         }
     }
 
-    /// Prompt tokens that wait to be read.
+    /// Prompt tokens that wait to be read; what another VM reported has been read since as fast as engines read.
     pub(crate) fn unread(&self, now: TimeMs) -> u64 {
-        let others: u64 = self.fresh_others(now).map(|load| u64::from(load.unread_tokens)).sum();
-        self.unread_tokens + others
+        let left = |(at, load): (TimeMs, &EndpointLoad)| {
+            u64::from(load.unread_tokens).saturating_sub((now.since(at).0 as f64 * READ_TOKENS_PER_MS) as u64)
+        };
+        self.unread_tokens + self.fresh_others(now).map(left).sum::<u64>()
     }
 
-    fn fresh_others(&self, now: TimeMs) -> impl Iterator<Item = &EndpointLoad> {
+    fn fresh_others(&self, now: TimeMs) -> impl Iterator<Item = (TimeMs, &EndpointLoad)> {
         let is_fresh = move |at: &TimeMs| now.since(*at) < OTHERS_AGE_MAX;
-        self.others.values().filter(move |(at, _)| is_fresh(at)).map(|(_, load)| load)
+        self.others.values().filter(move |(at, _)| is_fresh(at)).map(|(at, load)| (*at, load))
     }
 
     pub(crate) fn known_tokens(&self, prompt: &[PromptPart]) -> u64 {
