Let VMs with the most processor lead the pools of their region

Cause: on the grown sites 12 of 86 VMs have 0.5 cores and 200 Mbit/s, the others 0.12 cores and 10 Mbit/s. A lead composes the calls of a whole region (up to 15 KB each), and a rendezvous hash gave that work to a small VM six times in seven. Change: heartbeats and the row of a VM state its processor (settings: [node] cores), and those with the most lead; the hash decides among them.

--- a/crates/boragepass_entry/src/peer_wire.rs
+++ b/crates/boragepass_entry/src/peer_wire.rs
@@ -6,7 +6,7 @@
     Ask, AskId, ConfigurationVersion, Endpoint, EndpointLoad, Heartbeat, Inputs, PeerMessage, PieceOutcome,
     PieceResult, PoolLoad, ResultHandle, VmRecord, VmState,
 };
-use boragepass_types::{Hash64, Incarnation, SpanMs};
+use boragepass_types::{Hash64, Incarnation, Millicores, SpanMs};
 use serde::{Deserialize, Serialize};
 
 /// Version of the format; another one is refused.
@@ -83,6 +83,7 @@
     failure_domain: String,
     client_address: SocketAddr,
     peer_address: SocketAddr,
+    millicores: u32,
     state: WireVmState,
 }
 
@@ -148,6 +149,7 @@
             failure_domain: record.failure_domain.to_string(),
             client_address: record.client_address,
             peer_address: record.peer_address,
+            millicores: record.processor.0,
             state: match record.state {
                 VmState::Starting => WireVmState::Starting,
                 VmState::Serving => WireVmState::Serving,
@@ -168,6 +170,7 @@
             failure_domain: parsed(&wire.failure_domain)?,
             client_address: wire.client_address,
             peer_address: wire.peer_address,
+            processor: Millicores(wire.millicores),
             state: match wire.state {
                 WireVmState::Starting => VmState::Starting,
                 WireVmState::Serving => VmState::Serving,
--- a/crates/boragepass_entry/src/process.rs
+++ b/crates/boragepass_entry/src/process.rs
@@ -75,6 +75,7 @@
         failure_domain: me.failure_domain.clone(),
         client_address: me.client_address,
         peer_address: me.peer_address,
+        processor: me.processor,
         regions: settings.regions.clone(),
         retries: RetryLimits {
             ratio: settings.retry_ratio,
@@ -107,6 +108,7 @@
         failure_domain: settings.failure_domain.clone(),
         client_address: clients_at,
         peer_address: address,
+        processor: settings.processor,
         state: VmState::Starting,
     };
     let tasks = Tasks::default();
--- a/crates/boragepass_entry/src/store_feed.rs
+++ b/crates/boragepass_entry/src/store_feed.rs
@@ -15,7 +15,7 @@
     Row, RowChange, decode_changes, decode_configuration, decode_endpoint, decode_rows, feed_path, list_path, names,
     put_row,
 };
-use boragepass_types::Incarnation;
+use boragepass_types::{Incarnation, Millicores};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use serde::{Deserialize, Serialize};
@@ -238,6 +238,8 @@
     failure_domain: String,
     client_address: SocketAddr,
     peer_address: SocketAddr,
+    #[serde(default)]
+    millicores: u32,
 }
 
 impl From<&VmRecord> for VmRow {
@@ -248,6 +250,7 @@
             failure_domain: record.failure_domain.to_string(),
             client_address: record.client_address,
             peer_address: record.peer_address,
+            millicores: record.processor.0,
         }
     }
 }
@@ -261,6 +264,7 @@
         failure_domain: listed.failure_domain.parse().ok()?,
         client_address: listed.client_address,
         peer_address: listed.peer_address,
+        processor: Millicores(listed.millicores),
         state: VmState::Starting,
     })
 }
--- a/crates/boragepass_fakes/src/path_fleet/fleet/mod.rs
+++ b/crates/boragepass_fakes/src/path_fleet/fleet/mod.rs
@@ -14,7 +14,7 @@
     HeadFacts, PathSettings, PeerMessage, PieceOutcome, Progress, PromptPart, Repeatability, RequestNumber,
     RequestPath, RetryLimits, SendFailure, SendNumber, VmRecord, VmState,
 };
-use boragepass_types::{EndpointId, FailureDomain, Hash64, Incarnation, SpanMs, TimeMs, VmId};
+use boragepass_types::{EndpointId, FailureDomain, Hash64, Incarnation, Millicores, SpanMs, TimeMs, VmId};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
@@ -22,6 +22,8 @@
 use super::endpoint::{FakeEndpoint, StageRun, WaitingCall};
 use super::ledger::{Ending, Entry, Ledger};
 
+/// Processor of each VM; the model does not charge it.
+const VM_PROCESSOR: Millicores = Millicores(250);
 const START: TimeMs = TimeMs(1_000_000);
 const CLIENT_MS: u64 = 1;
 const REGION_MS: u64 = 20;
@@ -283,6 +285,7 @@
             failure_domain: vm.domain.clone(),
             client_address: vm.client_address,
             peer_address: vm.peer_address,
+            processor: VM_PROCESSOR,
             regions,
             retries: RetryLimits { ratio: 0.2, slack: 56.0, window_ms: SpanMs(10_000) },
             stop_grace_ms: SpanMs(8_000),
@@ -318,6 +321,7 @@
             failure_domain: vm.domain.clone(),
             client_address: vm.client_address,
             peer_address: vm.peer_address,
+            processor: VM_PROCESSOR,
             state: VmState::Starting,
         };
         self.vms.iter().map(record).collect()
--- a/crates/boragepass_path/src/fleet/lead.rs
+++ b/crates/boragepass_path/src/fleet/lead.rs
@@ -1,6 +1,7 @@
 //! Which VM leads a pool within a region.
 //!
-//! A rendezvous hash over the VMs that serve, those of the endpoints' region before all others. VMs
+//! A rendezvous hash over the VMs that serve: those of the endpoints' region before all others, and
+//! among them those with the most processor, since a lead composes the calls of a whole region. VMs
 //! that see different members may disagree for a moment; the worst case is two queues.
 
 use boragepass_types::{PoolId, Region, TimeMs, VmId, rendezvous_weight};
@@ -10,9 +11,9 @@
 /// Lead of a pool, if any VM serves.
 pub(crate) fn lead_of(fleet: &Fleet, now: TimeMs, pool: &PoolId, region: &Region) -> Option<VmId> {
     let key = format!("{pool}/{region}");
-    let weight = |vm: &VmId| rendezvous_weight(&key, vm.as_str());
-    let serving: Vec<_> = fleet.serving(now).collect();
-    let at_home = serving.iter().filter(|record| record.region == *region);
-    let lead = at_home.max_by_key(|record| weight(&record.vm));
-    lead.or_else(|| serving.iter().max_by_key(|record| weight(&record.vm))).map(|record| record.vm.clone())
+    let lead = fleet.serving(now).max_by_key(|record| {
+        let weight = rendezvous_weight(&key, record.vm.as_str());
+        (record.region == *region, record.processor, weight)
+    });
+    lead.map(|record| record.vm.clone())
 }
--- a/crates/boragepass_path/src/fleet/members.rs
+++ b/crates/boragepass_path/src/fleet/members.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use boragepass_types::{FailureDomain, Incarnation, Region, SpanMs, TimeMs, VmId};
+use boragepass_types::{FailureDomain, Incarnation, Millicores, Region, SpanMs, TimeMs, VmId};
 use derive_more::Display;
 
 use crate::configuration::ConfigurationVersion;
@@ -52,6 +52,8 @@
     pub client_address: SocketAddr,
     /// Where other VMs connect.
     pub peer_address: SocketAddr,
+    /// Its processor.
+    pub processor: Millicores,
     /// What it does with new requests.
     pub state: VmState,
 }
@@ -99,6 +101,7 @@
             failure_domain: settings.failure_domain.clone(),
             client_address: settings.client_address,
             peer_address: settings.peer_address,
+            processor: settings.processor,
             state: VmState::Starting,
         };
         Self { me, members: BTreeMap::new(), seeds: Vec::new(), cursor: 0, has_store: true }
--- a/crates/boragepass_path/src/settings.rs
+++ b/crates/boragepass_path/src/settings.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use boragepass_types::{FailureDomain, Incarnation, Region, SpanMs, VmId};
+use boragepass_types::{FailureDomain, Incarnation, Millicores, Region, SpanMs, VmId};
 
 /// Limits on repeated sends, shared by all VMs.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -42,6 +42,8 @@
     pub client_address: SocketAddr,
     /// Where other VMs connect.
     pub peer_address: SocketAddr,
+    /// Its processor.
+    pub processor: Millicores,
     /// Region of each failure domain.
     pub regions: Vec<(FailureDomain, Region)>,
     /// Limits on repeated sends.
--- a/crates/boragepass_settings/src/entry.rs
+++ b/crates/boragepass_settings/src/entry.rs
@@ -3,7 +3,9 @@
 use std::net::SocketAddr;
 use std::str::FromStr;
 
-use boragepass_types::{AccessKey, FailureDomain, FindingKind, Findings, Region, SpanMs, VmId, nearest_known};
+use boragepass_types::{
+    AccessKey, FailureDomain, FindingKind, Findings, Millicores, Region, SpanMs, VmId, nearest_known,
+};
 
 use crate::raw::RawSettings;
 use crate::resolve::Reader;
@@ -13,6 +15,9 @@
 /// hundred requests a second.
 const LOG_LINES_PER_S: u32 = 600;
 
+/// Processor of a VM whose settings name none.
+const ONE_CORE: Millicores = Millicores(1_000);
+
 /// Settings of an entry VM.
 #[derive(Debug, Clone)]
 pub struct EntrySettings {
@@ -40,6 +45,8 @@
     pub peer_key: AccessKey,
     /// Addresses of some other VMs.
     pub seeds: Vec<SocketAddr>,
+    /// Processor that this VM may use.
+    pub processor: Millicores,
     /// Region of each failure domain.
     pub regions: Vec<(FailureDomain, Region)>,
     /// Repeated sends for each request, as a share.
@@ -66,6 +73,18 @@
     }
 }
 
+/// Cores of a VM, with a fraction.
+struct Cores(Millicores);
+
+impl FromStr for Cores {
+    type Err = std::num::ParseFloatError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let cores: f64 = text.parse()?;
+        Ok(Self(Millicores((cores.max(0.0) * 1e3).round() as u32)))
+    }
+}
+
 /// Duration in seconds with a fraction.
 struct Seconds(SpanMs);
 
@@ -107,8 +126,9 @@
     let mut findings = Findings::default();
     check_sections(raw, &mut findings);
     let regions = failure_domains(raw, &mut findings);
-    let mut node = Reader::new(raw, "node", &["vm", "region", "failure_domain"], &mut findings);
+    let mut node = Reader::new(raw, "node", &["vm", "region", "failure_domain", "cores"], &mut findings);
     let (vm, region, failure_domain) = (node.required("vm"), node.required("region"), node.required("failure_domain"));
+    let cores: Option<Cores> = node.optional("cores");
     let known = ["clients", "readiness", "addresses", "operators", "metrics", "peers"];
     let mut listen = Reader::new(raw, "listen", &known, &mut findings);
     let (clients, readiness, addresses) =
@@ -138,6 +158,7 @@
             store: store?,
             peer_key: peer_key?,
             seeds: seeds.map(|seeds| seeds.0).unwrap_or_default(),
+            processor: cores.map_or(ONE_CORE, |cores| cores.0),
             regions,
             retry_ratio: retry_ratio?,
             retry_slack: retry_slack?,
--- a/crates/boragepass_types/src/units.rs
+++ b/crates/boragepass_types/src/units.rs
@@ -27,6 +27,8 @@
     RatePerS(u32),
     /// Thousandths of a whole.
     Permille(u16),
+    /// Processor of a VM in thousandths of a core.
+    Millicores(u32),
     /// Importance of a plan's requests; larger is served first.
     Priority(u8),
 }
