--- a/crates/boragepass_path/src/placement/engine_choice.rs
+++ b/crates/boragepass_path/src/placement/engine_choice.rs
@@ -14,7 +14,7 @@
 /// Prompt tokens that a model engine reads in a millisecond; both sites state 93.
 pub(crate) const READ_TOKENS_PER_MS: f64 = 93.0;
 /// Shares of the shared parts that the endpoints marked first and second are expected to hold.
-const MARKED_SHARES: [f64; 2] = [0.8, 0.2];
+const MARKED_SHARES: [f64; 2] = [0.8, 0.4];
 /// Length from which shared parts are kept at one endpoint for all regions: reading 4,000 tokens
 /// takes as long as the journey to another region and back.
 const LONG_SHARED_TOKENS: u64 = 4_000;
