Do not count engines that refuse the connection among a request's offers

Cause: a request was offered to four engines at most. Change: engines that were not reached do not count, up to 16. Test, failing first: engines_that_crash_cost_no_request_that_others_can_run, 1 manifest refused before, 0 after.

--- a/crates/boragepass_path/src/reducer/arrivals.rs
+++ b/crates/boragepass_path/src/reducer/arrivals.rs
@@ -103,6 +103,7 @@
             stages,
             phase: Phase::InStages,
             tried: Vec::new(),
+            unreached: 0,
             runs: 0,
             restarts: 0,
             is_relaying: false,
--- a/crates/boragepass_path/src/reducer/sends.rs
+++ b/crates/boragepass_path/src/reducer/sends.rs
@@ -14,8 +14,6 @@
 use crate::record::Record;
 use crate::request::{Phase, RequestNumber, Requested, SendNumber, Sending};
 
-/// Endpoints that one request is offered to at most, those that turn it away included.
-const OFFERS_MAX: usize = 4;
 /// How long an endpoint that turned a request away as full is asked last.
 const FULL_FOR: SpanMs = SpanMs(150);
 /// How long no used connection to an endpoint carries a request that may run only once, after the
@@ -147,14 +145,14 @@
             return;
         };
         requested.last_event = last_event.or(requested.last_event);
-        let tried = &requested.tried;
+        let (tried, may_be_offered) = (&requested.tried, requested.may_be_offered());
         let has_other = self
             .table
             .serving(&requested.pool)
             .any(|known| !tried.contains(&known.endpoint.id) && !known.is_ejected(now));
         let pool = requested.pool.clone();
         let live = self.fleet.live_count(now);
-        if !has_other || tried.len() >= OFFERS_MAX || !self.budget.take(now, &pool, 1, live) {
+        if !has_other || !may_be_offered || !self.budget.take(now, &pool, 1, live) {
             return;
         }
         self.effects.push(Effect::CancelSend(send));
@@ -269,9 +267,9 @@
             }
             _ => self.table.on_full(&sending.endpoint, now + FULL_FOR),
         }
-        let offers = self.requests.get(&request).map_or(0, |requested| requested.tried.len());
+        let may_be_offered = self.requests.get(&request).is_some_and(Requested::may_be_offered);
         let live = self.fleet.live_count(now);
-        if offers < OFFERS_MAX && self.budget.take(now, &pool, 1, live) {
+        if may_be_offered && self.budget.take(now, &pool, 1, live) {
             self.send_request(now, request);
         } else {
             self.finish(now, request, RefusalReason::EndpointsFull);
@@ -338,11 +336,13 @@
             .text("reason", failure)
             .number("after_ms", now.since(sending.sent_at).0);
         let digest = requested.arrival.digest;
-        if failure != SendFailure::NotSent {
+        if failure == SendFailure::NotSent {
+            requested.unreached += 1;
+        } else {
             requested.runs += 1;
         }
         requested.phase = Phase::InStages;
-        let may_run_again = requested.may_run_again() && requested.tried.len() < OFFERS_MAX;
+        let may_run_again = requested.may_run_again() && requested.may_be_offered();
         let is_relaying = requested.is_relaying;
         let pool = requested.pool.clone();
         self.log(record);
--- a/crates/boragepass_path/src/request/state.rs
+++ b/crates/boragepass_path/src/request/state.rs
@@ -9,6 +9,12 @@
 use crate::event::{Arrival, EventId};
 use crate::stages::StageProgress;
 
+/// Endpoints that one request is offered to at most, those that turn it away included.
+const OFFERS_MAX: usize = 4;
+/// Endpoints beside those that may refuse its connection: when a quarter of a pool crashes, as the sites' days have it, 16 in a
+/// row do so once in four thousand million times.
+const UNREACHED_MAX: usize = 16;
+
 /// Send that is in progress.
 #[derive(Debug, Clone)]
 pub(crate) struct Sending {
@@ -44,8 +50,10 @@
     pub(crate) pool: PoolId,
     pub(crate) stages: StageProgress,
     pub(crate) phase: Phase,
-    /// Endpoints that had it.
+    /// Endpoints that it was sent to, also where nothing of it arrived.
     pub(crate) tried: Vec<EndpointId>,
+    /// Those among them that did not take the connection.
+    pub(crate) unreached: usize,
     /// Sends that an endpoint may have run.
     pub(crate) runs: u32,
     /// Times that its stages were started over.
@@ -61,6 +69,11 @@
         self.deadline_at.since(now)
     }
 
+    /// Whether it may be offered to one more endpoint; one that cannot be reached counts for less.
+    pub(crate) fn may_be_offered(&self) -> bool {
+        self.tried.len() - self.unreached < OFFERS_MAX && self.unreached < UNREACHED_MAX
+    }
+
     /// Whether one more endpoint may run it.
     pub(crate) fn may_run_again(&self) -> bool {
         self.runs == 0 || (self.route.repeatability.is_repeatable() && self.runs < self.route.endpoints_max)
