Add a randomized soak of the real programs: boragepass-soak

Entry VMs run as processes; store, endpoints and clients are stand-ins in the soak's process; every connection of a VM to the store and to endpoints passes a loopback proxy that delays, resets, cuts one way or silences it. A plan from a seed stops, pauses, kills and restarts processes, and makes the store slow, away, lossy or forgetful, endpoints lose answers, fail, fill up or drain, and the configuration change, in series that overlap. The ledger checks from what clients and endpoints see: runs at most once, true refusals, whole and own answers, streams in order, inputs of the request, keys kept back, nothing cut off by a VM that was at most asked to stop, no process that ends by itself or outlives its grace period, nine in ten answered after the last fault. Not in it: links between VMs pass no proxy (a VM announces the address that it listens on), clocks are not stepped (the programs read the steady clock), endpoints' drains are carried out but not judged.

--- a/crates/boragepass_entry/tests/support/mod.rs
+++ b/crates/boragepass_entry/tests/support/mod.rs
@@ -8,108 +8,17 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use async_std::net::{TcpListener, TcpStream};
-use async_std::stream::StreamExt;
+use async_std::net::TcpStream;
 use async_std::task;
 use boragepass_entry::HttpIo;
 use boragepass_path::{Endpoint, PieceOutcome};
 use boragepass_platform::{
     Row, Rows, decode_call, decode_put, encode_changes, encode_endpoint, encode_results, encode_rows, names,
 };
+pub(crate) use boragepass_soak::{Got, Reply, serve};
 use bytes::Bytes;
-use http::{HeaderName, Request, Response, StatusCode};
+use http::Request;
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-
-/// Request that a stand-in got.
-#[derive(Debug, Clone)]
-pub(crate) struct Got {
-    pub(crate) path: String,
-    pub(crate) headers: http::HeaderMap,
-    pub(crate) body: Bytes,
-}
-
-impl Got {
-    pub(crate) fn header(&self, name: &HeaderName) -> Option<&str> {
-        self.headers.get(name).and_then(|value| value.to_str().ok())
-    }
-}
-
-/// Reply of a stand-in.
-pub(crate) struct Reply {
-    pub(crate) status: u16,
-    pub(crate) headers: Vec<(HeaderName, String)>,
-    pub(crate) body: Vec<u8>,
-    pub(crate) after: Duration,
-}
-
-impl Reply {
-    pub(crate) fn new(status: u16, body: impl Into<Vec<u8>>) -> Self {
-        Self { status, headers: Vec::new(), body: body.into(), after: Duration::ZERO }
-    }
-
-    /// Signed reply to a request.
-    pub(crate) fn signed(got: &Got, body: impl Into<Vec<u8>>) -> Self {
-        let id = got.header(&names::ATTEMPT_ID).unwrap_or_default().to_owned();
-        let headers = vec![(names::ATTEMPT_ID, id), (names::SIGNATURE, "sealed".to_owned())];
-        Self { headers, ..Self::new(200, body) }
-    }
-}
-
-type Handler = Arc<dyn Fn(&Got) -> Option<Reply> + Send + Sync>;
-
-/// HTTP server on a free port; a handler that gives no reply loses the connection.
-pub(crate) fn serve(
-    handler: impl Fn(&Got) -> Option<Reply> + Send + Sync + 'static,
-) -> (SocketAddr, Arc<Mutex<Vec<Got>>>) {
-    let got = Arc::new(Mutex::new(Vec::new()));
-    let handler: Handler = Arc::new(handler);
-    let listener = task::block_on(TcpListener::bind("127.0.0.1:0")).expect("a free port");
-    let address = listener.local_addr().expect("a bound address");
-    let seen = got.clone();
-    std::thread::spawn(move || task::block_on(accept(listener, handler, seen)));
-    (address, got)
-}
-
-async fn accept(listener: TcpListener, handler: Handler, seen: Arc<Mutex<Vec<Got>>>) {
-    let mut incoming = listener.incoming();
-    while let Some(Ok(stream)) = incoming.next().await {
-        task::spawn_local(answer(stream, handler.clone(), seen.clone()));
-    }
-}
-
-#[derive(Debug, displaydoc::Display)]
-/// the reply is lost
-struct Lost;
-
-impl std::error::Error for Lost {}
-
-async fn answer(stream: TcpStream, handler: Handler, seen: Arc<Mutex<Vec<Got>>>) {
-    let io = HttpIo::new(stream).expect("a socket takes options");
-    let service = service_fn(|request: Request<Incoming>| {
-        let (handler, seen) = (handler.clone(), seen.clone());
-        async move {
-            let (parts, body) = request.into_parts();
-            let body = body.collect().await.map_err(|_| Lost)?.to_bytes();
-            let path = parts.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned();
-            let got = Got { path, headers: parts.headers, body };
-            let reply = handler(&got);
-            seen.lock().expect("no holder panics").push(got);
-            let reply = reply.ok_or(Lost)?;
-            task::sleep(reply.after).await;
-            let mut response = Response::new(Full::new(Bytes::from(reply.body)));
-            *response.status_mut() = StatusCode::from_u16(reply.status).expect("a valid status");
-            for (name, value) in reply.headers {
-                response.headers_mut().insert(name, value.parse().expect("a valid value"));
-            }
-            Ok::<_, Lost>(response)
-        }
-    });
-    // A lost reply ends the connection.
-    http1::Builder::new().serve_connection(io, service).await.ok();
-}
 
 /// Store with a configuration and some endpoints that do not change.
 pub(crate) fn store(configuration: &str, endpoints: &[Endpoint]) -> SocketAddr {
--- /dev/null
+++ b/crates/boragepass_soak/src/main.rs
@@ -0,0 +1,91 @@
+//! `boragepass-soak`: entry VMs as processes under faults drawn from a seed.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use boragepass_soak::{SoakError, SoakSettings, run};
+use gumdrop::Options;
+
+/// Runs entry VMs under faults and checks what clients and endpoints see.
+#[derive(Debug, Options)]
+struct Arguments {
+    /// print this help
+    help: bool,
+    /// first seed
+    #[options(default = "1", meta = "N")]
+    seed: u64,
+    /// seeds to play, one after the other
+    #[options(default = "1", meta = "N")]
+    seeds: u64,
+    /// length of each run in seconds; the last 12 are without faults
+    #[options(no_short, long = "for", default = "30", meta = "S")]
+    run_s: u64,
+    /// entry VMs
+    #[options(default = "6", meta = "N")]
+    processes: usize,
+    /// program of an entry VM; the one beside this program where this is left out
+    #[options(meta = "FILE")]
+    entry: Option<PathBuf>,
+    /// folder for settings and logs
+    #[options(no_short, meta = "DIR")]
+    folder: Option<PathBuf>,
+    /// print the plan of each seed, and keep its logs
+    #[options(no_short)]
+    plan: bool,
+}
+
+const FAILED: u8 = 1;
+const BAD_INPUT: u8 = 2;
+/// Shortest run in seconds: the calm end and some seconds of faults.
+const RUN_MIN_S: u64 = 15;
+/// Most entry VMs; the limit is a few hundred processes, and each has an address of its own.
+const PROCESSES_MAX: usize = 250;
+
+fn main() -> ExitCode {
+    let arguments = Arguments::parse_args_default_or_exit();
+    if arguments.run_s < RUN_MIN_S || !(1..=PROCESSES_MAX).contains(&arguments.processes) {
+        eprintln!("--for takes {RUN_MIN_S} s or more, --processes 1 to {PROCESSES_MAX}");
+        return ExitCode::from(BAD_INPUT);
+    }
+    let mut has_failed = false;
+    for seed in arguments.seed..arguments.seed + arguments.seeds {
+        match play(&arguments, seed) {
+            Ok(is_clean) => has_failed |= !is_clean,
+            Err(error) => {
+                eprintln!("seed {seed}: {error}");
+                return ExitCode::from(FAILED);
+            }
+        }
+    }
+    if has_failed { ExitCode::from(FAILED) } else { ExitCode::SUCCESS }
+}
+
+fn play(arguments: &Arguments, seed: u64) -> Result<bool, SoakError> {
+    let beside = || std::env::current_exe().map(|path| path.with_file_name("boragepass-entry")).unwrap_or_default();
+    let folder = arguments.folder.clone().unwrap_or_else(|| std::env::temp_dir().join("boragepass-soak"));
+    let settings = SoakSettings {
+        program: arguments.entry.clone().unwrap_or_else(beside),
+        folder: folder.join(format!("{}-{seed}", std::process::id())),
+        seed,
+        run_ms: arguments.run_s * 1_000,
+        vms: arguments.processes,
+    };
+    let (plan, summary) = run(&settings)?;
+    if arguments.plan || !summary.violations.is_empty() {
+        for step in &plan.steps {
+            println!("seed {seed}: {:>6} ms {}", step.at_ms, step.fault);
+        }
+    }
+    let endings: Vec<String> = summary.endings.iter().map(|(ending, count)| format!("{ending}: {count}")).collect();
+    println!("seed {seed}: {} violations; {}", summary.violations.len(), endings.join(", "));
+    for violation in &summary.violations {
+        println!("seed {seed}: {violation}");
+    }
+    if summary.violations.is_empty() && !arguments.plan {
+        // A clean run needs no logs; what cannot be removed stays where it is.
+        std::fs::remove_dir_all(&settings.folder).ok();
+    } else {
+        println!("seed {seed}: logs in {}", settings.folder.display());
+    }
+    Ok(summary.violations.is_empty())
+}
