--- a/crates/boragepass_soak/src/endpoints.rs
+++ b/crates/boragepass_soak/src/endpoints.rs
@@ -67,7 +67,7 @@
         let state = State { id, loses_until: past, fails_until: past, full_until: past };
         let state = Arc::new(Mutex::new(state));
         let answering = state.clone();
-        let (server, _) = serve(move |got| answer(work, &answering, &ledger, got));
+        let (server, _) = serve(move |got| answer(work, number, &answering, &ledger, got));
         Self { link: Proxy::to(server), work, number, domain, state }
     }
 
@@ -118,7 +118,7 @@
     Reply { headers: vec![(names::NOT_RUN, "1".to_owned())], ..Reply::new(status, "") }
 }
 
-fn answer(work: Work, state: &Mutex<State>, ledger: &Ledger, got: &Got) -> Option<Reply> {
+fn answer(work: Work, number: usize, state: &Mutex<State>, ledger: &Ledger, got: &Got) -> Option<Reply> {
     if got.path.starts_with(names::STAGE_FREE_PATH) {
         return Some(Reply::new(200, ""));
     }
@@ -135,18 +135,18 @@
     }
     let reply = match work {
         Work::Stage => stage(ledger, got),
-        Work::Plain | Work::Model => request(work, &id, ledger, got, fails),
+        Work::Plain | Work::Model => request(work, number, &id, ledger, got, fails),
     };
     reply.filter(|_| !loses)
 }
 
-fn request(work: Work, id: &str, ledger: &Ledger, got: &Got, fails: bool) -> Option<Reply> {
+fn request(work: Work, number: usize, id: &str, ledger: &Ledger, got: &Got, fails: bool) -> Option<Reply> {
     let client_id = got.header(&names::ATTEMPT_ID).unwrap_or_default().to_owned();
     let inputs = got.header(&names::INPUTS).unwrap_or_default();
     if work == Work::Model {
         ledger.check_handles(&client_id, inputs.split(',').filter(|handle| !handle.is_empty()));
     }
-    ledger.on_run(&client_id, id, got);
+    ledger.on_run(&client_id, number, id, got);
     if fails {
         return Some(Reply { status: 500, ..Reply::signed(got, "failed") });
     }
--- a/crates/boragepass_soak/src/ledger.rs
+++ b/crates/boragepass_soak/src/ledger.rs
@@ -61,18 +61,26 @@
     vm: usize,
     body: Vec<u8>,
     sent_at: Instant,
-    runs: Vec<String>,
+    /// Numbers and ids of the endpoints that ran it.
+    runs: Vec<(usize, String)>,
     ended: Option<(Instant, Ending)>,
 }
 
+impl Entry {
+    fn run_ids(&self) -> String {
+        let ids: Vec<&str> = self.runs.iter().map(|(_, id)| id.as_str()).collect();
+        ids.join(", ")
+    }
+}
+
 #[derive(Debug, Default)]
 struct Inner {
     entries: HashMap<String, Entry>,
     violations: Vec<Violation>,
     /// Times in which a VM was disturbed, and whether more than a request to stop did it.
     disturbed: Vec<(usize, Instant, Instant, bool)>,
-    /// Times in which a link or an endpoint was disturbed.
-    links: Vec<(Instant, Instant)>,
+    /// Times in which an endpoint or its link was disturbed.
+    endpoints: Vec<(usize, Instant, Instant)>,
 }
 
 /// What clients and endpoints saw.
@@ -113,7 +121,7 @@
     }
 
     /// An endpoint begins to run a request.
-    pub(crate) fn on_run(&self, client_id: &str, endpoint: &str, got: &Got) {
+    pub(crate) fn on_run(&self, client_id: &str, number: usize, endpoint: &str, got: &Got) {
         let problem = {
             let mut inner = self.inner();
             let Some(entry) = inner.entries.get_mut(client_id) else {
@@ -121,10 +129,10 @@
                 self.violate(client_id, "an endpoint runs a request that no client sent");
                 return;
             };
-            entry.runs.push(endpoint.to_owned());
+            entry.runs.push((number, endpoint.to_owned()));
             let is_refused = matches!(&entry.ended, Some((_, Ending::Status(status))) if PROMISES.contains(status));
             if entry.kind == Kind::Deposit && entry.runs.len() > 1 {
-                Some(format!("a request that may run once runs again: {}", entry.runs.join(", ")))
+                Some(format!("a request that may run once runs again: {}", entry.run_ids()))
             } else if entry.kind == Kind::Deposit && is_refused {
                 Some("a refused request runs later".to_owned())
             } else if entry.body != got.body {
@@ -172,7 +180,7 @@
                     Some(format!("a proper request is answered {status}"))
                 }
                 _ if is_promise && entry.kind == Kind::Deposit && !entry.runs.is_empty() => {
-                    Some(format!("refused as not run, but it ran at {}", entry.runs.join(", ")))
+                    Some(format!("refused as not run, but it ran at {}", entry.run_ids()))
                 }
                 Ending::Answered if entry.runs.is_empty() => Some("answered, but no endpoint ran it".to_owned()),
                 _ => None,
@@ -190,9 +198,9 @@
         self.inner().disturbed.push((vm, now, now + span, is_hard));
     }
 
-    pub(crate) fn disturb_link(&self, span: Duration) {
+    pub(crate) fn disturb_endpoint(&self, number: usize, span: Duration) {
         let now = Instant::now();
-        self.inner().links.push((now, now + span));
+        self.inner().endpoints.push((number, now, now + span));
     }
 
     /// Checks what is only known at the end.
@@ -238,10 +246,11 @@
             *vm == entry.vm && *is_hard && overlaps(*from, *to)
         };
         let is_vm_hard = self.disturbed.iter().any(is_hard);
-        let is_link_disturbed = self.links.iter().any(|(from, to)| overlaps(*from, *to));
+        let ran_at = |number: &usize| entry.runs.iter().any(|(run, _)| run == number);
+        let is_run_disturbed = self.endpoints.iter().any(|(number, from, to)| ran_at(number) && overlaps(*from, *to));
         match ending {
             // A stopping VM may close a connection only before it reads a request, or after its answer.
-            Ending::Broken(how) if !entry.runs.is_empty() && !is_vm_hard && !is_link_disturbed => {
+            Ending::Broken(how) if !entry.runs.is_empty() && !is_vm_hard && !is_run_disturbed => {
                 Some(format!("cut off after it was passed on, by a VM that was at most asked to stop: {how}"))
             }
             Ending::Unanswered if !is_vm_hard => Some("no answer for longer than its route allows".to_owned()),
--- a/crates/boragepass_soak/src/run.rs
+++ b/crates/boragepass_soak/src/run.rs
@@ -180,7 +180,7 @@
             Fault::Reload(vm) => self.vms[vm].reload(),
             Fault::StoreLink(vm, mode, ms) => disturb(&self.store_links[vm], mode, ms),
             Fault::EndpointLink(endpoint, mode, ms) => {
-                self.ledger.disturb_link(Duration::from_millis(ms));
+                self.ledger.disturb_endpoint(endpoint, Duration::from_millis(ms));
                 disturb(&self.endpoints[endpoint].link, mode, ms);
             }
             Fault::StoreAway(ms) => self.store.be_away(ms),
@@ -188,7 +188,7 @@
             Fault::StoreLoses(ms) => self.store.lose_answers(ms),
             Fault::StoreForgets => self.store.forget(),
             Fault::EndpointLoses(endpoint, ms) => {
-                self.ledger.disturb_link(Duration::from_millis(ms));
+                self.ledger.disturb_endpoint(endpoint, Duration::from_millis(ms));
                 self.endpoints[endpoint].lose_answers(ms);
             }
             Fault::EndpointFails(endpoint, ms) => self.endpoints[endpoint].fail(ms),
