--- a/crates/boragepass_path/src/reducer/stage_flow.rs
+++ b/crates/boragepass_path/src/reducer/stage_flow.rs
@@ -200,6 +200,7 @@
                 Record::new("ask moved to another region")
                     .text("request", &requested.arrival.client_id)
                     .number("stage", stage)
+                    .text("pool", &requested.stages.spec(stage).pool)
                     .text("region", &asked.region),
             );
             self.release(now, &asked);
