Note a disturbance before its signal, and keep the seeds that ever failed

Cause (traced from the log of the killed VM): seed 131 read 'cut off after it was passed on' for a stream on a VM that the plan killed at 10,870 ms. The ledger noted the kill after the signal, and the client's end of the stream had come in between.

--- a/crates/boragepass_soak/src/main.rs
+++ b/crates/boragepass_soak/src/main.rs
@@ -17,6 +17,9 @@
     /// seeds to play, one after the other
     #[options(default = "1", meta = "N")]
     seeds: u64,
+    /// play the seeds that ever failed instead
+    #[options(no_short)]
+    regression: bool,
     /// length of each run in seconds; the last 12 are without faults
     #[options(no_short, long = "for", default = "30", meta = "S")]
     run_s: u64,
@@ -48,11 +51,17 @@
         return ExitCode::from(BAD_INPUT);
     }
     let mut has_failed = false;
-    for seed in arguments.seed..arguments.seed + arguments.seeds {
-        match play(&arguments, seed) {
+    let cases = if arguments.regression {
+        regression_cases()
+    } else {
+        let seeds = arguments.seed..arguments.seed + arguments.seeds;
+        seeds.map(|seed| Case { seed, run_s: arguments.run_s, vms: arguments.processes }).collect()
+    };
+    for case in cases {
+        match play(&arguments, &case) {
             Ok(is_clean) => has_failed |= !is_clean,
             Err(error) => {
-                eprintln!("seed {seed}: {error}");
+                eprintln!("seed {}: {error}", case.seed);
                 return ExitCode::from(FAILED);
             }
         }
@@ -60,15 +69,32 @@
     if has_failed { ExitCode::from(FAILED) } else { ExitCode::SUCCESS }
 }
 
-fn play(arguments: &Arguments, seed: u64) -> Result<bool, SoakError> {
+/// One run.
+struct Case {
+    seed: u64,
+    run_s: u64,
+    vms: usize,
+}
+
+/// Seeds that ever failed, each with the length and size of the run in which it did.
+fn regression_cases() -> Vec<Case> {
+    let lines = include_str!("../regression_seeds.txt").lines().filter(|line| !line.starts_with('#'));
+    let case = |line: &str| {
+        let mut numbers = line.split_whitespace().map_while(|word| word.parse::<u64>().ok());
+        Some(Case { seed: numbers.next()?, run_s: numbers.next()?, vms: numbers.next()? as usize })
+    };
+    lines.filter_map(case).collect()
+}
+
+fn play(arguments: &Arguments, &Case { seed, run_s, vms }: &Case) -> Result<bool, SoakError> {
     let beside = || std::env::current_exe().map(|path| path.with_file_name("boragepass-entry")).unwrap_or_default();
     let folder = arguments.folder.clone().unwrap_or_else(|| std::env::temp_dir().join("boragepass-soak"));
     let settings = SoakSettings {
         program: arguments.entry.clone().unwrap_or_else(beside),
         folder: folder.join(format!("{}-{seed}", std::process::id())),
         seed,
-        run_ms: arguments.run_s * 1_000,
-        vms: arguments.processes,
+        run_ms: run_s * 1_000,
+        vms,
     };
     let (plan, summary) = run(&settings)?;
     if arguments.plan || !summary.violations.is_empty() {
--- a/crates/boragepass_soak/src/vm.rs
+++ b/crates/boragepass_soak/src/vm.rs
@@ -160,23 +160,24 @@
             return;
         }
         process.stop_asked_at = Some(Instant::now());
-        signal(&process, Signal::TERM);
         self.ledger.disturb_vm(self.number, Duration::from_secs(GRACE_S) + STARTS_WITHIN, false);
+        signal(&process, Signal::TERM);
     }
 
     pub(crate) fn kill(&self) {
         let mut process = self.process();
         process.killed = true;
-        signal(&process, Signal::KILL);
+        // Noted before the signal, since clients see its effect at once.
         self.ledger.disturb_vm(self.number, STARTS_WITHIN, true);
+        signal(&process, Signal::KILL);
     }
 
     pub(crate) fn pause(&self, ms: u64) {
         let mut process = self.process();
         let span = Duration::from_millis(ms);
         process.paused_until = Some(Instant::now() + span);
-        signal(&process, Signal::STOP);
         self.ledger.disturb_vm(self.number, span, true);
+        signal(&process, Signal::STOP);
     }
 
     pub(crate) fn reload(&self) {
