Believe another VM that an endpoint is gone, and pass on what lapsed

Besides, an entry whose time to come back was over was dropped without a new version, and the domain was not told. Change: a list that another VM passes on is a kind of its own; what it leaves out is gone. Entries that lapse for good are passed on. Tests, both fail without their half: an_endpoint_that_others_left_out_is_gone_for_a_vm_without_the_store, an_entry_that_lapsed_is_passed_on_as_gone_once_its_time_is_over (1 list passed on before, 2 and more after).

--- a/crates/boragepass_fakes/tests/path_leads.rs
+++ b/crates/boragepass_fakes/tests/path_leads.rs
@@ -1,4 +1,4 @@
-//! Which VM a reducer asks for the pieces of a stage.
+//! What a reducer takes from other VMs and leaves to them: leads, the store, the list of endpoints.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -147,3 +147,39 @@
         assert!(leaves_it, "vm-{number} goes on to follow the store");
     }
 }
+
+/// A follower that the store turned away kept an endpoint that was gone, and passed it on to its failure domain as part of a list
+/// that nobody asked about any more.
+#[test]
+fn an_endpoint_that_others_left_out_is_gone_for_a_vm_without_the_store() {
+    let deployment = Deployment::of(Site::Gigdesk);
+    let mut path = path(&deployment);
+    path.handle(NOW, Event::StoreReachable(false));
+    let (gone, rest) = deployment.endpoints.split_first().expect("the site has endpoints");
+    path.handle(NOW, Event::Endpoints(EndpointUpdate::Passed(rest.to_vec(), 2)));
+    assert_eq!(path.endpoints_version(), 2);
+    assert!(path.endpoints().all(|endpoint| endpoint.id != gone.id), "{} is still listed", gone.id);
+}
+
+/// While the store is away, and until it has been back for two seconds, an entry that it lost is no proof.
+#[test]
+fn an_entry_that_lapsed_is_passed_on_as_gone_once_its_time_is_over() {
+    let deployment = Deployment::of(Site::Gigdesk);
+    let mut path = path(&deployment);
+    path.handle(NOW, heartbeat(record(1, 120)));
+    path.handle(NOW, heartbeat(record(2, 120)));
+    path.handle(NOW, Event::StoreReachable(false));
+    path.handle(NOW + SpanMs(100), Event::StoreReachable(true));
+    let gone = deployment.endpoints[0].id.clone();
+    path.handle(NOW + SpanMs(200), Event::Endpoints(EndpointUpdate::Gone(gone.clone(), 2)));
+    assert!(path.endpoints().any(|endpoint| endpoint.id == gone), "it may come back");
+    let mut shares = 0;
+    for step in 1..=60 {
+        let now = NOW + SpanMs(200 + 50 * step);
+        let events = [heartbeat(record(1, 120)), heartbeat(record(2, 120)), Event::Tick];
+        let effects = events.into_iter().flat_map(|event| path.handle(now, event));
+        shares += effects.filter(|effect| matches!(effect, Effect::ShareState { .. })).count();
+    }
+    assert!(path.endpoints().all(|endpoint| endpoint.id != gone), "its time is over");
+    assert!(shares >= 2, "{shares} lists passed on, at the change and at its end");
+}
--- a/crates/boragepass_path/src/placement/endpoint_table.rs
+++ b/crates/boragepass_path/src/placement/endpoint_table.rs
@@ -4,7 +4,7 @@
 //! store is away are kept until the store has been back for [`LAPSE_GRACE`], since living endpoints
 //! write theirs again within that time.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 
 use boragepass_core::{EjectionCause, Health, ejection_cap};
@@ -46,8 +46,10 @@
 /// Change of the endpoint list.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum EndpointUpdate {
-    /// The whole list at a version.
+    /// The whole list at a version, as the store holds it.
     Snapshot(Vec<Endpoint>, u64),
+    /// The whole list at a version, as another VM knows it.
+    Passed(Vec<Endpoint>, u64),
     /// One entry is new or changed.
     Changed(Endpoint, u64),
     /// One entry was removed.
@@ -57,7 +59,10 @@
 impl EndpointUpdate {
     fn version(&self) -> u64 {
         match self {
-            Self::Snapshot(_, version) | Self::Changed(_, version) | Self::Gone(_, version) => *version,
+            Self::Snapshot(_, version)
+            | Self::Passed(_, version)
+            | Self::Changed(_, version)
+            | Self::Gone(_, version) => *version,
         }
     }
 }
@@ -184,21 +189,29 @@
         self.version = version;
         match update {
             EndpointUpdate::Snapshot(endpoints, _) => {
-                let listed: std::collections::BTreeSet<_> =
-                    endpoints.iter().map(|endpoint| endpoint.id.clone()).collect();
-                let missing: Vec<_> = self.by_id.keys().filter(|id| !listed.contains(*id)).cloned().collect();
-                for id in missing {
+                for id in self.missing_from(&endpoints) {
                     self.remove(now, &id);
                 }
-                for endpoint in endpoints {
-                    self.put(endpoint);
+                endpoints.into_iter().for_each(|endpoint| self.put(endpoint));
+            }
+            // The other VM has waited for entries that lapsed; one that it left out is gone, also for a VM that the
+            // store turns away. If that VM kept it, it would pass it on as part of this version.
+            EndpointUpdate::Passed(endpoints, _) => {
+                for id in self.missing_from(&endpoints) {
+                    self.by_id.remove(&id);
                 }
+                endpoints.into_iter().for_each(|endpoint| self.put(endpoint));
             }
             EndpointUpdate::Changed(endpoint, _) => self.put(endpoint),
             EndpointUpdate::Gone(id, _) => self.remove(now, &id),
         }
     }
 
+    fn missing_from(&self, endpoints: &[Endpoint]) -> Vec<EndpointId> {
+        let listed: BTreeSet<_> = endpoints.iter().map(|endpoint| &endpoint.id).collect();
+        self.by_id.keys().filter(|id| !listed.contains(id)).cloned().collect()
+    }
+
     fn put(&mut self, endpoint: Endpoint) {
         match self.by_id.get_mut(&endpoint.id) {
             Some(known) if known.endpoint.born_ms == endpoint.born_ms => {
@@ -221,12 +234,15 @@
         }
     }
 
-    /// Forgets entries that did not come back after the store did.
-    pub(crate) fn sweep(&mut self, now: TimeMs) {
-        if !self.keeps_lapsed(now) {
-            self.by_id.retain(|_, known| !known.is_lapsed);
-            self.returned_at = None;
+    /// Forgets entries that did not come back after the store did; whether there were any.
+    pub(crate) fn sweep(&mut self, now: TimeMs) -> bool {
+        if self.keeps_lapsed(now) {
+            return false;
         }
+        let before = self.by_id.len();
+        self.by_id.retain(|_, known| !known.is_lapsed);
+        self.returned_at = None;
+        self.by_id.len() < before
     }
 
     /// Forgets an endpoint whose address answers for another one.
--- a/crates/boragepass_path/src/reducer/mod.rs
+++ b/crates/boragepass_path/src/reducer/mod.rs
@@ -200,7 +200,10 @@
             Timer::Share => self.share_with_domain(now),
             Timer::Drain => self.check_drained(now),
             Timer::Sweep => {
-                self.table.sweep(now);
+                if self.table.sweep(now) {
+                    // The version does not rise, so that nobody asks.
+                    self.on_store_news(now);
+                }
                 self.crashes.sweep(now);
                 self.release_orphans(now);
                 self.pools.values_mut().for_each(|pool| pool.sweep(now));
