--- a/crates/boragepass_entry/src/store_client.rs
+++ b/crates/boragepass_entry/src/store_client.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 
 use async_std::future::timeout;
+use boragepass_platform::decode_store_era;
+use boragepass_types::StoreEra;
 use bytes::Bytes;
 use http::header::{CONTENT_TYPE, HOST, HeaderValue};
 use http::{Method, Request, StatusCode};
@@ -26,6 +28,14 @@
     Unreadable(boragepass_platform::DecodeError),
 }
 
+/// Reply of the store.
+#[derive(Debug)]
+pub(crate) struct StoreReply {
+    pub(crate) body: Bytes,
+    /// Era in which the store replied; `None` if it states none.
+    pub(crate) era: Option<StoreEra>,
+}
+
 /// Client with connections of its own. A connection that lost a reply is not reused.
 pub(crate) struct StoreClient {
     address: SocketAddr,
@@ -37,22 +47,33 @@
         Self { address, connections: Connections::default() }
     }
 
-    pub(crate) async fn get(&self, path: &str, call_timeout: Duration) -> Result<Bytes, StoreError> {
+    pub(crate) async fn get(&self, path: &str, call_timeout: Duration) -> Result<StoreReply, StoreError> {
         self.call(Method::GET, path, Bytes::new(), call_timeout).await
     }
 
-    pub(crate) async fn post(&self, path: &str, body: Vec<u8>, call_timeout: Duration) -> Result<Bytes, StoreError> {
+    pub(crate) async fn post(
+        &self,
+        path: &str,
+        body: Vec<u8>,
+        call_timeout: Duration,
+    ) -> Result<StoreReply, StoreError> {
         self.call(Method::POST, path, body.into(), call_timeout).await
     }
 
-    async fn call(&self, method: Method, path: &str, body: Bytes, call_timeout: Duration) -> Result<Bytes, StoreError> {
+    async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+        call_timeout: Duration,
+    ) -> Result<StoreReply, StoreError> {
         match timeout(call_timeout, self.exchange(method, path, body)).await {
             Ok(result) => result,
             Err(_) => Err(StoreError::NoReply),
         }
     }
 
-    async fn exchange(&self, method: Method, path: &str, body: Bytes) -> Result<Bytes, StoreError> {
+    async fn exchange(&self, method: Method, path: &str, body: Bytes) -> Result<StoreReply, StoreError> {
         let mut request = Request::new(Full::new(body));
         *request.method_mut() = method;
         *request.uri_mut() =
@@ -70,10 +91,11 @@
             Err(ExchangeError::ConnectionLost(_)) => return Err(StoreError::NoReply),
         };
         let status = response.status();
+        let era = decode_store_era(response.headers());
         let body = response.into_body().collect().await.map_err(|_| StoreError::NoReply)?.to_bytes();
         self.connections.release(connection).await;
         match status {
-            StatusCode::OK => Ok(body),
+            StatusCode::OK => Ok(StoreReply { body, era }),
             StatusCode::GONE => Err(StoreError::HistoryGone),
             other => Err(StoreError::Refused(other)),
         }
--- a/crates/boragepass_entry/src/store_feed.rs
+++ b/crates/boragepass_entry/src/store_feed.rs
@@ -8,7 +8,7 @@
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_std::task;
 use boragepass_path::{EndpointUpdate, Event, Record, VmRecord, VmState};
@@ -16,7 +16,8 @@
     Row, RowChange, decode_changes, decode_configuration, decode_endpoint, decode_rows, encode_row_write, names,
     table_changes_path, table_rows_path,
 };
-use boragepass_types::{Incarnation, Millicores};
+use boragepass_types::{Incarnation, Millicores, StoreEra};
+use bytes::Bytes;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use serde::{Deserialize, Serialize};
@@ -61,6 +62,11 @@
     client: StoreClient,
     table: Table,
     is_store_reachable: bool,
+    /// When the last reply arrived, or when the feed started.
+    last_reply_at: Instant,
+    last_call_sent_at: Instant,
+    /// Era that the store's last reply stated.
+    era: Option<StoreEra>,
     /// Keys of rows that could not be decoded; each is logged once.
     unreadable_keys: HashSet<String>,
     random: SmallRng,
@@ -74,6 +80,9 @@
             client: StoreClient::new(store),
             table,
             is_store_reachable: true,
+            last_reply_at: Instant::now(),
+            last_call_sent_at: Instant::now(),
+            era: None,
             unreadable_keys: HashSet::new(),
             random: SmallRng::seed_from_u64(seed),
         };
@@ -104,6 +113,13 @@
         }
     }
 
+    async fn get(&mut self, path: &str, call_timeout: Duration) -> Result<Bytes, StoreError> {
+        self.last_call_sent_at = Instant::now();
+        let reply = self.client.get(path, call_timeout).await?;
+        self.era = reply.era.or(self.era);
+        Ok(reply.body)
+    }
+
     /// Reads the whole table and returns the version from which to poll for changes.
     async fn read_table(&mut self) -> Result<u64, StoreError> {
         let mut rows = Vec::new();
@@ -111,7 +127,7 @@
         let mut version = None;
         loop {
             let path = table_rows_path(self.table.name(), next_key.as_deref());
-            let body = self.client.get(&path, CALL_TIMEOUT).await?;
+            let body = self.get(&path, CALL_TIMEOUT).await?;
             let page = decode_rows(&body).map_err(StoreError::Unreadable)?;
             // Polls from the first page's version on also return the changes made during the later pages.
             let version = *version.get_or_insert(page.version);
@@ -136,7 +152,7 @@
                 task::sleep(ROLE_CHECK_INTERVAL).await;
             }
             let path = table_changes_path(self.table.name(), last_version, CHANGES_WAIT.as_millis() as u64);
-            let body = self.client.get(&path, CHANGES_WAIT + CHANGES_REPLY_SLACK).await;
+            let body = self.get(&path, CHANGES_WAIT + CHANGES_REPLY_SLACK).await;
             let changes = body.and_then(|body| decode_changes(&body).map_err(StoreError::Unreadable));
             match changes {
                 Ok(changes) => {
@@ -162,8 +178,14 @@
     fn on_success(&mut self) {
         if !self.is_store_reachable {
             self.is_store_reachable = true;
-            self.driver.record(&Record::new("store reached again").text("table", self.table.name()));
+            let record = Record::new("store reached again")
+                .text("table", self.table.name())
+                .number("silent_ms", self.last_reply_at.elapsed().as_millis())
+                .number("call_ms", self.last_call_sent_at.elapsed().as_millis())
+                .number("era", self.era.unwrap_or_default().0);
+            self.driver.record(&record);
         }
+        self.last_reply_at = Instant::now();
         if self.table == Table::Endpoints {
             self.driver.dispatch(Event::StoreReachable(true));
         }
@@ -172,7 +194,11 @@
     async fn on_failure(&mut self, error: &StoreError) {
         if self.is_store_reachable {
             self.is_store_reachable = false;
-            let record = Record::new("store lost").text("table", self.table.name()).text("reason", error);
+            let record = Record::new("store lost")
+                .text("table", self.table.name())
+                .text("reason", error)
+                .number("call_ms", self.last_call_sent_at.elapsed().as_millis())
+                .number("era", self.era.unwrap_or_default().0);
             self.driver.record(&record);
         }
         if self.table == Table::Endpoints {
@@ -289,7 +315,7 @@
     }
     loop {
         let body = client.get(&table_rows_path(names::VM_TABLE, None), CALL_TIMEOUT).await;
-        match body.and_then(|body| decode_rows(&body).map_err(StoreError::Unreadable)) {
+        match body.and_then(|reply| decode_rows(&reply.body).map_err(StoreError::Unreadable)) {
             Ok(rows) => {
                 driver.dispatch(Event::VmsListed(rows.rows.iter().filter_map(decode_vm_row).collect()));
                 return;
--- a/crates/boragepass_types/src/id.rs
+++ b/crates/boragepass_types/src/id.rs
@@ -125,6 +125,8 @@
     OpId,
     /// Version of a row in the table service, which rises with every write.
     RowVersion,
+    /// Era of the platform's store, which rises each time that it is restored from an older copy.
+    StoreEra,
     /// Fencing number (token) of a lease; endpoints that check it refuse orders with an older one.
     FenceNumber,
     /// Resumable token stream on an engine.
--- a/crates/boragepass_types/src/lib.rs
+++ b/crates/boragepass_types/src/lib.rs
@@ -21,7 +21,7 @@
 pub use finding::{Finding, FindingKind, Findings, Location, suggest_key};
 pub use id::{
     AdapterId, AttemptId, CallId, EndpointId, FailureDomain, FenceNumber, IdError, IdempotencyKey, Incarnation,
-    ListVersion, ModelId, OpId, PipelineId, PoolId, Region, RequestId, RowVersion, StageId, StreamId, VmId,
+    ListVersion, ModelId, OpId, PipelineId, PoolId, Region, RequestId, RowVersion, StageId, StoreEra, StreamId, VmId,
     WorkspaceId,
 };
 pub use outcome::{FailureCause, NotRunReason, Outcome, OutcomeKind};
