--- a/crates/boragepass_entry/tests/over_sockets.rs
+++ b/crates/boragepass_entry/tests/over_sockets.rs
@@ -9,7 +9,8 @@
 use std::time::Duration;
 
 use boragepass_path::Endpoint;
-use boragepass_platform::names;
+use boragepass_platform::{encode_endpoint, names};
+use boragepass_soak::Store;
 use bytes::Bytes;
 use http::Request;
 use http_body_util::Full;
@@ -211,6 +212,34 @@
     assert!(sent.is_ok_and(|status| status.success()));
 }
 
+/// A poll that the store received while it was silent must not delay what it confirms once it is back.
+#[test]
+fn a_configuration_is_in_force_soon_after_a_silent_store_is_back() {
+    const SILENCE_MS: u64 = 7_000;
+    const IN_FORCE_WITHIN_MS: u64 = 4_000;
+    let store = Store::start();
+    store.put_row(names::CONFIGURATION_TABLE, names::CONFIGURATION_KEY, CONFIGURATION.into());
+    let (api_endpoint, _) = serve(|got| Some(Reply::signed(got, "sound")));
+    let api = endpoint("i-api", "api", api_endpoint);
+    store.put_row(names::ENDPOINT_TABLE, api.id.as_str(), encode_endpoint(&api));
+    let vm = EntryVm::start(store.address);
+    vm.wait_ready();
+    store.go_silent(SILENCE_MS);
+    std::thread::sleep(Duration::from_millis(SILENCE_MS));
+    let newer_configuration = CONFIGURATION.replacen("\"version\": 1", "\"version\": 2", 1);
+    store.put_row(names::CONFIGURATION_TABLE, names::CONFIGURATION_KEY, newer_configuration.into());
+    let is_in_force = || {
+        let status = get(vm.address("operators"), "/v1/status").body.unwrap_or_default();
+        status.contains("\"configuration\":2")
+    };
+    let returned_at = std::time::Instant::now();
+    while !is_in_force() {
+        let elapsed = returned_at.elapsed();
+        assert!(elapsed < Duration::from_millis(IN_FORCE_WITHIN_MS), "not in force {elapsed:?} after the return");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
 /// Status and metrics reflect a request that was served, and the addresses name the VM itself.
 #[test]
 fn operators_and_clients_read_status_metrics_and_addresses() {
--- a/crates/boragepass_soak/src/lib.rs
+++ b/crates/boragepass_soak/src/lib.rs
@@ -20,3 +20,4 @@
 pub use ledger::{Summary, Violation};
 pub use plan::{Fault, FaultPlan, PlannedFault};
 pub use run::{SoakError, SoakSettings, run};
+pub use store::Store;
--- a/crates/boragepass_soak/src/store.rs
+++ b/crates/boragepass_soak/src/store.rs
@@ -16,6 +16,8 @@
 const EMPTY_FEED_DELAY: Duration = Duration::from_millis(100);
 /// Delay of each reply while the store is slow.
 const SLOW_REPLY_DELAY: Duration = Duration::from_millis(900);
+/// Delay of each reply while the store is silent, longer than any client waits.
+const SILENT_REPLY_DELAY: Duration = Duration::from_secs(3_600);
 
 #[derive(Debug, Default)]
 struct StoreState {
@@ -25,14 +27,16 @@
     /// Changes up to this version are dropped; a read that starts before it is answered with 410.
     forgotten_up_to: u64,
     unavailable_until: Option<Instant>,
+    silent_until: Option<Instant>,
     slow_until: Option<Instant>,
     losing_replies_until: Option<Instant>,
 }
 
-/// Store that each VM reaches through a proxy of its own.
+/// Fake store; its clones share one state.
 #[derive(Debug, Clone)]
-pub(crate) struct Store {
-    pub(crate) address: SocketAddr,
+pub struct Store {
+    /// Address that it listens on.
+    pub address: SocketAddr,
     state: Arc<Mutex<StoreState>>,
 }
 
@@ -54,6 +58,9 @@
     }
 
     fn handle_request(&mut self, request: &ReceivedRequest) -> Option<Reply> {
+        if is_active(self.silent_until) {
+            return Some(Reply { head_delay: SILENT_REPLY_DELAY, ..Reply::new(503, "") });
+        }
         if is_active(self.unavailable_until) {
             return Some(Reply::new(503, ""));
         }
@@ -93,7 +100,8 @@
 }
 
 impl Store {
-    pub(crate) fn start() -> Self {
+    /// Starts an empty store on a free loopback port.
+    pub fn start() -> Self {
         let state: Arc<Mutex<StoreState>> = Arc::default();
         let server_state = state.clone();
         let (address, _) =
@@ -106,7 +114,7 @@
     }
 
     /// Writes a row on behalf of operators and endpoints; the store's faults don't affect it.
-    pub(crate) fn put_row(&self, table: &str, key: &str, value: Vec<u8>) {
+    pub fn put_row(&self, table: &str, key: &str, value: Vec<u8>) {
         self.state().put_row(table, key, value);
     }
 
@@ -124,6 +132,11 @@
         self.state().unavailable_until = deadline_in_ms(ms);
     }
 
+    /// Accepts calls but never answers them, for a time. Calls that arrive meanwhile stay unanswered after it.
+    pub fn go_silent(&self, ms: u64) {
+        self.state().silent_until = deadline_in_ms(ms);
+    }
+
     pub(crate) fn slow_down(&self, ms: u64) {
         self.state().slow_until = deadline_in_ms(ms);
     }
