Time polls of the store out within the recovery time

Cause: a poll for changes could take 6.5 s, and so could the one after a failure. One that was sent while the store was silent ended only with that timeout, so a VM found the store again up to 6.5 s after its return; the bound is 4 s.

Change: StorePoll decides how long a poll may be held and when it counts as lost, from the recovery time in the settings ([store] recovery_ms, from the platform's contactMs). 4 s give: held 2 s, lost after 3 s; answered at once and lost after 1.5 s while the store does not reply.

--- a/crates/boragepass_entry/src/process.rs
+++ b/crates/boragepass_entry/src/process.rs
@@ -131,7 +131,7 @@
         .text("peers", peer_address);
     driver.record(&started);
     peers::start(&driver, sockets, settings.peer_key.clone(), tasks.clone());
-    store_feed::start(&driver, settings.store_address, local_record, incarnation.0);
+    store_feed::start(&driver, settings.store_address, settings.store_recovery_ms, local_record, incarnation.0);
     update_seeds(&driver, &settings);
     task::spawn_local(page_server::serve(readiness_listener, pages::readiness(driver.clone())));
     task::spawn_local(page_server::serve(resolver_listener, pages::addresses(driver.clone())));
--- a/crates/boragepass_entry/src/store_feed.rs
+++ b/crates/boragepass_entry/src/store_feed.rs
@@ -11,12 +11,12 @@
 use std::time::{Duration, Instant};
 
 use async_std::task;
-use boragepass_path::{EndpointUpdate, Event, Record, VmRecord, VmState};
+use boragepass_path::{EndpointUpdate, Event, Record, StorePoll, VmRecord, VmState};
 use boragepass_platform::{
     Row, RowChange, decode_changes, decode_configuration, decode_endpoint, decode_rows, encode_row_write, names,
     table_changes_path, table_rows_path,
 };
-use boragepass_types::{Incarnation, Millicores, StoreEra};
+use boragepass_types::{Incarnation, Millicores, SpanMs, StoreEra};
 use bytes::Bytes;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -25,12 +25,7 @@
 use crate::driver::Driver;
 use crate::store_client::{StoreClient, StoreError};
 
-/// How long the store may hold a poll for changes open. Each poll costs money, so it is long; if the
-/// connection goes silent meanwhile, other VMs' heartbeats show that sooner.
-const CHANGES_WAIT: Duration = Duration::from_millis(5_000);
-/// Time on top of [`CHANGES_WAIT`] after which a poll counts as lost, since replies of the store may be slow.
-const CHANGES_REPLY_SLACK: Duration = Duration::from_millis(1_500);
-/// Timeout of any other call.
+/// Timeout of calls other than polls for changes.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Delay before the next poll after changes, so that changes close together cost one poll. It stays
 /// well below the 2.5 s within which draining endpoints have to be known.
@@ -61,6 +56,7 @@
     driver: Rc<Driver>,
     client: StoreClient,
     table: Table,
+    recovery: SpanMs,
     is_store_reachable: bool,
     /// When the last reply arrived, or when the feed started.
     last_reply_at: Instant,
@@ -72,13 +68,15 @@
     random: SmallRng,
 }
 
-/// Starts to follow the store's tables, and registers this VM in the store.
-pub(crate) fn start(driver: &Rc<Driver>, store: SocketAddr, local_record: VmRecord, seed: u64) {
+/// Starts to follow the store's tables, and registers this VM in the store. `recovery` is the time after a
+/// disruption of the store within which its newest state has to be known.
+pub(crate) fn start(driver: &Rc<Driver>, store: SocketAddr, recovery: SpanMs, local_record: VmRecord, seed: u64) {
     for table in [Table::Configuration, Table::Endpoints] {
         let feed = TableFeed {
             driver: driver.clone(),
             client: StoreClient::new(store),
             table,
+            recovery,
             is_store_reachable: true,
             last_reply_at: Instant::now(),
             last_call_sent_at: Instant::now(),
@@ -151,8 +149,9 @@
             while self.is_store_reachable && !self.driver.follows_store.get() {
                 task::sleep(ROLE_CHECK_INTERVAL).await;
             }
-            let path = table_changes_path(self.table.name(), last_version, CHANGES_WAIT.as_millis() as u64);
-            let body = self.get(&path, CHANGES_WAIT + CHANGES_REPLY_SLACK).await;
+            let poll = StorePoll::next(self.is_store_reachable, self.recovery);
+            let path = table_changes_path(self.table.name(), last_version, poll.hold.0);
+            let body = self.get(&path, Duration::from_millis(poll.timeout.0)).await;
             let changes = body.and_then(|body| decode_changes(&body).map_err(StoreError::Unreadable));
             match changes {
                 Ok(changes) => {
--- a/crates/boragepass_path/src/lib.rs
+++ b/crates/boragepass_path/src/lib.rs
@@ -11,7 +11,8 @@
 //! - `stages`: progress of one request through its stages, and the queue of a pool leader;
 //! - `admission`: forecast of a request's latency, and reasons for refusal;
 //! - `retry`: retry budgets, and detection of requests that crash endpoints;
-//! - `request`: state of one request from arrival to answer.
+//! - `request`: state of one request from arrival to answer;
+//! - `store_poll`: how long a poll of the store may take.
 
 mod admission;
 mod configuration;
@@ -26,6 +27,7 @@
 mod retry;
 mod settings;
 mod stages;
+mod store_poll;
 mod timers;
 
 pub use admission::{Backlog, Forecast, RefusalReason};
@@ -49,3 +51,4 @@
 pub use request::{CallNumber, RequestNumber, SendNumber};
 pub use settings::{Batching, PathSettings, RetryLimits};
 pub use stages::{AvailableEndpoint, CallEnd, PieceRank, PieceTask, Pool, PoolCall};
+pub use store_poll::StorePoll;
--- a/crates/boragepass_settings/src/entry.rs
+++ b/crates/boragepass_settings/src/entry.rs
@@ -15,6 +15,9 @@
 const DEFAULT_LOG_LINES_PER_S: u32 = 600;
 
 const DEFAULT_PROCESSOR: Millicores = Millicores(1_000);
+const DEFAULT_STORE_RECOVERY: SpanMs = SpanMs(4_000);
+/// Shorter recovery times would poll the store too often.
+const STORE_RECOVERY_MIN: SpanMs = SpanMs(200);
 
 /// Settings of an entry VM.
 #[derive(Debug, Clone)]
@@ -39,6 +42,8 @@
     pub peer_address: SocketAddr,
     /// Address of the platform's store.
     pub store_address: SocketAddr,
+    /// Time after a disruption of the store within which its newest state has to be known.
+    pub store_recovery_ms: SpanMs,
     /// Key that VMs present to each other.
     pub peer_key: AccessKey,
     /// Addresses of some other VMs, from which this VM learns of the rest. Only their IPs are used: the
@@ -96,6 +101,30 @@
     }
 }
 
+/// Why a recovery time is not accepted.
+#[derive(Debug, displaydoc::Display)]
+enum RecoveryTimeError {
+    /// {0}
+    Unreadable(std::num::ParseIntError),
+    /// must be at least {0}
+    TooShort(SpanMs),
+}
+
+/// Recovery time of the store feed in milliseconds.
+struct RecoveryTime(SpanMs);
+
+impl FromStr for RecoveryTime {
+    type Err = RecoveryTimeError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let recovery = text.parse().map(SpanMs).map_err(RecoveryTimeError::Unreadable)?;
+        if recovery < STORE_RECOVERY_MIN {
+            return Err(RecoveryTimeError::TooShort(STORE_RECOVERY_MIN));
+        }
+        Ok(Self(recovery))
+    }
+}
+
 fn check_sections(raw: &RawSettings, findings: &mut Findings) {
     for section in raw.sections.iter().filter(|section| !SECTIONS.contains(&section.name.as_str())) {
         let fix = suggest_key(&section.name, SECTIONS);
@@ -134,7 +163,9 @@
         (listen.required("clients"), listen.required("readiness"), listen.required("addresses"));
     let (operator_address, metrics_address, peer_address) =
         (listen.required("operators"), listen.required("metrics"), listen.required("peers"));
-    let store_address = SectionReader::new(raw, "store", &["address"], &mut findings).required("address");
+    let mut store = SectionReader::new(raw, "store", &["address", "recovery_ms"], &mut findings);
+    let store_address = store.required("address");
+    let store_recovery: Option<RecoveryTime> = store.optional("recovery_ms");
     let mut peers = SectionReader::new(raw, "peers", &["key", "seeds"], &mut findings);
     let peer_key = peers.access_key("key");
     let seed_addresses: Option<AddressList> = peers.optional("seeds");
@@ -155,6 +186,7 @@
             metrics_address: metrics_address?,
             peer_address: peer_address?,
             store_address: store_address?,
+            store_recovery_ms: store_recovery.map_or(DEFAULT_STORE_RECOVERY, |recovery| recovery.0),
             peer_key: peer_key?,
             seed_addresses: seed_addresses.map(|list| list.0).unwrap_or_default(),
             processor: cores.map_or(DEFAULT_PROCESSOR, |cores| cores.0),
