Read the rate limit that an endpoint states, and log it

Replies carry the header server-limit: the requests a second that the endpoint takes from all VMs. The reply's statements are one type now (EndpointSignals), for replies to requests and to stage calls; those of another endpoint or to another request state nothing. A new limit is logged, and each send names the limit that is known. Where requests go is unchanged.

--- a/crates/boragepass_entry/src/stage_calls.rs
+++ b/crates/boragepass_entry/src/stage_calls.rs
@@ -49,8 +49,8 @@
         let call_result = timeout(call_timeout, call_stage(&driver.connections, &target, &entries)).await;
         let outcome = match call_result {
             Ok(Ok(outcome)) => outcome,
-            Ok(Err(failure)) => CallOutcome { results: Err(failure), load: None },
-            Err(_) => CallOutcome { results: Err(CallFailure::TimedOut), load: None },
+            Ok(Err(failure)) => CallOutcome { results: Err(failure), signals: None },
+            Err(_) => CallOutcome { results: Err(CallFailure::TimedOut), signals: None },
         };
         driver.dispatch(Event::CallEnded(call, outcome));
     });
--- a/crates/boragepass_fakes/src/path_fleet/fleet/mod.rs
+++ b/crates/boragepass_fakes/src/path_fleet/fleet/mod.rs
@@ -477,7 +477,7 @@
             let is_affected = self.is_call_to(tag, id);
             if is_affected {
                 self.calls_by_tag.remove(&tag);
-                let outcome = CallOutcome { results: Err(CallFailure::ConnectionLost), load: None };
+                let outcome = CallOutcome { results: Err(CallFailure::ConnectionLost), signals: None };
                 let now = self.now;
                 self.schedule(now + SpanMs(1), Action::DeliverEvent(vm, incarnation, Event::CallEnded(call, outcome)));
             }
@@ -671,7 +671,7 @@
                     now + SpanMs(delay_ms),
                     Action::ReceiveCall(vm, incarnation, call, target.endpoint, entries),
                 );
-                let outcome = CallOutcome { results: Err(CallFailure::TimedOut), load: None };
+                let outcome = CallOutcome { results: Err(CallFailure::TimedOut), signals: None };
                 self.schedule(now + timeout_ms, Action::DeliverEvent(vm, incarnation, Event::CallEnded(call, outcome)));
             }
             Effect::FreeResults(target, handles) => {
--- a/crates/boragepass_fakes/src/path_fleet/fleet/sends.rs
+++ b/crates/boragepass_fakes/src/path_fleet/fleet/sends.rs
@@ -52,7 +52,7 @@
 
     /// Head of a reply; a rejection before the run (`is_not_run`) carries no signature.
     pub(super) fn reply_head(status: u16, is_not_run: bool) -> ReplyHead {
-        ReplyHead { status, is_signed: !is_not_run, is_for_request: true, is_not_run, load: None }
+        ReplyHead { status, is_signed: !is_not_run, is_for_request: true, is_not_run, signals: None }
     }
 
     /// A send reaches its endpoint, which rejects it (409 for lost inputs, 503 if full) or starts a run.
--- a/crates/boragepass_fakes/src/path_fleet/fleet/stage_calls.rs
+++ b/crates/boragepass_fakes/src/path_fleet/fleet/stage_calls.rs
@@ -14,7 +14,7 @@
     ) {
         let now = self.now;
         let reply_delay_ms = self.endpoint_delay_ms(vm, id);
-        let failure_event = |failure| Event::CallEnded(call, CallOutcome { results: Err(failure), load: None });
+        let failure_event = |failure| Event::CallEnded(call, CallOutcome { results: Err(failure), signals: None });
         let piece_costs = entries.iter().map(|entry| self.piece_cost(entry)).collect();
         for entry in &entries {
             self.check_piece_inputs(entry);
@@ -115,7 +115,7 @@
             let is_lost =
                 self.endpoints.get(id).is_some_and(|endpoint| self.rng.random::<f64>() < endpoint.lost_answer_share);
             let results = if is_lost { Err(CallFailure::ConnectionLost) } else { Ok(run.outcomes) };
-            let event = Event::CallEnded(call, CallOutcome { results, load: None });
+            let event = Event::CallEnded(call, CallOutcome { results, signals: None });
             let at = self.now + SpanMs(reply_delay_ms);
             self.schedule(at, Action::DeliverEvent(vm, incarnation, event));
         }
--- a/crates/boragepass_path/src/event.rs
+++ b/crates/boragepass_path/src/event.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use boragepass_types::{Hash64, Incarnation, SpanMs, VmId};
+use boragepass_types::{Hash64, Incarnation, RequestRate, SpanMs, VmId};
 
 use crate::configuration::{ApiKey, Configuration};
 use crate::fleet::VmRecord;
@@ -67,6 +67,15 @@
     pub slots: u32,
 }
 
+/// What an endpoint states of itself in a reply.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct EndpointSignals {
+    /// Its load.
+    pub load: Option<ReportedLoad>,
+    /// Rate of requests that it takes from all VMs together; `None` if it states no limit.
+    pub rate_limit: Option<RequestRate>,
+}
+
 /// Properties of a reply that its status and headers establish.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ReplyHead {
@@ -78,8 +87,8 @@
     pub is_for_request: bool,
     /// Whether the endpoint states that it did not run the request.
     pub is_not_run: bool,
-    /// Load that the endpoint reports.
-    pub load: Option<ReportedLoad>,
+    /// What the endpoint states of itself; `None` if another endpoint replied or the reply is to another request.
+    pub signals: Option<EndpointSignals>,
 }
 
 impl ReplyHead {
@@ -154,8 +163,8 @@
 pub struct CallOutcome {
     /// Outcomes in the order of the call's pieces, or why there are none.
     pub results: Result<Vec<PieceOutcome>, CallFailure>,
-    /// Load that the endpoint reports.
-    pub load: Option<ReportedLoad>,
+    /// What the endpoint states of itself; `None` if it did not reply.
+    pub signals: Option<EndpointSignals>,
 }
 
 /// Input of the request path.
--- a/crates/boragepass_path/src/lib.rs
+++ b/crates/boragepass_path/src/lib.rs
@@ -37,8 +37,8 @@
 };
 pub use effect::{Answer, CallEntry, Effect, PieceInputs, SendTarget};
 pub use event::{
-    Arrival, CallFailure, CallOutcome, Event, EventId, PieceOutcome, Progress, PromptPart, ReplyHead, ReportedLoad,
-    SendFailure,
+    Arrival, CallFailure, CallOutcome, EndpointSignals, Event, EventId, PieceOutcome, Progress, PromptPart, ReplyHead,
+    ReportedLoad, SendFailure,
 };
 pub use fleet::{VmRecord, VmState};
 pub use message::{
--- a/crates/boragepass_path/src/placement/endpoint_table.rs
+++ b/crates/boragepass_path/src/placement/endpoint_table.rs
@@ -8,7 +8,7 @@
 use std::net::SocketAddr;
 
 use boragepass_core::{EjectionCause, Health, ejection_cap};
-use boragepass_types::{EndpointId, FailureDomain, PoolId, SpanMs, TimeMs, VmId};
+use boragepass_types::{EndpointId, FailureDomain, PoolId, RequestRate, SpanMs, TimeMs, VmId};
 
 use super::engine_choice::PREFILL_TOKENS_PER_MS;
 use super::prompt_cache::PromptCache;
@@ -85,6 +85,8 @@
     /// Whether the store lost its entry and it is kept only for the grace period.
     is_expired: bool,
     full_until: TimeMs,
+    /// Rate of requests that it takes from all VMs, as its last reply stated.
+    pub(crate) rate_limit: Option<RequestRate>,
 }
 
 impl KnownEndpoint {
@@ -100,6 +102,7 @@
             prompt_cache: PromptCache::default(),
             is_expired: false,
             full_until: TimeMs(0),
+            rate_limit: None,
         }
     }
 
@@ -262,6 +265,14 @@
         }
     }
 
+    /// Records the rate limit that a reply of an endpoint stated; returns whether it is a new one.
+    pub(crate) fn on_rate_limit(&mut self, id: &EndpointId, limit: Option<RequestRate>) -> bool {
+        let Some(known) = self.by_id.get_mut(id) else {
+            return false;
+        };
+        std::mem::replace(&mut known.rate_limit, limit) != limit
+    }
+
     /// Replaces the loads that another VM reported in its heartbeat.
     pub(crate) fn on_peer_loads(&mut self, now: TimeMs, vm: &VmId, loads: Vec<EndpointLoad>) {
         for known in self.by_id.values_mut() {
--- a/crates/boragepass_path/src/reducer/leading.rs
+++ b/crates/boragepass_path/src/reducer/leading.rs
@@ -179,14 +179,14 @@
             return;
         };
         let failure = outcome.results.as_ref().err().copied();
-        let load = outcome.load;
+        let signals = outcome.signals;
         let Some(pool) = self.led_pools.get_mut(&pool_key) else {
             return;
         };
         let call_end = pool.on_call_ended(now, call, outcome);
         if let Some(endpoint) = call_end.endpoint {
-            if let Some(load) = load {
-                self.endpoint_table.on_report(now, &endpoint, load);
+            if let Some(signals) = signals {
+                self.on_endpoint_signals(now, &endpoint, signals);
             }
             self.record_call_outcome(now, &pool_key, &endpoint, failure, call_end.slowness);
         }
--- a/crates/boragepass_path/src/reducer/sends.rs
+++ b/crates/boragepass_path/src/reducer/sends.rs
@@ -8,7 +8,7 @@
 use crate::admission::RefusalReason;
 use crate::configuration::{Repeatability, ServiceKind};
 use crate::effect::{Effect, SendTarget};
-use crate::event::{EventId, Progress, ReplyHead, SendFailure};
+use crate::event::{EndpointSignals, EventId, Progress, ReplyHead, SendFailure};
 use crate::message::ResultHandle;
 use crate::placement::{ChosenEndpoint, PREFILL_TOKENS_PER_MS, RequestRequirements, choose_endpoint};
 use crate::record::Record;
@@ -74,6 +74,7 @@
         known_endpoint.in_flight += 1;
         known_endpoint.own_pending_prefill_tokens += choice.uncached_tokens;
         let target = SendTarget { endpoint: choice.endpoint.clone(), address: known_endpoint.endpoint.address };
+        let rate_limit = known_endpoint.rate_limit;
         let may_reuse = state.route.repeatability.is_repeatable() || known_endpoint.avoid_connection_reuse_until <= now;
         let service = state.configuration.service(&state.pool);
         let kv_cache_tokens = match service.map(|service| service.kind) {
@@ -82,13 +83,16 @@
         };
         let silence_ms = self.silence_limit(state, choice.cost_ms);
         let send = SendNumber::take(&mut self.send_counter);
-        let record = Record::new("request sent")
+        let mut record = Record::new("request sent")
             .text("request", &state.arrival.client_id)
             .number("send", send.0)
             .text("endpoint", &choice.endpoint)
             .number("cost_ms", choice.cost_ms as i64)
             .number("unread_tokens", choice.uncached_tokens)
             .number("left_ms", time_left.0);
+        if let Some(rate_limit) = rate_limit {
+            record = record.text("endpoint_limit", rate_limit);
+        }
         let is_staged = !state.route.stages.is_empty();
         let handles: Vec<Arc<str>> = inputs.into_iter().map(|result| result.handle).collect();
         let effect = Effect::Send {
@@ -201,8 +205,8 @@
         let Some(active_send) = state.active_send().cloned() else {
             return;
         };
-        if let Some(load) = head.load {
-            self.endpoint_table.on_report(now, &active_send.endpoint, load);
+        if let Some(signals) = head.signals {
+            self.on_endpoint_signals(now, &active_send.endpoint, signals);
         }
         let is_success_status = (200..300).contains(&head.status);
         if head.is_not_run {
@@ -217,6 +221,17 @@
         }
     }
 
+    /// Records what an endpoint states of itself in a reply.
+    pub(super) fn on_endpoint_signals(&mut self, now: TimeMs, endpoint: &EndpointId, signals: EndpointSignals) {
+        if let Some(load) = signals.load {
+            self.endpoint_table.on_report(now, endpoint, load);
+        }
+        if self.endpoint_table.on_rate_limit(endpoint, signals.rate_limit) {
+            let limit = signals.rate_limit.map_or_else(|| "none".to_owned(), |limit| limit.to_string());
+            self.log(Record::new("endpoint states a rate limit").text("endpoint", endpoint).text("limit", limit));
+        }
+    }
+
     fn on_success_reply(&mut self, now: TimeMs, request: RequestNumber, send: SendNumber, active_send: &ActiveSend) {
         let Some(state) = self.requests.get_mut(&request) else {
             return;
--- a/crates/boragepass_types/src/id.rs
+++ b/crates/boragepass_types/src/id.rs
@@ -20,6 +20,8 @@
     BadCharacter(char),
     /// must be a whole number
     NotANumber,
+    /// must be a number of requests per second, zero or more
+    NotARate,
 }
 
 impl std::error::Error for IdError {}
--- a/crates/boragepass_types/src/lib.rs
+++ b/crates/boragepass_types/src/lib.rs
@@ -28,4 +28,4 @@
 pub use pipeline::{Pipeline, RawPipeline, RawStage, Stage, StageKind};
 pub use plan::{Plan, RawPlan};
 pub use request::{Payload, RawRequest, Request};
-pub use units::{Bytes, Millicores, Permille, Priority, RatePerS, SpanMs, TimeMs};
+pub use units::{Bytes, Millicores, Permille, Priority, RatePerS, RequestRate, SpanMs, TimeMs};
--- a/crates/boragepass_types/src/units.rs
+++ b/crates/boragepass_types/src/units.rs
@@ -33,6 +33,34 @@
     Priority(u8),
 }
 
+/// Rate of requests as a decimal number, stored in requests per thousand seconds.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct RequestRate(pub u64);
+
+impl RequestRate {
+    /// Requests per second.
+    pub fn per_s(self) -> f64 {
+        self.0 as f64 / 1e3
+    }
+}
+
+impl std::fmt::Display for RequestRate {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}/s", self.per_s())
+    }
+}
+
+impl FromStr for RequestRate {
+    type Err = IdError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text.parse::<f64>() {
+            Ok(per_s) if per_s.is_finite() && per_s >= 0.0 => Ok(Self((per_s * 1e3) as u64)),
+            Ok(_) | Err(_) => Err(IdError::NotARate),
+        }
+    }
+}
+
 /// Size in bytes.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Display, Add, AddAssign)]
 pub struct Bytes(pub u64);
