Add a failing test of endpoints that state a rate limit

Endpoints of the model in virtual time can state a limit and lift it; the model checks, for requests and stage calls, that the VMs that know it keep to it: 1.5 times the limit and 5 requests in 4 s, from 4 s after the first statement on, half a second after a VM was told. The fault is not part of the random steps of path_faults.rs yet.

--- a/crates/boragepass_fakes/src/path_fleet/endpoint.rs
+++ b/crates/boragepass_fakes/src/path_fleet/endpoint.rs
@@ -8,6 +8,8 @@
 use boragepass_path::{CallEntry, Endpoint, PieceInputs, PieceOutcome, PromptPart, StagePool};
 use boragepass_types::{Hash64, TimeMs};
 
+use super::rate_limit::StatedLimit;
+
 /// Prompt tokens that a model engine prefills per millisecond.
 const PREFILL_TOKENS_PER_MS: f64 = 93.0;
 /// Time from the end of the prefill to the first event.
@@ -37,6 +39,7 @@
     pub(super) generation: u64,
     pub(super) running_requests: usize,
     pub(super) drain_started_at: Option<TimeMs>,
+    pub(super) stated_limit: Option<StatedLimit>,
     /// Time at which the engine has prefilled all prompts so far; prompts are prefilled one after the other.
     prefill_free_at_ms: f64,
     /// Prompt parts that need no prefill, with their tokens.
@@ -94,6 +97,7 @@
             generation: 0,
             running_requests: 0,
             drain_started_at: None,
+            stated_limit: None,
             prefill_free_at_ms: 0.0,
             prompt_cache: HashMap::new(),
             stage: stage.map(|spec| StageState {
--- a/crates/boragepass_fakes/src/path_fleet/fleet/mod.rs
+++ b/crates/boragepass_fakes/src/path_fleet/fleet/mod.rs
@@ -13,17 +13,18 @@
 use std::sync::Arc;
 
 use boragepass_path::{
-    Arrival, Batching, CallFailure, CallNumber, CallOutcome, Effect, Endpoint, EndpointUpdate, Event, EventId,
-    PathSettings, PeerMessage, PieceOutcome, Progress, PromptPart, Repeatability, ReplyHead, RequestNumber,
+    Arrival, Batching, CallFailure, CallNumber, CallOutcome, Effect, Endpoint, EndpointSignals, EndpointUpdate, Event,
+    EventId, PathSettings, PeerMessage, PieceOutcome, Progress, PromptPart, Repeatability, ReplyHead, RequestNumber,
     RequestPath, RetryLimits, SendFailure, SendNumber, VmRecord, VmState,
 };
-use boragepass_types::{EndpointId, FailureDomain, Hash64, Incarnation, Millicores, SpanMs, TimeMs, VmId};
+use boragepass_types::{EndpointId, FailureDomain, Hash64, Incarnation, Millicores, RequestRate, SpanMs, TimeMs, VmId};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
 use super::deployment::{CLIENT_KEY, Deployment, RequestKind};
 use super::endpoint::{FakeEndpoint, QueuedCall, StageRun};
 use super::ledger::{Ending, Ledger, RequestRecord};
+use super::rate_limit::StatedLimit;
 
 /// Processor capacity of each VM; the model charges no processor time.
 const VM_PROCESSOR: Millicores = Millicores(250);
@@ -61,6 +62,10 @@
     ReturnErrors(f64),
     /// Announces through the store that it takes no new work.
     Drain,
+    /// States a limit of requests per second in its replies.
+    LimitRate(RequestRate),
+    /// No longer states a limit.
+    LiftRateLimit,
 }
 
 /// Entry VM with the state of its process and its links.
@@ -440,6 +445,8 @@
             EndpointFault::SlowDown(factor) => endpoint.slowness = factor,
             EndpointFault::LoseAnswers(share) => endpoint.lost_answer_share = share,
             EndpointFault::ReturnErrors(share) => endpoint.error_answer_share = share,
+            EndpointFault::LimitRate(rate) => endpoint.stated_limit = Some(StatedLimit::new(rate)),
+            EndpointFault::LiftRateLimit => endpoint.stated_limit = None,
             EndpointFault::Drain => {
                 endpoint.endpoint.is_draining = true;
                 endpoint.drain_started_at = Some(now);
@@ -497,6 +504,7 @@
             endpoint.slowness = 1.0;
             endpoint.lost_answer_share = 0.0;
             endpoint.error_answer_share = 0.0;
+            endpoint.stated_limit = None;
             endpoint.down_until = endpoint.down_until.min(self.now);
         }
         for vm in 0..self.vms.len() {
@@ -731,6 +739,29 @@
         self.deliver(to, REGION_DELAY_MS, Event::EndpointsUpdated(update));
     }
 
+    /// What an endpoint states of itself in a reply that reaches a VM after `delay_ms`.
+    fn endpoint_signals(&mut self, vm: usize, id: &EndpointId, delay_ms: u64) -> Option<EndpointSignals> {
+        let (now, incarnation) = (self.now, self.vms[vm].incarnation);
+        let stated_limit = self.endpoints.get_mut(id)?.stated_limit.as_mut();
+        let rate_limit = stated_limit.map(|limit| {
+            limit.on_reply(now, now + SpanMs(delay_ms), (vm, incarnation));
+            limit.rate
+        });
+        Some(EndpointSignals { rate_limit, ..EndpointSignals::default() })
+    }
+
+    /// Counts a request or call against the limit that its endpoint states, and checks the limit.
+    fn check_rate_limit(&mut self, vm: usize, id: &EndpointId, client_id: &Arc<str>) {
+        if self.was_recently_paused(vm) {
+            return;
+        }
+        let (now, incarnation) = (self.now, self.vms[vm].incarnation);
+        let stated_limit = self.endpoints.get_mut(id).and_then(|endpoint| endpoint.stated_limit.as_mut());
+        if stated_limit.is_some_and(|limit| limit.on_request(now, (vm, incarnation))) {
+            self.ledger.record_violation(now, client_id, "an endpoint got more requests than the limit that it states");
+        }
+    }
+
     /// One-way network delay between a VM and an endpoint, at least 1 ms.
     fn endpoint_delay_ms(&self, vm: usize, id: &EndpointId) -> u64 {
         let to = self.endpoints.get(id).map(|endpoint| &endpoint.endpoint.failure_domain);
--- a/crates/boragepass_fakes/src/path_fleet/fleet/sends.rs
+++ b/crates/boragepass_fakes/src/path_fleet/fleet/sends.rs
@@ -50,21 +50,23 @@
         self.schedule(now + SpanMs(delay_ms), Action::ReceiveSend(key, inputs, first_event));
     }
 
-    /// Head of a reply; a rejection before the run (`is_not_run`) carries no signature.
-    pub(super) fn reply_head(status: u16, is_not_run: bool) -> ReplyHead {
-        ReplyHead { status, is_signed: !is_not_run, is_for_request: true, is_not_run, signals: None }
+    /// Delivers the head of a reply; a rejection before the run (`is_not_run`) carries no signature.
+    fn deliver_reply_head(&mut self, (vm, _, send): SendKey, id: &EndpointId, status: u16, is_not_run: bool) {
+        let delay_ms = self.endpoint_delay_ms(vm, id);
+        let signals = self.endpoint_signals(vm, id, delay_ms);
+        let head = ReplyHead { status, is_signed: !is_not_run, is_for_request: true, is_not_run, signals };
+        self.deliver(vm, delay_ms, Event::ReplyHeadArrived(send, head));
     }
 
     /// A send reaches its endpoint, which rejects it (409 for lost inputs, 503 if full) or starts a run.
     pub(super) fn receive_send(&mut self, key: SendKey, inputs: &[Arc<str>], first_event: EventId) {
-        let (vm, _, send) = key;
         let now = self.now;
         let Some(active_send) = self.active_sends.get_mut(&key) else {
             return;
         };
         active_send.next_event = first_event;
         let (client_id, id) = (active_send.client_id.clone(), active_send.endpoint_id.clone());
-        let reply_delay_ms = self.endpoint_delay_ms(vm, &id);
+        self.check_rate_limit(key.0, &id, &client_id);
         let Some(kind) = self.ledger.requests.get(&client_id).map(|record| record.kind) else {
             return;
         };
@@ -76,7 +78,7 @@
         }
         if inputs.iter().any(|handle| self.result_owner(handle).is_none()) {
             self.active_sends.remove(&key);
-            self.deliver(vm, reply_delay_ms, Event::ReplyHeadArrived(send, Self::reply_head(409, true)));
+            self.deliver_reply_head(key, &id, 409, true);
             return;
         }
         let Some(endpoint) = self.endpoints.get_mut(&id) else {
@@ -84,7 +86,7 @@
         };
         if endpoint.running_requests >= endpoint.endpoint.slots as usize * 2 {
             self.active_sends.remove(&key);
-            self.deliver(vm, reply_delay_ms, Event::ReplyHeadArrived(send, Self::reply_head(503, true)));
+            self.deliver_reply_head(key, &id, 503, true);
             return;
         }
         endpoint.running_requests += 1;
@@ -140,13 +142,7 @@
         if let Some(active_send) = self.active_sends.get_mut(&key) {
             active_send.has_reply_head = true;
         }
-        let (vm, _, send) = key;
-        let reply_delay_ms = self.endpoint_delay_ms(vm, id);
-        self.deliver(
-            vm,
-            reply_delay_ms,
-            Event::ReplyHeadArrived(send, Self::reply_head(if is_error { 500 } else { 200 }, false)),
-        );
+        self.deliver_reply_head(key, id, if is_error { 500 } else { 200 }, false);
     }
 
     /// Ends a send and reports the failure to its VM.
@@ -182,7 +178,7 @@
         let reply_delay_ms = self.endpoint_delay_ms(vm, &id);
         let gap_ms = self.endpoints.get(&id).map_or(20, FakeEndpoint::event_gap_ms).max(1);
         if is_first_of_send {
-            self.deliver(vm, reply_delay_ms, Event::ReplyHeadArrived(send, Self::reply_head(200, false)));
+            self.deliver_reply_head(key, &id, 200, false);
         } else if is_relayed {
             let Some(active_send) = self.active_sends.get_mut(&key) else {
                 return;
--- a/crates/boragepass_fakes/src/path_fleet/fleet/stage_calls.rs
+++ b/crates/boragepass_fakes/src/path_fleet/fleet/stage_calls.rs
@@ -19,6 +19,9 @@
         for entry in &entries {
             self.check_piece_inputs(entry);
         }
+        if let Some(entry) = entries.first() {
+            self.check_rate_limit(vm, id, &entry.client_id);
+        }
         let Some(endpoint) = self.endpoints.get_mut(id) else {
             return;
         };
@@ -115,7 +118,8 @@
             let is_lost =
                 self.endpoints.get(id).is_some_and(|endpoint| self.rng.random::<f64>() < endpoint.lost_answer_share);
             let results = if is_lost { Err(CallFailure::ConnectionLost) } else { Ok(run.outcomes) };
-            let event = Event::CallEnded(call, CallOutcome { results, signals: None });
+            let signals = if is_lost { None } else { self.endpoint_signals(vm, id, reply_delay_ms) };
+            let event = Event::CallEnded(call, CallOutcome { results, signals });
             let at = self.now + SpanMs(reply_delay_ms);
             self.schedule(at, Action::DeliverEvent(vm, incarnation, event));
         }
--- a/crates/boragepass_fakes/src/path_fleet/mod.rs
+++ b/crates/boragepass_fakes/src/path_fleet/mod.rs
@@ -7,6 +7,7 @@
 mod endpoint;
 mod fleet;
 mod ledger;
+mod rate_limit;
 
 pub use deployment::{Deployment, RequestKind, Site};
 pub use fleet::{EndpointFault, PathFleet};
--- a/crates/boragepass_fakes/tests/path_load.rs
+++ b/crates/boragepass_fakes/tests/path_load.rs
@@ -211,6 +211,28 @@
     assert!(read < tokens_without_cache * 0.75, "{read} tokens prefilled of {tokens_without_cache}");
 }
 
+/// The other endpoints of the pools can serve the usual load without those that state a limit.
+#[test]
+fn endpoints_get_no_more_requests_than_the_limit_that_they_state() {
+    for site in [Site::Lampu, Site::LampuGrown] {
+        let run = run_load(site, 1.0, 10, |fleet| {
+            let ids = fleet.endpoint_ids();
+            for (prefix, position, limit) in
+                [("models", 0, "1"), ("models", 1, "2.5"), ("plain", 0, "3"), ("rates", 0, "1")]
+            {
+                let id = ids.iter().filter(|id| id.as_str().starts_with(prefix)).nth(position).expect("an endpoint");
+                fleet.inject_fault(id, EndpointFault::LimitRate(limit.parse().expect("a valid rate")));
+            }
+        });
+        run.assert_no_violation();
+        for kind in &run.fleet.deployment.kinds {
+            let outcomes = run.outcomes(kind.name);
+            let refused = share(outcomes.refused + outcomes.failed, outcomes.requests);
+            assert!(refused < 0.02, "{site} {}: {outcomes:?}", kind.name);
+        }
+    }
+}
+
 #[test]
 fn a_stopping_vm_finishes_its_requests() {
     let run = run_load(Site::Gigdesk, 1.0, 8, |fleet| fleet.stop_vm(0));
