Share the rate limits that endpoints state among VMs

Cause: no VM read the limit. Statements of endpoints about themselves reached only the load of placement; the class of fault is a signal in a reply that nothing acts on.

Change: the newest statement of any VM holds (heartbeats carry those that a VM got itself, also that a limit was lifted). Three VMs, and one more for each request per second, share a limit equally: the serving ones closest to the endpoint. Each has a token bucket of one request, which is empty at first. So 4 s hold at most 3 + 5 times the limit, where 5 + 6 times the limit are tolerated. Others send nothing. The limit of a stage endpoint belongs to its pool's leader. A request that no endpoint may take yet waits for up to 0.5 s while it can still be in time, and is refused at once otherwise, with the time at which this VM may send again. Heartbeats change, so the format's version is 3.

--- a/crates/boragepass_entry/src/peer_wire.rs
+++ b/crates/boragepass_entry/src/peer_wire.rs
@@ -5,14 +5,14 @@
 use std::net::SocketAddr;
 
 use boragepass_path::{
-    ConfigurationVersion, Endpoint, EndpointLoad, Heartbeat, PeerMessage, PieceOutcome, PieceRequest, PieceRequestId,
-    PieceResult, PoolLoad, ResultHandle, StageInputs, VmRecord, VmState,
+    ConfigurationVersion, Endpoint, EndpointLimitReport, EndpointLoad, Heartbeat, PeerMessage, PieceOutcome,
+    PieceRequest, PieceRequestId, PieceResult, PoolLoad, ResultHandle, StageInputs, VmRecord, VmState,
 };
-use boragepass_types::{Hash64, Incarnation, Millicores, SpanMs};
+use boragepass_types::{Hash64, Incarnation, Millicores, RequestRate, SpanMs};
 use serde::{Deserialize, Serialize};
 
 /// Version of the format. Messages with another one are rejected.
-const FORMAT_VERSION: u8 = 2;
+const FORMAT_VERSION: u8 = 3;
 /// Largest message that is encoded or decoded.
 const MESSAGE_BYTES_MAX: usize = 16 * 1_024 * 1_024;
 
@@ -75,6 +75,8 @@
     led_pools: Vec<(String, String, f32, u16)>,
     /// Endpoint, requests in flight, and prompt tokens that are yet to be prefilled.
     endpoint_loads: Vec<(String, u16, u32)>,
+    /// Endpoint, its limit in requests per thousand seconds or none, and milliseconds since it stated that.
+    endpoint_limits: Vec<(String, Option<u64>, u64)>,
     /// Digest of the content, and how many crashes it caused.
     content_crashes: Vec<(u64, u8)>,
     known_vms: Vec<(String, SocketAddr)>,
@@ -190,6 +192,9 @@
         let pool_load =
             |load: &PoolLoad| (load.pool.to_string(), load.region.to_string(), load.wait_ms, load.healthy_endpoints);
         let endpoint_load = |load: &EndpointLoad| (load.endpoint.to_string(), load.in_flight, load.unread_tokens);
+        let endpoint_limit = |report: &EndpointLimitReport| {
+            (report.endpoint.to_string(), report.limit.map(|limit| limit.0), report.age.0)
+        };
         Self {
             vm: (&heartbeat.vm).into(),
             configuration_version: heartbeat.configuration.0,
@@ -197,6 +202,7 @@
             endpoints_version: heartbeat.endpoints_version,
             led_pools: heartbeat.led_pools.iter().map(pool_load).collect(),
             endpoint_loads: heartbeat.endpoint_loads.iter().map(endpoint_load).collect(),
+            endpoint_limits: heartbeat.endpoint_limits.iter().map(endpoint_limit).collect(),
             content_crashes: heartbeat.content_crashes.iter().map(|(digest, count)| (digest.0, *count)).collect(),
             known_vms: heartbeat.known_vms.iter().map(|(vm, address)| (vm.to_string(), *address)).collect(),
         }
@@ -213,6 +219,10 @@
         let endpoint_load = |(endpoint, in_flight, unread_tokens): (String, u16, u32)| {
             Ok(EndpointLoad { endpoint: parse_field(&endpoint)?, in_flight, unread_tokens })
         };
+        let endpoint_limit = |(endpoint, limit, age_ms): (String, Option<u64>, u64)| {
+            let limit = limit.map(RequestRate);
+            Ok(EndpointLimitReport { endpoint: parse_field(&endpoint)?, limit, age: SpanMs(age_ms) })
+        };
         Ok(Self {
             vm: wire.vm.try_into()?,
             configuration: ConfigurationVersion(wire.configuration_version),
@@ -220,6 +230,11 @@
             endpoints_version: wire.endpoints_version,
             led_pools: wire.led_pools.into_iter().map(pool_load).collect::<Result<_, PeerWireError>>()?,
             endpoint_loads: wire.endpoint_loads.into_iter().map(endpoint_load).collect::<Result<_, PeerWireError>>()?,
+            endpoint_limits: wire
+                .endpoint_limits
+                .into_iter()
+                .map(endpoint_limit)
+                .collect::<Result<_, PeerWireError>>()?,
             content_crashes: wire.content_crashes.into_iter().map(|(digest, count)| (Hash64(digest), count)).collect(),
             known_vms: wire
                 .known_vms
--- a/crates/boragepass_fakes/tests/path_faults.rs
+++ b/crates/boragepass_fakes/tests/path_faults.rs
@@ -7,6 +7,7 @@
 #![allow(clippy::unwrap_used, reason = "a test fails where it panics")]
 
 use boragepass_fakes::path_fleet::{Deployment, EndpointFault, PathFleet, Site};
+use boragepass_types::RequestRate;
 use proptest::prelude::{BoxedStrategy, Just, Strategy, prop_oneof};
 use proptest::test_runner::{Config, RngSeed};
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
@@ -47,6 +48,8 @@
         2 => (0_u32..10).prop_map(|tenths| EndpointFault::LoseAnswers(f64::from(tenths) / 10.0)),
         1 => (0_u32..10).prop_map(|tenths| EndpointFault::ReturnErrors(f64::from(tenths) / 10.0)),
         1 => Just(EndpointFault::Drain),
+        1 => (0_u64..8_000).prop_map(|rate| EndpointFault::LimitRate(RequestRate(rate))),
+        1 => Just(EndpointFault::LiftRateLimit),
     ]
 }
 
--- a/crates/boragepass_fakes/tests/path_load.rs
+++ b/crates/boragepass_fakes/tests/path_load.rs
@@ -233,6 +233,42 @@
     }
 }
 
+fn limit_all_engines(fleet: &mut PathFleet, per_s: &str) {
+    for id in fleet.endpoint_ids().into_iter().filter(|id| id.as_str().starts_with("models")) {
+        fleet.inject_fault(&id, EndpointFault::LimitRate(per_s.parse().expect("a valid rate")));
+    }
+}
+
+/// Nine engines at 4 requests a second take 36; about 25 come.
+#[test]
+fn limits_that_exceed_the_load_refuse_few_requests() {
+    let run = run_load(Site::Lampu, 1.0, 11, |fleet| limit_all_engines(fleet, "4"));
+    run.assert_no_violation();
+    for name in ["manifest", "handover", "chat"] {
+        let outcomes = run.outcomes(name);
+        assert!(share(outcomes.refused + outcomes.failed, outcomes.requests) < 0.1, "{name}: {outcomes:?}");
+    }
+}
+
+#[test]
+fn requests_are_served_as_before_once_limits_are_lifted() {
+    let run = run_load(Site::Lampu, 1.0, 12, |fleet| {
+        limit_all_engines(fleet, "0.5");
+        fleet.run_for(8_000);
+        for id in fleet.endpoint_ids() {
+            fleet.inject_fault(&id, EndpointFault::LiftRateLimit);
+        }
+        fleet.run_for(5_000);
+    });
+    run.assert_no_violation();
+    let ledger = &run.fleet.ledger;
+    let lifted_at = TimeMs(run.measured_from.0 + 13_000);
+    for (kind, spec) in run.fleet.deployment.kinds.iter().enumerate() {
+        let outcomes = ledger.outcomes(kind, spec.objective_ms(), lifted_at, run.measured_to);
+        assert_eq!(outcomes.refused + outcomes.failed, 0, "{}: {outcomes:?}", spec.name);
+    }
+}
+
 #[test]
 fn a_stopping_vm_finishes_its_requests() {
     let run = run_load(Site::Gigdesk, 1.0, 8, |fleet| fleet.stop_vm(0));
--- a/crates/boragepass_fakes/tests/path_peers.rs
+++ b/crates/boragepass_fakes/tests/path_peers.rs
@@ -37,6 +37,7 @@
         endpoints_version: 1,
         led_pools: Vec::new(),
         endpoint_loads: Vec::new(),
+        endpoint_limits: Vec::new(),
         content_crashes: Vec::new(),
         known_vms: Vec::new(),
         vm,
--- a/crates/boragepass_path/src/fleet/mod.rs
+++ b/crates/boragepass_path/src/fleet/mod.rs
@@ -4,9 +4,11 @@
 mod addresses;
 mod followers;
 mod leader;
+mod limit_sharing;
 mod members;
 
 pub(crate) use followers::is_store_follower;
 pub(crate) use leader::pool_leader;
+pub(crate) use limit_sharing::limit_sharing_vms;
 pub(crate) use members::{Fleet, MembershipChange};
 pub use members::{VmRecord, VmState};
--- a/crates/boragepass_path/src/lib.rs
+++ b/crates/boragepass_path/src/lib.rs
@@ -42,8 +42,8 @@
 };
 pub use fleet::{VmRecord, VmState};
 pub use message::{
-    EndpointLoad, Heartbeat, PeerMessage, PieceRequest, PieceRequestId, PieceResult, PoolLoad, ResultHandle,
-    StageInputs,
+    EndpointLimitReport, EndpointLoad, Heartbeat, PeerMessage, PieceRequest, PieceRequestId, PieceResult, PoolLoad,
+    ResultHandle, StageInputs,
 };
 pub use placement::{Endpoint, EndpointUpdate};
 pub use record::{Record, RecordValue};
--- a/crates/boragepass_path/src/message.rs
+++ b/crates/boragepass_path/src/message.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use boragepass_types::{EndpointId, FailureDomain, Hash64, Incarnation, PoolId, Region, SpanMs, VmId};
+use boragepass_types::{EndpointId, FailureDomain, Hash64, Incarnation, PoolId, Region, RequestRate, SpanMs, VmId};
 
 use crate::configuration::ConfigurationVersion;
 use crate::event::PieceOutcome;
@@ -104,6 +104,17 @@
     pub unread_tokens: u32,
 }
 
+/// What a reply of an endpoint to a VM stated about its rate limit.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EndpointLimitReport {
+    /// Endpoint that replied.
+    pub endpoint: EndpointId,
+    /// Rate of requests that it takes from all VMs together; `None` if it no longer limits it.
+    pub limit: Option<RequestRate>,
+    /// Time since the reply.
+    pub age: SpanMs,
+}
+
 /// State that a VM sends to the others several times a second.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Heartbeat {
@@ -119,6 +130,8 @@
     pub led_pools: Vec<PoolLoad>,
     /// Load that it has placed on endpoints.
     pub endpoint_loads: Vec<EndpointLoad>,
+    /// Rate limits of endpoints, as their replies to the VM stated them.
+    pub endpoint_limits: Vec<EndpointLimitReport>,
     /// Digests of contents that crashed endpoints, with the number of crashes.
     pub content_crashes: Vec<(Hash64, u8)>,
     /// A few of the VMs that it knows; successive heartbeats carry different ones.
--- a/crates/boragepass_path/src/placement/endpoint_table.rs
+++ b/crates/boragepass_path/src/placement/endpoint_table.rs
@@ -8,12 +8,13 @@
 use std::net::SocketAddr;
 
 use boragepass_core::{EjectionCause, Health, ejection_cap};
-use boragepass_types::{EndpointId, FailureDomain, PoolId, RequestRate, SpanMs, TimeMs, VmId};
+use boragepass_types::{EndpointId, FailureDomain, PoolId, SpanMs, TimeMs, VmId};
 
 use super::engine_choice::PREFILL_TOKENS_PER_MS;
 use super::prompt_cache::PromptCache;
+use super::rate_limit::{LimitStatement, RateLimiter};
 use crate::event::{PromptPart, ReportedLoad};
-use crate::message::EndpointLoad;
+use crate::message::{EndpointLimitReport, EndpointLoad};
 
 /// Time in which live endpoints renew expired entries after the store is back, as the platform documents.
 const EXPIRY_GRACE: SpanMs = SpanMs(2_000);
@@ -85,8 +86,7 @@
     /// Whether the store lost its entry and it is kept only for the grace period.
     is_expired: bool,
     full_until: TimeMs,
-    /// Rate of requests that it takes from all VMs, as its last reply stated.
-    pub(crate) rate_limit: Option<RequestRate>,
+    pub(crate) rate_limiter: RateLimiter,
 }
 
 impl KnownEndpoint {
@@ -102,7 +102,7 @@
             prompt_cache: PromptCache::default(),
             is_expired: false,
             full_until: TimeMs(0),
-            rate_limit: None,
+            rate_limiter: RateLimiter::default(),
         }
     }
 
@@ -265,12 +265,41 @@
         }
     }
 
-    /// Records the rate limit that a reply of an endpoint stated; returns whether it is a new one.
-    pub(crate) fn on_rate_limit(&mut self, id: &EndpointId, limit: Option<RequestRate>) -> bool {
-        let Some(known) = self.by_id.get_mut(id) else {
-            return false;
+    /// Endpoints with a rate limit in force.
+    pub(crate) fn limited_mut(&mut self) -> impl Iterator<Item = &mut KnownEndpoint> {
+        self.by_id.values_mut().filter(|known| known.rate_limiter.limit().is_some())
+    }
+
+    /// Time until the rate limits allow this VM a request to an endpoint of a pool, leaving out those in `excluded`;
+    /// `None` if none of them does.
+    pub(crate) fn limits_allow_in(&self, now: TimeMs, pool: &PoolId, excluded: &[EndpointId]) -> Option<SpanMs> {
+        let candidates = self.serving(pool).filter(|known| !excluded.contains(&known.endpoint.id));
+        candidates.filter_map(|known| known.rate_limiter.allows_in(now)).min()
+    }
+
+    /// Statements about rate limits that this VM got, for its heartbeat.
+    pub(crate) fn own_limit_reports(&self, now: TimeMs) -> Vec<EndpointLimitReport> {
+        let report = |known: &KnownEndpoint| {
+            let statement = known.rate_limiter.reported_statement(now)?;
+            Some(EndpointLimitReport {
+                endpoint: known.endpoint.id.clone(),
+                limit: statement.limit,
+                age: now.since(statement.stated_at),
+            })
         };
-        std::mem::replace(&mut known.rate_limit, limit) != limit
+        self.by_id.values().filter_map(report).collect()
+    }
+
+    /// Records the statements about rate limits that another VM got; returns whether a limit in force changed.
+    pub(crate) fn on_limit_reports(&mut self, now: TimeMs, reports: Vec<EndpointLimitReport>) -> bool {
+        let mut has_changed = false;
+        for report in reports {
+            if let Some(known) = self.by_id.get_mut(&report.endpoint) {
+                let stated_at = TimeMs(now.0.saturating_sub(report.age.0));
+                has_changed |= known.rate_limiter.on_statement(LimitStatement { limit: report.limit, stated_at });
+            }
+        }
+        has_changed
     }
 
     /// Replaces the loads that another VM reported in its heartbeat.
--- a/crates/boragepass_path/src/placement/mod.rs
+++ b/crates/boragepass_path/src/placement/mod.rs
@@ -4,6 +4,7 @@
 mod endpoint_table;
 mod engine_choice;
 mod prompt_cache;
+mod rate_limit;
 mod region_choice;
 
 pub use endpoint_table::{Endpoint, EndpointUpdate};
@@ -11,4 +12,5 @@
 pub(crate) use engine_choice::{
     ChosenEndpoint, PREFILL_TOKENS_PER_MS, RequestRequirements, choose_endpoint, prefill_ms,
 };
+pub(crate) use rate_limit::{LimitStatement, sharing_vms_max};
 pub(crate) use region_choice::{PoolBacklogs, StageDemand};
--- a/crates/boragepass_path/src/reducer/endings.rs
+++ b/crates/boragepass_path/src/reducer/endings.rs
@@ -31,6 +31,11 @@
             503 if runs > 0 => RefusalReason::EndpointLost,
             _ => reason,
         };
+        let capacity_in = match reason {
+            RefusalReason::RateLimited => self.endpoint_table.limits_allow_in(now, &state.pool, &state.tried_endpoints),
+            _ => None,
+        };
+        let capacity_in = capacity_in.unwrap_or(DEFAULT_RETRY_AFTER);
         let record = Record::new("request given up")
             .text("request", &state.arrival.client_id)
             .text("reason", reason)
@@ -40,7 +45,7 @@
             .number("left_ms", state.time_left(now).0);
         let is_refusal = reason.status() == 503;
         self.log(record);
-        let retry_after_ms = is_refusal.then(|| retry_after(DEFAULT_RETRY_AFTER, &mut self.rng));
+        let retry_after_ms = is_refusal.then(|| retry_after(capacity_in, &mut self.rng));
         let answer = Answer { status: reason.status(), retry_after_ms, reason };
         self.effects.push(Effect::Respond(request, answer));
         self.mark_answered(now, request);
--- a/crates/boragepass_path/src/reducer/leading.rs
+++ b/crates/boragepass_path/src/reducer/leading.rs
@@ -104,9 +104,10 @@
         let has_waiting_pieces = pool.queue_len() > 0;
         self.send_grouped_results(now, results);
         for call in calls {
-            let Some(known_endpoint) = self.endpoint_table.get(&call.endpoint) else {
+            let Some(known_endpoint) = self.endpoint_table.get_mut(&call.endpoint) else {
                 continue;
             };
+            known_endpoint.rate_limiter.take(now);
             let target = SendTarget { endpoint: call.endpoint.clone(), address: known_endpoint.endpoint.address };
             self.calls.insert(call.call, pool_key.clone());
             self.timers.set(now + call.overdue_ms, Timer::CallOverdue(call.call));
@@ -148,6 +149,10 @@
             endpoint: known_endpoint.endpoint.id.clone(),
             failure_domain: known_endpoint.endpoint.failure_domain.clone(),
             is_ejected: known_endpoint.is_ejected(now),
+            calls_left: known_endpoint
+                .rate_limiter
+                .limit()
+                .map(|_| usize::from(known_endpoint.rate_limiter.allows(now))),
         };
         in_region.map(to_available).collect()
     }
--- a/crates/boragepass_path/src/reducer/mod.rs
+++ b/crates/boragepass_path/src/reducer/mod.rs
@@ -198,6 +198,7 @@
         match timer {
             Timer::Heartbeat => {
                 self.update_store_following(now);
+                self.update_limit_shares(now);
                 self.send_heartbeats(now);
                 let interval = self.fleet.heartbeat_interval();
                 self.timers.set(now + interval, Timer::Heartbeat);
@@ -205,6 +206,7 @@
             Timer::CallOverdue(call) => self.on_call_overdue(now, call),
             Timer::RequestTimeout(request) => self.on_timeout(now, request),
             Timer::PieceRequestCheck(piece_request) => self.check_piece_request(now, &piece_request),
+            Timer::RetrySend(request) => self.advance(now, request),
             Timer::RunPools => self.run_all_pools(now),
             Timer::ShareState => self.share_state_with_domain(now),
             Timer::CheckDrain => self.check_drain(now),
--- a/crates/boragepass_path/src/reducer/peers.rs
+++ b/crates/boragepass_path/src/reducer/peers.rs
@@ -51,6 +51,9 @@
         }
         self.fleet.add_known_vms(heartbeat.known_vms);
         self.endpoint_table.on_peer_loads(now, &vm, heartbeat.endpoint_loads);
+        if self.endpoint_table.on_limit_reports(now, heartbeat.endpoint_limits) {
+            self.update_limit_shares(now);
+        }
         self.crash_tracker.on_peer_counts(now, &heartbeat.content_crashes);
         for load in heartbeat.led_pools {
             self.pool_backlogs.on_report(now, load);
@@ -132,6 +135,7 @@
             endpoints_version: self.endpoint_table.version,
             led_pools: self.led_pool_loads(now),
             endpoint_loads: self.endpoint_table.own_loads(),
+            endpoint_limits: self.endpoint_table.own_limit_reports(now),
             content_crashes: self.crash_tracker.own_counts(),
             known_vms: self.fleet.sample_live_vms(now),
         };
--- a/crates/boragepass_path/src/reducer/sends.rs
+++ b/crates/boragepass_path/src/reducer/sends.rs
@@ -9,13 +9,20 @@
 use crate::configuration::{Repeatability, ServiceKind};
 use crate::effect::{Effect, SendTarget};
 use crate::event::{EndpointSignals, EventId, Progress, ReplyHead, SendFailure};
+use crate::fleet::{limit_sharing_vms, pool_leader};
 use crate::message::ResultHandle;
-use crate::placement::{ChosenEndpoint, PREFILL_TOKENS_PER_MS, RequestRequirements, choose_endpoint};
+use crate::placement::{
+    ChosenEndpoint, LimitStatement, PREFILL_TOKENS_PER_MS, RequestRequirements, choose_endpoint, sharing_vms_max,
+};
 use crate::record::Record;
 use crate::request::{ActiveSend, Phase, RequestNumber, RequestState, SendNumber};
+use crate::timers::Timer;
 
 /// Time for which an endpoint that rejected a request as full is chosen last.
 const FULL_ENDPOINT_BACKOFF: SpanMs = SpanMs(150);
+/// Shortest and longest time for which a request waits until the rate limits of endpoints allow it.
+const LIMIT_WAIT_MIN: SpanMs = SpanMs(10);
+const LIMIT_WAIT_MAX: SpanMs = SpanMs(500);
 /// Time for which requests that may run only once use no pooled connection to an endpoint, after the endpoint
 /// sent something that was no reply to its request.
 const CONNECTION_REUSE_PAUSE: SpanMs = SpanMs(15_000);
@@ -48,14 +55,44 @@
             excluded: &state.tried_endpoints,
         };
         let Some(choice) = choose_endpoint(&self.endpoint_table, &self.settings, now, &requirements) else {
-            let reason =
-                if state.tried_endpoints.is_empty() { RefusalReason::NoEndpoint } else { RefusalReason::EndpointsFull };
-            self.fail_request(now, request, reason);
+            let reason = self.unsent_reason(state);
+            if !self.waits_for_limit(now, request) {
+                self.fail_request(now, request, reason);
+            }
             return;
         };
         self.send_to_endpoint(now, request, &choice, inputs);
     }
 
+    /// Why no endpoint of its pool can take a request.
+    fn unsent_reason(&self, state: &RequestState) -> RefusalReason {
+        let mut serving = self.endpoint_table.serving(&state.pool);
+        if serving.any(|known| known.rate_limiter.limit().is_some()) {
+            RefusalReason::RateLimited
+        } else if state.tried_endpoints.is_empty() {
+            RefusalReason::NoEndpoint
+        } else {
+            RefusalReason::EndpointsFull
+        }
+    }
+
+    /// Whether the request waits until the rate limits allow it: soon, and while it can still be in time.
+    fn waits_for_limit(&mut self, now: TimeMs, request: RequestNumber) -> bool {
+        let Some(state) = self.requests.get(&request) else {
+            return false;
+        };
+        let Some(wait) = self.endpoint_table.limits_allow_in(now, &state.pool, &state.tried_endpoints) else {
+            return false;
+        };
+        let wait = wait.max(LIMIT_WAIT_MIN);
+        let is_in_time = now + wait < state.objective_at || state.is_relaying;
+        if wait > LIMIT_WAIT_MAX || !is_in_time {
+            return false;
+        }
+        self.timers.set(now + wait, Timer::RetrySend(request));
+        true
+    }
+
     /// Sends a request to the chosen endpoint and accounts for the load that this adds.
     fn send_to_endpoint(
         &mut self,
@@ -74,7 +111,8 @@
         known_endpoint.in_flight += 1;
         known_endpoint.own_pending_prefill_tokens += choice.uncached_tokens;
         let target = SendTarget { endpoint: choice.endpoint.clone(), address: known_endpoint.endpoint.address };
-        let rate_limit = known_endpoint.rate_limit;
+        known_endpoint.rate_limiter.take(now);
+        let rate_limit = known_endpoint.rate_limiter.limit();
         let may_reuse = state.route.repeatability.is_repeatable() || known_endpoint.avoid_connection_reuse_until <= now;
         let service = state.configuration.service(&state.pool);
         let kv_cache_tokens = match service.map(|service| service.kind) {
@@ -159,7 +197,9 @@
         state.last_event = last_event.or(state.last_event);
         let (tried_endpoints, may_be_offered) = (&state.tried_endpoints, state.may_be_offered());
         let has_alternative = self.endpoint_table.serving(&state.pool).any(|known_endpoint| {
-            !tried_endpoints.contains(&known_endpoint.endpoint.id) && !known_endpoint.is_ejected(now)
+            !tried_endpoints.contains(&known_endpoint.endpoint.id)
+                && !known_endpoint.is_ejected(now)
+                && known_endpoint.rate_limiter.allows(now)
         });
         let pool = state.pool.clone();
         let live_vms = self.fleet.live_count(now);
@@ -226,9 +266,31 @@
         if let Some(load) = signals.load {
             self.endpoint_table.on_report(now, endpoint, load);
         }
-        if self.endpoint_table.on_rate_limit(endpoint, signals.rate_limit) {
+        let Some(known_endpoint) = self.endpoint_table.get_mut(endpoint) else {
+            return;
+        };
+        let statement = LimitStatement { limit: signals.rate_limit, stated_at: now };
+        if known_endpoint.rate_limiter.on_own_statement(statement) {
             let limit = signals.rate_limit.map_or_else(|| "none".to_owned(), |limit| limit.to_string());
             self.log(Record::new("endpoint states a rate limit").text("endpoint", endpoint).text("limit", limit));
+            self.update_limit_shares(now);
+        }
+    }
+
+    /// Updates this VM's part of each rate limit: for a stage pool that of its leader, else an equal one of a few VMs.
+    pub(super) fn update_limit_shares(&mut self, now: TimeMs) {
+        for known_endpoint in self.endpoint_table.limited_mut() {
+            let endpoint = &known_endpoint.endpoint;
+            let region = self.settings.region_of(&endpoint.failure_domain);
+            let is_stage = self.configuration.as_ref().is_some_and(|known| known.stage_pool(&endpoint.pool).is_some());
+            let sharing_vms = if is_stage {
+                let leader = pool_leader(&self.fleet, now, &endpoint.pool, region);
+                (leader.as_ref() == Some(&self.settings.vm)).then_some(1)
+            } else {
+                let vms_max = known_endpoint.rate_limiter.limit().map_or(0, sharing_vms_max);
+                limit_sharing_vms(&self.fleet, now, endpoint, region, vms_max)
+            };
+            known_endpoint.rate_limiter.set_sharing_vms(now, sharing_vms);
         }
     }
 
--- a/crates/boragepass_path/src/stages/pool.rs
+++ b/crates/boragepass_path/src/stages/pool.rs
@@ -127,6 +127,8 @@
     pub failure_domain: FailureDomain,
     /// Whether it is ejected; it gets calls only if all others are ejected too.
     pub is_ejected: bool,
+    /// Calls that its rate limit allows now; `None` if it has no limit.
+    pub calls_left: Option<usize>,
 }
 
 /// Where the results of an ended call come from.
@@ -374,6 +376,11 @@
         let has_healthy = available.iter().any(|endpoint| !endpoint.is_ejected);
         while !self.queue.is_empty() {
             let free = available.iter().filter(|candidate| !(has_healthy && candidate.is_ejected));
+            let is_within_limit = |candidate: &&AvailableEndpoint| {
+                let new_calls = calls.iter().filter(|call: &&PoolCall| call.endpoint == candidate.endpoint).count();
+                candidate.calls_left.is_none_or(|calls_left| new_calls < calls_left)
+            };
+            let free = free.filter(is_within_limit);
             let free = free.filter(|candidate| self.can_accept_call(now, &candidate.endpoint));
             let Some(endpoint) =
                 free.min_by(|a, b| self.load_score(&a.endpoint).total_cmp(&self.load_score(&b.endpoint)))
--- a/crates/boragepass_path/src/timers.rs
+++ b/crates/boragepass_path/src/timers.rs
@@ -16,6 +16,8 @@
     CallOverdue(CallNumber),
     /// Ends a request whose deadline passed.
     RequestTimeout(RequestNumber),
+    /// Sends a request that waits until the rate limits of endpoints allow it.
+    RetrySend(RequestNumber),
     /// Checks a piece request that is still open.
     PieceRequestCheck(PieceRequestId),
     /// Runs the queues of the led pools: starts calls and expires pieces that can no longer be in time.
