Send no new work to an endpoint that announces its leaving in a reply

Endpoints that leave say so in all their replies (server-leaving: 1); they may do so before, or without, an entry in the store. VMs did not read it and went on sending requests and stage calls there until the store's list said the same.

Change: such a reply takes the endpoint out of the choice for requests, repeats, resumed streams and stage calls of this VM, as draining in the store's list does, until it starts anew. The model in virtual time can announce it and checks that no request which a client submitted 2.5 s later is sent there.

--- a/crates/boragepass_fakes/src/path_fleet/endpoint.rs
+++ b/crates/boragepass_fakes/src/path_fleet/endpoint.rs
@@ -8,6 +8,7 @@
 use boragepass_path::{CallEntry, Endpoint, PieceInputs, PieceOutcome, PromptPart, StagePool};
 use boragepass_types::{Hash64, TimeMs};
 
+use super::leaving::LeavingAnnouncement;
 use super::rate_limit::StatedLimit;
 
 /// Prompt tokens that a model engine prefills per millisecond.
@@ -40,6 +41,7 @@
     pub(super) running_requests: usize,
     pub(super) drain_started_at: Option<TimeMs>,
     pub(super) stated_limit: Option<StatedLimit>,
+    pub(super) leaving: Option<LeavingAnnouncement>,
     /// Time at which the engine has prefilled all prompts so far; prompts are prefilled one after the other.
     prefill_free_at_ms: f64,
     /// Prompt parts that need no prefill, with their tokens.
@@ -98,6 +100,7 @@
             running_requests: 0,
             drain_started_at: None,
             stated_limit: None,
+            leaving: None,
             prefill_free_at_ms: 0.0,
             prompt_cache: HashMap::new(),
             stage: stage.map(|spec| StageState {
--- a/crates/boragepass_fakes/src/path_fleet/fleet/mod.rs
+++ b/crates/boragepass_fakes/src/path_fleet/fleet/mod.rs
@@ -23,6 +23,7 @@
 
 use super::deployment::{CLIENT_KEY, Deployment, RequestKind};
 use super::endpoint::{FakeEndpoint, QueuedCall, StageRun};
+use super::leaving::LeavingAnnouncement;
 use super::ledger::{Ending, Ledger, RequestRecord};
 use super::rate_limit::StatedLimit;
 
@@ -62,6 +63,8 @@
     ReturnErrors(f64),
     /// Announces through the store that it takes no new work.
     Drain,
+    /// Announces in its replies, but not yet through the store, that it takes no new work.
+    AnnounceLeaving,
     /// States a limit of requests per second in its replies.
     LimitRate(RequestRate),
     /// No longer states a limit.
@@ -446,6 +449,7 @@
             EndpointFault::LoseAnswers(share) => endpoint.lost_answer_share = share,
             EndpointFault::ReturnErrors(share) => endpoint.error_answer_share = share,
             EndpointFault::LimitRate(rate) => endpoint.stated_limit = Some(StatedLimit::new(rate)),
+            EndpointFault::AnnounceLeaving => endpoint.leaving = Some(LeavingAnnouncement::default()),
             EndpointFault::LiftRateLimit => endpoint.stated_limit = None,
             EndpointFault::Drain => {
                 endpoint.endpoint.is_draining = true;
@@ -742,22 +746,36 @@
     /// What an endpoint states of itself in a reply that reaches a VM after `delay_ms`.
     fn endpoint_signals(&mut self, vm: usize, id: &EndpointId, delay_ms: u64) -> Option<EndpointSignals> {
         let (now, incarnation) = (self.now, self.vms[vm].incarnation);
-        let stated_limit = self.endpoints.get_mut(id)?.stated_limit.as_mut();
-        let rate_limit = stated_limit.map(|limit| {
+        let endpoint = self.endpoints.get_mut(id)?;
+        if let Some(leaving) = &mut endpoint.leaving {
+            leaving.on_reply(now + SpanMs(delay_ms), (vm, incarnation));
+        }
+        let rate_limit = endpoint.stated_limit.as_mut().map(|limit| {
             limit.on_reply(now, now + SpanMs(delay_ms), (vm, incarnation));
             limit.rate
         });
-        Some(EndpointSignals { rate_limit, ..EndpointSignals::default() })
+        let is_leaving = endpoint.leaving.is_some();
+        Some(EndpointSignals { rate_limit, is_leaving, ..EndpointSignals::default() })
     }
 
-    /// Counts a request or call against the limit that its endpoint states, and checks the limit.
-    fn check_rate_limit(&mut self, vm: usize, id: &EndpointId, client_id: &Arc<str>) {
+    /// Checks that a VM keeps to what the endpoint has stated of itself when a request or call arrives there.
+    fn check_endpoint_signals(&mut self, vm: usize, id: &EndpointId, client_id: &Arc<str>) {
         if self.was_recently_paused(vm) {
             return;
         }
         let (now, incarnation) = (self.now, self.vms[vm].incarnation);
-        let stated_limit = self.endpoints.get_mut(id).and_then(|endpoint| endpoint.stated_limit.as_mut());
-        if stated_limit.is_some_and(|limit| limit.on_request(now, (vm, incarnation))) {
+        let submitted_at = self.ledger.requests.get(client_id).map(|record| record.submitted_at).unwrap_or_default();
+        let Some(endpoint) = self.endpoints.get_mut(id) else {
+            return;
+        };
+        if endpoint.leaving.as_ref().is_some_and(|leaving| leaving.forbids((vm, incarnation), submitted_at)) {
+            self.ledger.record_violation(
+                now,
+                client_id,
+                "an endpoint got a new request after it announced its leaving",
+            );
+        }
+        if endpoint.stated_limit.as_mut().is_some_and(|limit| limit.on_request(now, (vm, incarnation))) {
             self.ledger.record_violation(now, client_id, "an endpoint got more requests than the limit that it states");
         }
     }
--- a/crates/boragepass_fakes/src/path_fleet/fleet/sends.rs
+++ b/crates/boragepass_fakes/src/path_fleet/fleet/sends.rs
@@ -66,7 +66,7 @@
         };
         active_send.next_event = first_event;
         let (client_id, id) = (active_send.client_id.clone(), active_send.endpoint_id.clone());
-        self.check_rate_limit(key.0, &id, &client_id);
+        self.check_endpoint_signals(key.0, &id, &client_id);
         let Some(kind) = self.ledger.requests.get(&client_id).map(|record| record.kind) else {
             return;
         };
--- a/crates/boragepass_fakes/src/path_fleet/fleet/stage_calls.rs
+++ b/crates/boragepass_fakes/src/path_fleet/fleet/stage_calls.rs
@@ -20,7 +20,7 @@
             self.check_piece_inputs(entry);
         }
         if let Some(entry) = entries.first() {
-            self.check_rate_limit(vm, id, &entry.client_id);
+            self.check_endpoint_signals(vm, id, &entry.client_id);
         }
         let Some(endpoint) = self.endpoints.get_mut(id) else {
             return;
--- a/crates/boragepass_fakes/src/path_fleet/mod.rs
+++ b/crates/boragepass_fakes/src/path_fleet/mod.rs
@@ -6,6 +6,7 @@
 mod deployment;
 mod endpoint;
 mod fleet;
+mod leaving;
 mod ledger;
 mod rate_limit;
 
--- a/crates/boragepass_fakes/tests/path_load.rs
+++ b/crates/boragepass_fakes/tests/path_load.rs
@@ -233,6 +233,24 @@
     }
 }
 
+/// The store lists the endpoint as ready all the while; only its own replies say that it is leaving.
+#[test]
+fn an_endpoint_that_announces_its_leaving_in_replies_gets_no_new_requests() {
+    for site in [Site::Gigdesk, Site::Lampu] {
+        let run = run_load(site, 1.0, 13, |fleet| {
+            for prefix in ["models", "plain", "rates", "members"] {
+                let id = fleet.endpoint_ids().into_iter().find(|id| id.as_str().starts_with(prefix));
+                fleet.inject_fault(&id.expect("the site has such endpoints"), EndpointFault::AnnounceLeaving);
+            }
+        });
+        run.assert_no_violation();
+        for kind in &run.fleet.deployment.kinds {
+            let outcomes = run.outcomes(kind.name);
+            assert_eq!(outcomes.refused + outcomes.failed, 0, "{site} {}: {outcomes:?}", kind.name);
+        }
+    }
+}
+
 fn limit_all_engines(fleet: &mut PathFleet, per_s: &str) {
     for id in fleet.endpoint_ids().into_iter().filter(|id| id.as_str().starts_with("models")) {
         fleet.inject_fault(&id, EndpointFault::LimitRate(per_s.parse().expect("a valid rate")));
--- a/crates/boragepass_path/src/event.rs
+++ b/crates/boragepass_path/src/event.rs
@@ -74,6 +74,8 @@
     pub load: Option<ReportedLoad>,
     /// Rate of requests that it takes from all VMs together; `None` if it states no limit.
     pub rate_limit: Option<RequestRate>,
+    /// Whether it is leaving and takes no new work.
+    pub is_leaving: bool,
 }
 
 /// Properties of a reply that its status and headers establish.
--- a/crates/boragepass_path/src/placement/endpoint_table.rs
+++ b/crates/boragepass_path/src/placement/endpoint_table.rs
@@ -87,6 +87,8 @@
     is_expired: bool,
     full_until: TimeMs,
     pub(crate) rate_limiter: RateLimiter,
+    /// Whether it announced its leaving in a reply; the store may still list it as ready.
+    has_announced_leaving: bool,
 }
 
 impl KnownEndpoint {
@@ -103,6 +105,7 @@
             is_expired: false,
             full_until: TimeMs(0),
             rate_limiter: RateLimiter::default(),
+            has_announced_leaving: false,
         }
     }
 
@@ -133,6 +136,15 @@
         self.prompt_cache.cached_prefix_tokens(prompt)
     }
 
+    fn takes_new_work(&self) -> bool {
+        !self.endpoint.is_draining && !self.has_announced_leaving
+    }
+
+    /// Records that it announced its leaving in a reply; returns whether that is new.
+    pub(crate) fn on_leaving_announced(&mut self) -> bool {
+        !std::mem::replace(&mut self.has_announced_leaving, true)
+    }
+
     pub(crate) fn is_ejected(&self, now: TimeMs) -> bool {
         self.health.is_ejected(now)
     }
@@ -172,7 +184,7 @@
 
     /// Endpoints of a pool that are not draining, whatever their health.
     pub(crate) fn serving<'a>(&'a self, pool: &'a PoolId) -> impl Iterator<Item = &'a KnownEndpoint> {
-        self.by_id.values().filter(move |known| known.endpoint.pool == *pool && !known.endpoint.is_draining)
+        self.by_id.values().filter(move |known| known.endpoint.pool == *pool && known.takes_new_work())
     }
 
     /// Whether expired entries are kept: while the store is unreachable and for a grace period after.
--- a/crates/boragepass_path/src/reducer/sends.rs
+++ b/crates/boragepass_path/src/reducer/sends.rs
@@ -269,12 +269,16 @@
         let Some(known_endpoint) = self.endpoint_table.get_mut(endpoint) else {
             return;
         };
+        let is_newly_leaving = signals.is_leaving && known_endpoint.on_leaving_announced();
         let statement = LimitStatement { limit: signals.rate_limit, stated_at: now };
         if known_endpoint.rate_limiter.on_own_statement(statement) {
             let limit = signals.rate_limit.map_or_else(|| "none".to_owned(), |limit| limit.to_string());
             self.log(Record::new("endpoint states a rate limit").text("endpoint", endpoint).text("limit", limit));
             self.update_limit_shares(now);
         }
+        if is_newly_leaving {
+            self.log(Record::new("endpoint announces its leaving").text("endpoint", endpoint));
+        }
     }
 
     /// Updates this VM's part of each rate limit: for a stage pool that of its leader, else an equal one of a few VMs.
