Keep the pause that an endpoint asks for when it rejects a request

An endpoint that rejects a request with 503 may say for how long it wants nothing from that VM (Retry-After). VMs came back after 150 ms, those that lead a stage pool after 60 ms.

Change: until the pause is over, requests, repeats and stage calls of this VM go elsewhere. A request that finds no endpoint waits for up to 0.5 s while it can be in time, or is refused with the time that is left of the pause. The model in virtual time can reject everything with a pause and checks that at most two requests come in the rest of it.

--- a/crates/boragepass_fakes/src/path_fleet/endpoint.rs
+++ b/crates/boragepass_fakes/src/path_fleet/endpoint.rs
@@ -9,6 +9,7 @@
 use boragepass_types::{Hash64, TimeMs};
 
 use super::leaving::LeavingAnnouncement;
+use super::pause::PausingRejections;
 use super::rate_limit::StatedLimit;
 
 /// Prompt tokens that a model engine prefills per millisecond.
@@ -42,6 +43,7 @@
     pub(super) drain_started_at: Option<TimeMs>,
     pub(super) stated_limit: Option<StatedLimit>,
     pub(super) leaving: Option<LeavingAnnouncement>,
+    pub(super) rejections: Option<PausingRejections>,
     /// Time at which the engine has prefilled all prompts so far; prompts are prefilled one after the other.
     prefill_free_at_ms: f64,
     /// Prompt parts that need no prefill, with their tokens.
@@ -101,6 +103,7 @@
             drain_started_at: None,
             stated_limit: None,
             leaving: None,
+            rejections: None,
             prefill_free_at_ms: 0.0,
             prompt_cache: HashMap::new(),
             stage: stage.map(|spec| StageState {
--- a/crates/boragepass_fakes/src/path_fleet/fleet/mod.rs
+++ b/crates/boragepass_fakes/src/path_fleet/fleet/mod.rs
@@ -25,6 +25,7 @@
 use super::endpoint::{FakeEndpoint, QueuedCall, StageRun};
 use super::leaving::LeavingAnnouncement;
 use super::ledger::{Ending, Ledger, RequestRecord};
+use super::pause::PausingRejections;
 use super::rate_limit::StatedLimit;
 
 /// Processor capacity of each VM; the model charges no processor time.
@@ -65,6 +66,13 @@
     Drain,
     /// Announces in its replies, but not yet through the store, that it takes no new work.
     AnnounceLeaving,
+    /// Rejects requests and calls for a time and asks each VM for a pause.
+    RejectWithPause {
+        /// Time until it takes work again.
+        duration_ms: u64,
+        /// Pause that each rejection asks for.
+        pause_ms: u64,
+    },
     /// States a limit of requests per second in its replies.
     LimitRate(RequestRate),
     /// No longer states a limit.
@@ -450,6 +458,9 @@
             EndpointFault::ReturnErrors(share) => endpoint.error_answer_share = share,
             EndpointFault::LimitRate(rate) => endpoint.stated_limit = Some(StatedLimit::new(rate)),
             EndpointFault::AnnounceLeaving => endpoint.leaving = Some(LeavingAnnouncement::default()),
+            EndpointFault::RejectWithPause { duration_ms, pause_ms } => {
+                endpoint.rejections = Some(PausingRejections::new(SpanMs(pause_ms), now + SpanMs(duration_ms)));
+            }
             EndpointFault::LiftRateLimit => endpoint.stated_limit = None,
             EndpointFault::Drain => {
                 endpoint.endpoint.is_draining = true;
@@ -509,6 +520,7 @@
             endpoint.lost_answer_share = 0.0;
             endpoint.error_answer_share = 0.0;
             endpoint.stated_limit = None;
+            endpoint.rejections = None;
             endpoint.down_until = endpoint.down_until.min(self.now);
         }
         for vm in 0..self.vms.len() {
@@ -758,6 +770,16 @@
         Some(EndpointSignals { rate_limit, is_leaving, ..EndpointSignals::default() })
     }
 
+    /// What an endpoint states in a rejection that reaches a VM after `delay_ms`, if it rejects all work now.
+    fn rejection_signals(&mut self, vm: usize, id: &EndpointId, delay_ms: u64) -> Option<EndpointSignals> {
+        let (now, incarnation) = (self.now, self.vms[vm].incarnation);
+        let rejections = self.endpoints.get_mut(id)?.rejections.as_mut().filter(|it| now < it.rejects_until)?;
+        rejections.on_rejection(now + SpanMs(delay_ms), (vm, incarnation));
+        let pause = Some(rejections.pause);
+        let signals = self.endpoint_signals(vm, id, delay_ms)?;
+        Some(EndpointSignals { pause, ..signals })
+    }
+
     /// Checks that a VM keeps to what the endpoint has stated of itself when a request or call arrives there.
     fn check_endpoint_signals(&mut self, vm: usize, id: &EndpointId, client_id: &Arc<str>) {
         if self.was_recently_paused(vm) {
@@ -775,6 +797,9 @@
                 "an endpoint got a new request after it announced its leaving",
             );
         }
+        if endpoint.rejections.as_mut().is_some_and(|rejections| rejections.on_request(now, (vm, incarnation))) {
+            self.ledger.record_violation(now, client_id, "an endpoint got requests in the pause that it asked for");
+        }
         if endpoint.stated_limit.as_mut().is_some_and(|limit| limit.on_request(now, (vm, incarnation))) {
             self.ledger.record_violation(now, client_id, "an endpoint got more requests than the limit that it states");
         }
--- a/crates/boragepass_fakes/src/path_fleet/fleet/sends.rs
+++ b/crates/boragepass_fakes/src/path_fleet/fleet/sends.rs
@@ -67,6 +67,19 @@
         active_send.next_event = first_event;
         let (client_id, id) = (active_send.client_id.clone(), active_send.endpoint_id.clone());
         self.check_endpoint_signals(key.0, &id, &client_id);
+        let reply_delay_ms = self.endpoint_delay_ms(key.0, &id);
+        if let Some(signals) = self.rejection_signals(key.0, &id, reply_delay_ms) {
+            self.active_sends.remove(&key);
+            let head = ReplyHead {
+                status: 503,
+                is_signed: false,
+                is_for_request: true,
+                is_not_run: true,
+                signals: Some(signals),
+            };
+            self.deliver(key.0, reply_delay_ms, Event::ReplyHeadArrived(key.2, head));
+            return;
+        }
         let Some(kind) = self.ledger.requests.get(&client_id).map(|record| record.kind) else {
             return;
         };
--- a/crates/boragepass_fakes/src/path_fleet/fleet/stage_calls.rs
+++ b/crates/boragepass_fakes/src/path_fleet/fleet/stage_calls.rs
@@ -22,6 +22,11 @@
         if let Some(entry) = entries.first() {
             self.check_endpoint_signals(vm, id, &entry.client_id);
         }
+        if let Some(signals) = self.rejection_signals(vm, id, reply_delay_ms) {
+            let outcome = CallOutcome { results: Err(CallFailure::EndpointFull), signals: Some(signals) };
+            self.deliver(vm, reply_delay_ms, Event::CallEnded(call, outcome));
+            return;
+        }
         let Some(endpoint) = self.endpoints.get_mut(id) else {
             return;
         };
--- a/crates/boragepass_fakes/src/path_fleet/mod.rs
+++ b/crates/boragepass_fakes/src/path_fleet/mod.rs
@@ -8,6 +8,7 @@
 mod fleet;
 mod leaving;
 mod ledger;
+mod pause;
 mod rate_limit;
 
 pub use deployment::{Deployment, RequestKind, Site};
--- a/crates/boragepass_fakes/tests/path_load.rs
+++ b/crates/boragepass_fakes/tests/path_load.rs
@@ -251,6 +251,25 @@
     }
 }
 
+#[test]
+fn an_endpoint_that_asks_for_a_pause_gets_it() {
+    for site in [Site::Gigdesk, Site::Lampu] {
+        let run = run_load(site, 1.0, 14, |fleet| {
+            for prefix in ["models", "plain", "rates", "members"] {
+                let id = fleet.endpoint_ids().into_iter().find(|id| id.as_str().starts_with(prefix));
+                let fault = EndpointFault::RejectWithPause { duration_ms: 10_000, pause_ms: 3_000 };
+                fleet.inject_fault(&id.expect("the site has such endpoints"), fault);
+            }
+        });
+        run.assert_no_violation();
+        for kind in &run.fleet.deployment.kinds {
+            let outcomes = run.outcomes(kind.name);
+            assert_eq!(outcomes.failed, 0, "{site} {}: {outcomes:?}", kind.name);
+            assert!(share(outcomes.refused, outcomes.requests) < 0.02, "{site} {}: {outcomes:?}", kind.name);
+        }
+    }
+}
+
 fn limit_all_engines(fleet: &mut PathFleet, per_s: &str) {
     for id in fleet.endpoint_ids().into_iter().filter(|id| id.as_str().starts_with("models")) {
         fleet.inject_fault(&id, EndpointFault::LimitRate(per_s.parse().expect("a valid rate")));
--- a/crates/boragepass_path/src/admission/refusal.rs
+++ b/crates/boragepass_path/src/admission/refusal.rs
@@ -34,9 +34,9 @@
     /// Every endpoint to which it may be offered rejected it as full.
     #[display("endpoints full")]
     EndpointsFull,
-    /// The endpoints limit the rate of requests, and this VM's part is used up.
-    #[display("endpoints limit their rate")]
-    RateLimited,
+    /// The endpoints state rate limits of which this VM's part is used up, or asked this VM for a pause.
+    #[display("endpoints limit their requests")]
+    LimitedByEndpoints,
     /// Its content crashed the endpoints that ran it.
     #[display("crashes endpoints")]
     CrashesEndpoints,
@@ -70,7 +70,7 @@
             | Self::StageFailed
             | Self::NoEndpoint
             | Self::EndpointsFull
-            | Self::RateLimited
+            | Self::LimitedByEndpoints
             | Self::CrashesEndpoints
             | Self::Stopping
             | Self::TimeoutNotSent => 503,
--- a/crates/boragepass_path/src/event.rs
+++ b/crates/boragepass_path/src/event.rs
@@ -76,6 +76,8 @@
     pub rate_limit: Option<RequestRate>,
     /// Whether it is leaving and takes no new work.
     pub is_leaving: bool,
+    /// Time for which it wants no requests from this VM, if it rejected one.
+    pub pause: Option<SpanMs>,
 }
 
 /// Properties of a reply that its status and headers establish.
--- a/crates/boragepass_path/src/placement/endpoint_table.rs
+++ b/crates/boragepass_path/src/placement/endpoint_table.rs
@@ -87,6 +87,8 @@
     is_expired: bool,
     full_until: TimeMs,
     pub(crate) rate_limiter: RateLimiter,
+    /// Until when it wants no requests from this VM, as a rejection stated.
+    paused_until: TimeMs,
     /// Whether it announced its leaving in a reply; the store may still list it as ready.
     has_announced_leaving: bool,
 }
@@ -105,6 +107,7 @@
             is_expired: false,
             full_until: TimeMs(0),
             rate_limiter: RateLimiter::default(),
+            paused_until: TimeMs(0),
             has_announced_leaving: false,
         }
     }
@@ -145,6 +148,31 @@
         !std::mem::replace(&mut self.has_announced_leaving, true)
     }
 
+    /// Records that it wants no requests from this VM for a time.
+    pub(crate) fn on_pause_requested(&mut self, now: TimeMs, pause: SpanMs) {
+        self.paused_until = self.paused_until.max(now + pause);
+    }
+
+    /// Time until its rate limit and the pause that it asked for allow a request of this VM; `None` if that is not known.
+    pub(crate) fn accepts_in(&self, now: TimeMs) -> Option<SpanMs> {
+        Some(self.rate_limiter.allows_in(now)?.max(self.paused_until.since(now)))
+    }
+
+    /// Whether it asked this VM for a pause that is not over.
+    pub(crate) fn is_paused(&self, now: TimeMs) -> bool {
+        now < self.paused_until
+    }
+
+    /// Whether its rate limit and the pause that it asked for allow a request of this VM.
+    pub(crate) fn accepts(&self, now: TimeMs) -> bool {
+        !self.is_paused(now) && self.rate_limiter.allows(now)
+    }
+
+    /// Whether it states a rate limit or asked for a pause.
+    pub(crate) fn limits_requests(&self, now: TimeMs) -> bool {
+        self.is_paused(now) || self.rate_limiter.limit().is_some()
+    }
+
     pub(crate) fn is_ejected(&self, now: TimeMs) -> bool {
         self.health.is_ejected(now)
     }
@@ -282,11 +310,11 @@
         self.by_id.values_mut().filter(|known| known.rate_limiter.limit().is_some())
     }
 
-    /// Time until the rate limits allow this VM a request to an endpoint of a pool, leaving out those in `excluded`;
-    /// `None` if none of them does.
-    pub(crate) fn limits_allow_in(&self, now: TimeMs, pool: &PoolId, excluded: &[EndpointId]) -> Option<SpanMs> {
+    /// Time until an endpoint of a pool, leaving out those in `excluded`, accepts a request of this VM; `None` if that is
+    /// known of none.
+    pub(crate) fn accepts_in(&self, now: TimeMs, pool: &PoolId, excluded: &[EndpointId]) -> Option<SpanMs> {
         let candidates = self.serving(pool).filter(|known| !excluded.contains(&known.endpoint.id));
-        candidates.filter_map(|known| known.rate_limiter.allows_in(now)).min()
+        candidates.filter_map(|known| known.accepts_in(now)).min()
     }
 
     /// Statements about rate limits that this VM got, for its heartbeat.
--- a/crates/boragepass_path/src/placement/engine_choice.rs
+++ b/crates/boragepass_path/src/placement/engine_choice.rs
@@ -80,7 +80,7 @@
     let key = part.id.to_string();
     let is_long = shared_tokens(requirements.prompt) >= LONG_SHARED_TOKENS;
     let is_eligible = |known: &&KnownEndpoint| is_long || known.endpoint.failure_domain == settings.failure_domain;
-    let is_usable = |known: &&KnownEndpoint| !known.is_ejected(now) && known.rate_limiter.limit().is_none();
+    let is_usable = |known: &&KnownEndpoint| !known.is_ejected(now) && !known.limits_requests(now);
     let candidates = table.serving(requirements.pool).filter(is_usable).filter(is_eligible);
     let mut weighted_endpoints: Vec<_> = candidates
         .map(|known| (rendezvous_weight(&key, known.endpoint.id.as_str()), known.endpoint.id.clone()))
@@ -127,7 +127,7 @@
         .sum()
 }
 
-/// Chooses the cheapest endpoint of a pool that the request has not been sent to and whose rate limit allows it;
+/// Chooses the cheapest endpoint of a pool that the request has not been sent to and that accepts one of this VM now;
 /// `None` if there is none.
 pub(crate) fn choose_endpoint(
     table: &EndpointTable,
@@ -138,7 +138,7 @@
     let preferred = preferred_endpoints(table, settings, requirements, now);
     let candidates = table
         .serving(requirements.pool)
-        .filter(|known| !requirements.excluded.contains(&known.endpoint.id) && known.rate_limiter.allows(now));
+        .filter(|known| !requirements.excluded.contains(&known.endpoint.id) && known.accepts(now));
     let priced = candidates.map(|known| {
         let uncached_tokens = uncached_tokens(requirements, &preferred, known);
         let active_requests = known.active_requests(now);
--- a/crates/boragepass_path/src/reducer/endings.rs
+++ b/crates/boragepass_path/src/reducer/endings.rs
@@ -32,7 +32,9 @@
             _ => reason,
         };
         let capacity_in = match reason {
-            RefusalReason::RateLimited => self.endpoint_table.limits_allow_in(now, &state.pool, &state.tried_endpoints),
+            RefusalReason::LimitedByEndpoints => {
+                self.endpoint_table.accepts_in(now, &state.pool, &state.tried_endpoints)
+            }
             _ => None,
         };
         let capacity_in = capacity_in.unwrap_or(DEFAULT_RETRY_AFTER);
--- a/crates/boragepass_path/src/reducer/leading.rs
+++ b/crates/boragepass_path/src/reducer/leading.rs
@@ -148,11 +148,8 @@
         let to_available = |known_endpoint: &KnownEndpoint| AvailableEndpoint {
             endpoint: known_endpoint.endpoint.id.clone(),
             failure_domain: known_endpoint.endpoint.failure_domain.clone(),
-            is_ejected: known_endpoint.is_ejected(now),
-            calls_left: known_endpoint
-                .rate_limiter
-                .limit()
-                .map(|_| usize::from(known_endpoint.rate_limiter.allows(now))),
+            is_ejected: known_endpoint.is_ejected(now) || known_endpoint.is_paused(now),
+            calls_left: known_endpoint.limits_requests(now).then(|| usize::from(known_endpoint.accepts(now))),
         };
         in_region.map(to_available).collect()
     }
--- a/crates/boragepass_path/src/reducer/sends.rs
+++ b/crates/boragepass_path/src/reducer/sends.rs
@@ -20,9 +20,9 @@
 
 /// Time for which an endpoint that rejected a request as full is chosen last.
 const FULL_ENDPOINT_BACKOFF: SpanMs = SpanMs(150);
-/// Shortest and longest time for which a request waits until the rate limits of endpoints allow it.
-const LIMIT_WAIT_MIN: SpanMs = SpanMs(10);
-const LIMIT_WAIT_MAX: SpanMs = SpanMs(500);
+/// Shortest and longest time for which a request waits until an endpoint accepts it.
+const ENDPOINT_WAIT_MIN: SpanMs = SpanMs(10);
+const ENDPOINT_WAIT_MAX: SpanMs = SpanMs(500);
 /// Time for which requests that may run only once use no pooled connection to an endpoint, after the endpoint
 /// sent something that was no reply to its request.
 const CONNECTION_REUSE_PAUSE: SpanMs = SpanMs(15_000);
@@ -55,8 +55,8 @@
             excluded: &state.tried_endpoints,
         };
         let Some(choice) = choose_endpoint(&self.endpoint_table, &self.settings, now, &requirements) else {
-            let reason = self.unsent_reason(state);
-            if !self.waits_for_limit(now, request) {
+            let reason = self.unsent_reason(now, state);
+            if !self.waits_for_endpoint(now, request) {
                 self.fail_request(now, request, reason);
             }
             return;
@@ -65,10 +65,10 @@
     }
 
     /// Why no endpoint of its pool can take a request.
-    fn unsent_reason(&self, state: &RequestState) -> RefusalReason {
+    fn unsent_reason(&self, now: TimeMs, state: &RequestState) -> RefusalReason {
         let mut serving = self.endpoint_table.serving(&state.pool);
-        if serving.any(|known| known.rate_limiter.limit().is_some()) {
-            RefusalReason::RateLimited
+        if serving.any(|known| known.limits_requests(now)) {
+            RefusalReason::LimitedByEndpoints
         } else if state.tried_endpoints.is_empty() {
             RefusalReason::NoEndpoint
         } else {
@@ -76,17 +76,17 @@
         }
     }
 
-    /// Whether the request waits until the rate limits allow it: soon, and while it can still be in time.
-    fn waits_for_limit(&mut self, now: TimeMs, request: RequestNumber) -> bool {
+    /// Whether the request waits until an endpoint accepts it: soon, and while it can still be in time.
+    fn waits_for_endpoint(&mut self, now: TimeMs, request: RequestNumber) -> bool {
         let Some(state) = self.requests.get(&request) else {
             return false;
         };
-        let Some(wait) = self.endpoint_table.limits_allow_in(now, &state.pool, &state.tried_endpoints) else {
+        let Some(wait) = self.endpoint_table.accepts_in(now, &state.pool, &state.tried_endpoints) else {
             return false;
         };
-        let wait = wait.max(LIMIT_WAIT_MIN);
+        let wait = wait.max(ENDPOINT_WAIT_MIN);
         let is_in_time = now + wait < state.objective_at || state.is_relaying;
-        if wait > LIMIT_WAIT_MAX || !is_in_time {
+        if wait > ENDPOINT_WAIT_MAX || !is_in_time {
             return false;
         }
         self.timers.set(now + wait, Timer::RetrySend(request));
@@ -199,7 +199,7 @@
         let has_alternative = self.endpoint_table.serving(&state.pool).any(|known_endpoint| {
             !tried_endpoints.contains(&known_endpoint.endpoint.id)
                 && !known_endpoint.is_ejected(now)
-                && known_endpoint.rate_limiter.allows(now)
+                && known_endpoint.accepts(now)
         });
         let pool = state.pool.clone();
         let live_vms = self.fleet.live_count(now);
@@ -269,6 +269,9 @@
         let Some(known_endpoint) = self.endpoint_table.get_mut(endpoint) else {
             return;
         };
+        if let Some(pause) = signals.pause {
+            known_endpoint.on_pause_requested(now, pause);
+        }
         let is_newly_leaving = signals.is_leaving && known_endpoint.on_leaving_announced();
         let statement = LimitStatement { limit: signals.rate_limit, stated_at: now };
         if known_endpoint.rate_limiter.on_own_statement(statement) {
@@ -337,11 +340,13 @@
         let Some(state) = self.requests.get_mut(&request) else {
             return;
         };
+        let pause = head.signals.and_then(|signals| signals.pause);
         let record = Record::new("endpoint turned the request away")
             .text("request", &state.arrival.client_id)
             .number("send", send.0)
             .text("endpoint", &active_send.endpoint)
-            .number("status", head.status);
+            .number("status", head.status)
+            .number("pause_ms", pause.unwrap_or_default().0);
         state.phase = Phase::InStages;
         let pool = state.pool.clone();
         let final_stages = state.stages.final_stages();
--- a/crates/boragepass_path/src/stages/pool.rs
+++ b/crates/boragepass_path/src/stages/pool.rs
@@ -125,9 +125,9 @@
     pub endpoint: EndpointId,
     /// Failure domain of the endpoint.
     pub failure_domain: FailureDomain,
-    /// Whether it is ejected; it gets calls only if all others are ejected too.
+    /// Whether it is ejected or asked for a pause; it gets calls only if the same holds for all others.
     pub is_ejected: bool,
-    /// Calls that its rate limit allows now; `None` if it has no limit.
+    /// Calls that its rate limit and the pause that it asked for allow now; `None` if it states neither.
     pub calls_left: Option<usize>,
 }
 
--- a/crates/boragepass_path/src/timers.rs
+++ b/crates/boragepass_path/src/timers.rs
@@ -16,7 +16,7 @@
     CallOverdue(CallNumber),
     /// Ends a request whose deadline passed.
     RequestTimeout(RequestNumber),
-    /// Sends a request that waits until the rate limits of endpoints allow it.
+    /// Sends a request that waits until an endpoint accepts it.
     RetrySend(RequestNumber),
     /// Checks a piece request that is still open.
     PieceRequestCheck(PieceRequestId),
