Follow a store that was restored from an older copy

The store may come back from a copy some seconds old and then gives versions out again; Store-Era in its replies rises by one. VMs went on polling from their last version, and ignored lists of endpoints with a lower one: changes stayed unknown until the store had caught up, or for good, and endpoints that had departed or drained could come back.

Cause: a position in the store's history outlived the history that it belongs to.

Change: the first reply of a new era makes a VM read the table again. Versions are compared within their era (StoreVersion), also between VMs. A restored list brings back no endpoint that departed in an earlier era (remembered for 30 s) and no process out of draining; endpoints that it lacks have 2 s to register again. VMs register again, since their rows may be lost. The format between VMs is version 4. The soak's store can be restored from a copy and states its era.

--- a/crates/boragepass_entry/src/driver.rs
+++ b/crates/boragepass_entry/src/driver.rs
@@ -74,6 +74,8 @@
     pub(crate) is_ready: Cell<bool>,
     /// Whether this VM itself polls the store for changes.
     pub(crate) follows_store: Cell<bool>,
+    /// Wakes the task that registers this VM in the store.
+    registration_channel: (Sender<()>, Receiver<()>),
     /// Dropped when clients' connections have to close after the response in progress.
     connection_shutdown_sender: RefCell<Option<Sender<()>>>,
     pub(crate) connection_shutdown: Receiver<()>,
@@ -98,6 +100,7 @@
             peers,
             is_ready: Cell::new(false),
             follows_store: Cell::new(true),
+            registration_channel: bounded(1),
             connection_shutdown_sender: RefCell::new(Some(connection_shutdown_sender)),
             connection_shutdown,
             exit_channel: bounded(1),
@@ -129,6 +132,12 @@
         self.exit_channel.1.recv().await.ok();
     }
 
+    /// Waits until this VM has to register in the store again.
+    pub(crate) async fn wait_for_registration(&self) {
+        // The sender lives as long as the driver, so this does not fail.
+        self.registration_channel.1.recv().await.ok();
+    }
+
     /// Queues an event from where effects must not be applied, such as a destructor.
     pub(crate) fn enqueue(&self, event: Event) {
         self.event_queue.borrow_mut().push_back(event);
@@ -195,6 +204,8 @@
                 self.peers.share_state(&vm, address, &self.path.borrow(), with_configuration);
             }
             Effect::FollowStore(follows) => self.follows_store.set(follows),
+            // A full channel means that the task is about to register this VM already.
+            Effect::RegisterVm => drop(self.registration_channel.0.try_send(())),
             Effect::SetReady(is_ready) => self.is_ready.set(is_ready),
             Effect::CloseConnections => {
                 self.connection_shutdown_sender.borrow_mut().take();
--- a/crates/boragepass_entry/src/pages.rs
+++ b/crates/boragepass_entry/src/pages.rs
@@ -74,7 +74,8 @@
         json!({
             "is_ready": driver.is_ready.get(),
             "configuration": path.configuration().map(|configuration| configuration.version.0),
-            "endpoints_version": path.endpoints_version(),
+            "endpoints_version": path.endpoints_version().number,
+            "store_era": path.endpoints_version().era.0,
             "requests_in_progress": path.in_progress(),
             "serving_vms": path.serving_vms(now).iter().map(|vm| vm.as_str().to_owned()).collect::<Vec<_>>(),
             "endpoints": path.endpoints().map(endpoint).collect::<Vec<_>>(),
--- a/crates/boragepass_entry/src/peer_wire.rs
+++ b/crates/boragepass_entry/src/peer_wire.rs
@@ -6,13 +6,13 @@
 
 use boragepass_path::{
     ConfigurationVersion, Endpoint, EndpointLimitReport, EndpointLoad, Heartbeat, PeerMessage, PieceOutcome,
-    PieceRequest, PieceRequestId, PieceResult, PoolLoad, ResultHandle, StageInputs, VmRecord, VmState,
+    PieceRequest, PieceRequestId, PieceResult, PoolLoad, ResultHandle, StageInputs, StoreVersion, VmRecord, VmState,
 };
-use boragepass_types::{Hash64, Incarnation, Millicores, RequestRate, SpanMs};
+use boragepass_types::{Hash64, Incarnation, Millicores, RequestRate, SpanMs, StoreEra};
 use serde::{Deserialize, Serialize};
 
 /// Version of the format. Messages with another one are rejected.
-const FORMAT_VERSION: u8 = 3;
+const FORMAT_VERSION: u8 = 4;
 /// Largest message that is encoded or decoded.
 const MESSAGE_BYTES_MAX: usize = 16 * 1_024 * 1_024;
 
@@ -42,7 +42,13 @@
     /// Configuration, encoded as in the store.
     pub(crate) configuration: Option<Vec<u8>>,
     pub(crate) endpoints: Vec<WireEndpoint>,
-    pub(crate) endpoints_version: u64,
+    pub(crate) endpoints_version: WireStoreVersion,
+}
+
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub(crate) struct WireStoreVersion {
+    era: u64,
+    number: u64,
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -70,7 +76,7 @@
     vm: WireVm,
     configuration_version: u64,
     has_store: bool,
-    endpoints_version: u64,
+    endpoints_version: WireStoreVersion,
     /// Pool, region, time until a new piece would start, and healthy endpoints.
     led_pools: Vec<(String, String, f32, u16)>,
     /// Endpoint, requests in flight, and prompt tokens that are yet to be prefilled.
@@ -187,6 +193,18 @@
     }
 }
 
+impl From<StoreVersion> for WireStoreVersion {
+    fn from(version: StoreVersion) -> Self {
+        Self { era: version.era.0, number: version.number }
+    }
+}
+
+impl From<WireStoreVersion> for StoreVersion {
+    fn from(wire: WireStoreVersion) -> Self {
+        Self { era: StoreEra(wire.era), number: wire.number }
+    }
+}
+
 impl From<&Heartbeat> for WireHeartbeat {
     fn from(heartbeat: &Heartbeat) -> Self {
         let pool_load =
@@ -199,7 +217,7 @@
             vm: (&heartbeat.vm).into(),
             configuration_version: heartbeat.configuration.0,
             has_store: heartbeat.has_store,
-            endpoints_version: heartbeat.endpoints_version,
+            endpoints_version: heartbeat.endpoints_version.into(),
             led_pools: heartbeat.led_pools.iter().map(pool_load).collect(),
             endpoint_loads: heartbeat.endpoint_loads.iter().map(endpoint_load).collect(),
             endpoint_limits: heartbeat.endpoint_limits.iter().map(endpoint_limit).collect(),
@@ -227,7 +245,7 @@
             vm: wire.vm.try_into()?,
             configuration: ConfigurationVersion(wire.configuration_version),
             has_store: wire.has_store,
-            endpoints_version: wire.endpoints_version,
+            endpoints_version: wire.endpoints_version.into(),
             led_pools: wire.led_pools.into_iter().map(pool_load).collect::<Result<_, PeerWireError>>()?,
             endpoint_loads: wire.endpoint_loads.into_iter().map(endpoint_load).collect::<Result<_, PeerWireError>>()?,
             endpoint_limits: wire
--- a/crates/boragepass_entry/src/peers.rs
+++ b/crates/boragepass_entry/src/peers.rs
@@ -98,7 +98,7 @@
                 .filter(|_| with_configuration)
                 .map(|value| value.to_vec()),
             endpoints: path.endpoints().map(Into::into).collect(),
-            endpoints_version: path.endpoints_version(),
+            endpoints_version: path.endpoints_version().into(),
         };
         self.links.send_encoded(vm, address, &encode(&WireFrame::State(state)));
     }
@@ -184,7 +184,8 @@
     let endpoints: Result<Vec<_>, _> = state.endpoints.into_iter().map(TryInto::try_into).collect();
     match endpoints {
         Ok(endpoints) => {
-            driver.dispatch(Event::EndpointsUpdated(EndpointUpdate::PeerSnapshot(endpoints, state.endpoints_version)));
+            let version = state.endpoints_version.into();
+            driver.dispatch(Event::EndpointsUpdated(EndpointUpdate::PeerSnapshot(endpoints, version)));
         }
         Err(error) => driver.record(&Record::new("endpoints not read").text("reason", error)),
     }
--- a/crates/boragepass_entry/src/store_client.rs
+++ b/crates/boragepass_entry/src/store_client.rs
@@ -24,6 +24,8 @@
     Refused(StatusCode),
     /// the history that was asked for is gone
     HistoryGone,
+    /// restored from a copy since the last reply
+    Restored,
     /// {0}
     Unreadable(boragepass_platform::DecodeError),
 }
--- a/crates/boragepass_entry/src/store_feed.rs
+++ b/crates/boragepass_entry/src/store_feed.rs
@@ -11,7 +11,7 @@
 use std::time::{Duration, Instant};
 
 use async_std::task;
-use boragepass_path::{EndpointUpdate, Event, Record, StorePoll, VmRecord, VmState};
+use boragepass_path::{EndpointUpdate, Event, Record, StorePoll, StoreVersion, VmRecord, VmState};
 use boragepass_platform::{
     Row, RowChange, decode_changes, decode_configuration, decode_endpoint, decode_rows, encode_row_write, names,
     table_changes_path, table_rows_path,
@@ -86,7 +86,7 @@
         };
         task::spawn_local(feed.run());
     }
-    task::spawn_local(register_vm(
+    task::spawn_local(keep_registered(
         driver.clone(),
         StoreClient::new(store),
         local_record,
@@ -106,15 +106,21 @@
                     self.on_success();
                     self.follow(version).await;
                 }
+                Err(StoreError::Restored) => {}
                 Err(error) => self.on_failure(&error).await,
             }
         }
     }
 
+    /// Calls the store. The first reply of a new era is an error, since earlier versions mean nothing there.
     async fn get(&mut self, path: &str, call_timeout: Duration) -> Result<Bytes, StoreError> {
         self.last_call_sent_at = Instant::now();
         let reply = self.client.get(path, call_timeout).await?;
+        let era_before = self.era;
         self.era = reply.era.or(self.era);
+        if era_before.is_some() && self.era != era_before {
+            return Err(StoreError::Restored);
+        }
         Ok(reply.body)
     }
 
@@ -169,6 +175,7 @@
                     self.driver.record(&Record::new("store forgot its history").text("table", self.table.name()));
                     return;
                 }
+                Err(StoreError::Restored) => return,
                 Err(error) => self.on_failure(&error).await,
             }
         }
@@ -206,11 +213,16 @@
         retry_delay(&mut self.random).await;
     }
 
+    fn store_version(&self, number: u64) -> StoreVersion {
+        StoreVersion { era: self.era.unwrap_or_default(), number }
+    }
+
     fn apply_table(&mut self, rows: Vec<Row>, version: u64) {
         match self.table {
             Table::Configuration => rows.into_iter().for_each(|row| self.apply_configuration(&row)),
             Table::Endpoints => {
                 let endpoints = rows.iter().filter_map(|row| self.decode_endpoint_row(row)).collect();
+                let version = self.store_version(version);
                 self.driver.dispatch(Event::EndpointsUpdated(EndpointUpdate::Snapshot(endpoints, version)));
             }
         }
@@ -222,12 +234,13 @@
             (Table::Configuration, RowChange::Removed { .. }) => {}
             (Table::Endpoints, RowChange::Written(row)) => {
                 let update = match self.decode_endpoint_row(&row) {
-                    Some(endpoint) => EndpointUpdate::Changed(endpoint, row.version),
+                    Some(endpoint) => EndpointUpdate::Changed(endpoint, self.store_version(row.version)),
                     None => return,
                 };
                 self.driver.dispatch(Event::EndpointsUpdated(update));
             }
             (Table::Endpoints, RowChange::Removed { key, version }) => {
+                let version = self.store_version(version);
                 if let Ok(id) = key.parse() {
                     self.driver.dispatch(Event::EndpointsUpdated(EndpointUpdate::Removed(id, version)));
                 }
@@ -302,15 +315,25 @@
     })
 }
 
+/// Keeps this VM registered: at the start, and again whenever the store may have lost its row.
+async fn keep_registered(driver: Rc<Driver>, client: StoreClient, local_record: VmRecord, mut random: SmallRng) {
+    loop {
+        register_vm(&driver, &client, &local_record, &mut random).await;
+        driver.wait_for_registration().await;
+        // Keeps the VMs from registering all at the same time.
+        retry_delay(&mut random).await;
+    }
+}
+
 /// Registers this VM, then reads which other VMs are registered. VMs that register later announce
 /// themselves by heartbeats.
-async fn register_vm(driver: Rc<Driver>, client: StoreClient, local_record: VmRecord, mut random: SmallRng) {
-    let value = serde_json::to_vec(&VmRow::from(&local_record)).unwrap_or_default();
+async fn register_vm(driver: &Rc<Driver>, client: &StoreClient, local_record: &VmRecord, random: &mut SmallRng) {
+    let value = serde_json::to_vec(&VmRow::from(local_record)).unwrap_or_default();
     let body = encode_row_write(names::VM_TABLE, local_record.vm.as_str(), &value);
     while let Err(error) = client.post(names::ROWS_CHANGE_PATH, body.clone(), CALL_TIMEOUT).await {
         // The write is idempotent, so it is retried also if only its reply was lost.
         driver.record(&Record::new("VM not listed yet").text("reason", error));
-        retry_delay(&mut random).await;
+        retry_delay(random).await;
     }
     loop {
         let body = client.get(&table_rows_path(names::VM_TABLE, None), CALL_TIMEOUT).await;
@@ -321,6 +344,6 @@
             }
             Err(error) => driver.record(&Record::new("VMs not read yet").text("reason", error)),
         }
-        retry_delay(&mut random).await;
+        retry_delay(random).await;
     }
 }
--- a/crates/boragepass_entry/tests/over_sockets.rs
+++ b/crates/boragepass_entry/tests/over_sockets.rs
@@ -228,10 +228,7 @@
     std::thread::sleep(Duration::from_millis(SILENCE_MS));
     let newer_configuration = CONFIGURATION.replacen("\"version\": 1", "\"version\": 2", 1);
     store.put_row(names::CONFIGURATION_TABLE, names::CONFIGURATION_KEY, newer_configuration.into());
-    let is_in_force = || {
-        let status = get(vm.address("operators"), "/v1/status").body.unwrap_or_default();
-        status.contains("\"configuration\":2")
-    };
+    let is_in_force = || status_of(&vm).contains("\"configuration\":2");
     let returned_at = std::time::Instant::now();
     while !is_in_force() {
         let elapsed = returned_at.elapsed();
@@ -240,6 +237,52 @@
     }
 }
 
+fn status_of(vm: &EntryVm) -> String {
+    get(vm.address("operators"), "/v1/status").body.unwrap_or_default()
+}
+
+fn wait_until(what: &str, is_done: impl Fn() -> bool) {
+    for _ in 0..100 {
+        if is_done() {
+            return;
+        }
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    panic!("not after 5 s: {what}");
+}
+
+/// The store gives the lost versions out again, so a poll after the last known version misses changes.
+#[test]
+fn changes_are_followed_after_the_store_was_restored_from_a_copy() {
+    let store = Store::start();
+    let write_configuration = |text: String| {
+        store.put_row(names::CONFIGURATION_TABLE, names::CONFIGURATION_KEY, text.into());
+    };
+    let (api_endpoint, _) = serve(|got| Some(Reply::signed(got, "sound")));
+    let list = |id: &str, is_draining| {
+        let entry = Endpoint { is_draining, ..endpoint(id, "api", api_endpoint) };
+        store.put_row(names::ENDPOINT_TABLE, id, encode_endpoint(&entry));
+    };
+    write_configuration(CONFIGURATION.into());
+    list("i-first", false);
+    let copied_version = store.version();
+    let vm = EntryVm::start(store.address);
+    vm.wait_ready();
+    wait_until("the VM registers", || store.has_row(names::VM_TABLE, "entry-1"));
+    list("i-second", false);
+    // The last of many changes has a version that the store reaches again only later.
+    (0..20).for_each(|number| list("i-second", number % 2 == 0));
+    wait_until("the VM has the newest list", || status_of(&vm).contains(&format!("{}", store.version())));
+    store.restore_copy(copied_version);
+    write_configuration(CONFIGURATION.replacen("\"version\": 1", "\"version\": 2", 1));
+    list("i-third", false);
+    store.remove_row(names::ENDPOINT_TABLE, "i-first");
+    wait_until("the configuration is in force", || status_of(&vm).contains("\"configuration\":2"));
+    wait_until("the added endpoint is known", || status_of(&vm).contains("i-third"));
+    wait_until("the removed endpoint is gone", || !status_of(&vm).contains("i-first"));
+    wait_until("the VM registers again", || store.has_row(names::VM_TABLE, "entry-1"));
+}
+
 /// Status and metrics reflect a request that was served, and the addresses name the VM itself.
 #[test]
 fn operators_and_clients_read_status_metrics_and_addresses() {
--- a/crates/boragepass_fakes/src/path_fleet/fleet/mod.rs
+++ b/crates/boragepass_fakes/src/path_fleet/fleet/mod.rs
@@ -15,9 +15,11 @@
 use boragepass_path::{
     Arrival, Batching, CallFailure, CallNumber, CallOutcome, Effect, Endpoint, EndpointSignals, EndpointUpdate, Event,
     EventId, PathSettings, PeerMessage, PieceOutcome, Progress, PromptPart, Repeatability, ReplyHead, RequestNumber,
-    RequestPath, RetryLimits, SendFailure, SendNumber, VmRecord, VmState,
+    RequestPath, RetryLimits, SendFailure, SendNumber, StoreVersion, VmRecord, VmState,
+};
+use boragepass_types::{
+    EndpointId, FailureDomain, Hash64, Incarnation, Millicores, RequestRate, SpanMs, StoreEra, TimeMs, VmId,
 };
-use boragepass_types::{EndpointId, FailureDomain, Hash64, Incarnation, Millicores, RequestRate, SpanMs, TimeMs, VmId};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
@@ -342,7 +344,7 @@
         }
         let configuration = Arc::new(self.deployment.configuration(self.configuration_version));
         let endpoints = self.listed_endpoints();
-        let update = EndpointUpdate::Snapshot(endpoints, self.store_version);
+        let update = EndpointUpdate::Snapshot(endpoints, self.store_version());
         let records = self.vm_records();
         for event in
             [Event::ConfigurationReceived(configuration), Event::EndpointsUpdated(update), Event::VmsListed(records)]
@@ -351,6 +353,10 @@
         }
     }
 
+    fn store_version(&self) -> StoreVersion {
+        StoreVersion { era: StoreEra(1), number: self.store_version }
+    }
+
     fn listed_endpoints(&self) -> Vec<Endpoint> {
         let listed = self.endpoints.values().filter(|endpoint| endpoint.is_listed);
         listed.map(|endpoint| endpoint.endpoint.clone()).collect()
@@ -467,7 +473,7 @@
                 endpoint.drain_started_at = Some(now);
                 let changed_endpoint = endpoint.endpoint.clone();
                 self.store_version += 1;
-                let version = self.store_version;
+                let version = self.store_version();
                 for vm in 0..self.vms.len() {
                     if !self.vms[vm].is_cut_from_store && self.vms[vm].is_store_follower {
                         let update = EndpointUpdate::Changed(changed_endpoint.clone(), version);
@@ -725,7 +731,7 @@
                     self.deliver_store_contents(vm);
                 }
             }
-            Effect::DropRequest(_) | Effect::SetReady(_) | Effect::CloseConnections => {}
+            Effect::DropRequest(_) | Effect::RegisterVm | Effect::SetReady(_) | Effect::CloseConnections => {}
         }
     }
 
--- a/crates/boragepass_fakes/tests/path_peers.rs
+++ b/crates/boragepass_fakes/tests/path_peers.rs
@@ -6,10 +6,10 @@
 
 use boragepass_fakes::path_fleet::{Deployment, Site};
 use boragepass_path::{
-    ApiKey, Arrival, Batching, ConfigurationVersion, Effect, EndpointUpdate, Event, Heartbeat, PathSettings,
-    PeerMessage, RequestNumber, RequestPath, RetryLimits, VmRecord, VmState,
+    ApiKey, Arrival, Batching, ConfigurationVersion, Effect, Endpoint, EndpointUpdate, Event, Heartbeat, PathSettings,
+    PeerMessage, RequestNumber, RequestPath, RetryLimits, StoreVersion, VmRecord, VmState,
 };
-use boragepass_types::{Hash64, Incarnation, Millicores, Region, SpanMs, TimeMs, VmId};
+use boragepass_types::{EndpointId, Hash64, Incarnation, Millicores, Region, SpanMs, StoreEra, TimeMs, VmId};
 
 const NOW: TimeMs = TimeMs(1_000);
 
@@ -30,11 +30,15 @@
     }
 }
 
+fn version(number: u64) -> StoreVersion {
+    StoreVersion { era: StoreEra(1), number }
+}
+
 fn heartbeat(vm: VmRecord) -> Event {
     let heartbeat = Heartbeat {
         configuration: ConfigurationVersion(1),
         has_store: true,
-        endpoints_version: 1,
+        endpoints_version: version(1),
         led_pools: Vec::new(),
         endpoint_loads: Vec::new(),
         endpoint_limits: Vec::new(),
@@ -88,7 +92,7 @@
     };
     let mut path = RequestPath::new(NOW, settings);
     path.handle(NOW, Event::ConfigurationReceived(Arc::new(deployment.configuration(1))));
-    path.handle(NOW, Event::EndpointsUpdated(EndpointUpdate::Snapshot(deployment.endpoints.clone(), 1)));
+    path.handle(NOW, Event::EndpointsUpdated(EndpointUpdate::Snapshot(deployment.endpoints.clone(), version(1))));
     path
 }
 
@@ -159,8 +163,8 @@
     let mut path = request_path(&deployment);
     path.handle(NOW, Event::StoreReachable(false));
     let (removed, rest) = deployment.endpoints.split_first().expect("the site has endpoints");
-    path.handle(NOW, Event::EndpointsUpdated(EndpointUpdate::PeerSnapshot(rest.to_vec(), 2)));
-    assert_eq!(path.endpoints_version(), 2);
+    path.handle(NOW, Event::EndpointsUpdated(EndpointUpdate::PeerSnapshot(rest.to_vec(), version(2))));
+    assert_eq!(path.endpoints_version(), version(2));
     assert!(path.endpoints().all(|endpoint| endpoint.id != removed.id), "{} is still listed", removed.id);
 }
 
@@ -175,7 +179,7 @@
     path.handle(NOW, Event::StoreReachable(false));
     path.handle(NOW + SpanMs(100), Event::StoreReachable(true));
     let removed = deployment.endpoints[0].id.clone();
-    path.handle(NOW + SpanMs(200), Event::EndpointsUpdated(EndpointUpdate::Removed(removed.clone(), 2)));
+    path.handle(NOW + SpanMs(200), Event::EndpointsUpdated(EndpointUpdate::Removed(removed.clone(), version(2))));
     assert!(path.endpoints().any(|endpoint| endpoint.id == removed), "{removed} was removed within the grace period");
     let mut shared_lists = 0;
     for step in 1..=60 {
@@ -193,3 +197,37 @@
         "{shared_lists} lists shared; expected one at the change and one after the grace period"
     );
 }
+
+/// A store that was restored from a copy lists endpoints as they were seconds ago, under a lower version.
+#[test]
+fn a_restored_list_brings_back_no_endpoint_that_departed_or_drains() {
+    let deployment = Deployment::of(Site::Gigdesk);
+    let mut path = request_path(&deployment);
+    let update = |path: &mut RequestPath, now, update| path.handle(now, Event::EndpointsUpdated(update));
+    let [departed, draining, unlisted, ..] = &deployment.endpoints[..] else {
+        panic!("the site has endpoints");
+    };
+    let drained = Endpoint { is_draining: true, ..draining.clone() };
+    update(&mut path, NOW, EndpointUpdate::Removed(departed.id.clone(), version(8)));
+    update(&mut path, NOW, EndpointUpdate::Changed(drained, version(9)));
+    let later_era = |number| StoreVersion { era: StoreEra(2), number };
+    let restored: Vec<_> = deployment.endpoints.iter().filter(|it| it.id != unlisted.id).cloned().collect();
+    let effects = update(&mut path, NOW + SpanMs(50), EndpointUpdate::Snapshot(restored.clone(), later_era(5)));
+    assert!(effects.iter().any(|effect| matches!(effect, Effect::RegisterVm)), "the VM registers again");
+    let known = |path: &RequestPath, id: &EndpointId| path.endpoints().find(|known| known.id == *id).cloned();
+    assert_eq!(path.endpoints_version(), later_era(5));
+    assert_eq!(known(&path, &departed.id), None);
+    assert!(known(&path, &draining.id).is_some_and(|endpoint| endpoint.is_draining));
+    assert!(known(&path, &unlisted.id).is_some(), "it may register again");
+    // A list of the earlier era is older, whatever its number.
+    update(&mut path, NOW + SpanMs(60), EndpointUpdate::PeerSnapshot(Vec::new(), version(20)));
+    assert_eq!(path.endpoints_version(), later_era(5));
+    // An entry that its endpoint writes in the later era counts, as does a new start under the same id.
+    update(&mut path, NOW + SpanMs(70), EndpointUpdate::Changed(departed.clone(), later_era(6)));
+    assert!(known(&path, &departed.id).is_some());
+    let restarted = Endpoint { started_at_unix_ms: draining.started_at_unix_ms + 1, ..draining.clone() };
+    update(&mut path, NOW + SpanMs(80), EndpointUpdate::Changed(restarted, later_era(7)));
+    assert!(known(&path, &draining.id).is_some_and(|endpoint| !endpoint.is_draining));
+    (0..8).for_each(|step| drop(path.handle(NOW + SpanMs(1_000 + 500 * step), Event::Tick)));
+    assert_eq!(known(&path, &unlisted.id), None, "it has not registered again");
+}
--- a/crates/boragepass_path/src/effect.rs
+++ b/crates/boragepass_path/src/effect.rs
@@ -122,6 +122,8 @@
     },
     /// Starts or stops following the store's changes.
     FollowStore(bool),
+    /// Registers this VM in the store again.
+    RegisterVm,
     /// Sets whether this VM reports itself as ready.
     SetReady(bool),
     /// Stops keeping client connections alive.
--- a/crates/boragepass_path/src/message.rs
+++ b/crates/boragepass_path/src/message.rs
@@ -8,6 +8,7 @@
 use crate::configuration::ConfigurationVersion;
 use crate::event::PieceOutcome;
 use crate::fleet::VmRecord;
+use crate::placement::StoreVersion;
 
 /// Id of a piece request, unique over all VMs and their restarts.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -125,7 +126,7 @@
     /// Whether the store answers the VM.
     pub has_store: bool,
     /// Version of the endpoint list that it knows.
-    pub endpoints_version: u64,
+    pub endpoints_version: StoreVersion,
     /// Backlogs of the pools that it leads.
     pub led_pools: Vec<PoolLoad>,
     /// Load that it has placed on endpoints.
--- a/crates/boragepass_path/src/placement/endpoint_table.rs
+++ b/crates/boragepass_path/src/placement/endpoint_table.rs
@@ -8,7 +8,7 @@
 use std::net::SocketAddr;
 
 use boragepass_core::{EjectionCause, Health, ejection_cap};
-use boragepass_types::{EndpointId, FailureDomain, PoolId, SpanMs, TimeMs, VmId};
+use boragepass_types::{EndpointId, FailureDomain, PoolId, SpanMs, StoreEra, TimeMs, VmId};
 
 use super::engine_choice::PREFILL_TOKENS_PER_MS;
 use super::prompt_cache::PromptCache;
@@ -18,6 +18,9 @@
 
 /// Time in which live endpoints renew expired entries after the store is back, as the platform documents.
 const EXPIRY_GRACE: SpanMs = SpanMs(2_000);
+/// Time for which a departed endpoint is remembered: longer than the store's copies are old, with the time until
+/// entries expire there.
+const DEPARTED_RETENTION: SpanMs = SpanMs(30_000);
 /// Age at which an endpoint's load report is ignored; a new one lags by some 100 ms already.
 const REPORT_AGE_MAX: SpanMs = SpanMs(1_000);
 /// Age at which the load that another VM reported is ignored.
@@ -44,21 +47,31 @@
     pub started_at_unix_ms: u64,
 }
 
+/// Version of the store's content. A store that was restored from a copy gives versions out again, in a later era.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, derive_more::Display)]
+#[display("{number} of era {era}")]
+pub struct StoreVersion {
+    /// Era of the store.
+    pub era: StoreEra,
+    /// The store's version within the era.
+    pub number: u64,
+}
+
 /// Change of the endpoint list, with the list's version after it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum EndpointUpdate {
     /// The whole list, from the store.
-    Snapshot(Vec<Endpoint>, u64),
+    Snapshot(Vec<Endpoint>, StoreVersion),
     /// The whole list, from another VM.
-    PeerSnapshot(Vec<Endpoint>, u64),
+    PeerSnapshot(Vec<Endpoint>, StoreVersion),
     /// One entry was added or changed.
-    Changed(Endpoint, u64),
+    Changed(Endpoint, StoreVersion),
     /// One entry was removed.
-    Removed(EndpointId, u64),
+    Removed(EndpointId, StoreVersion),
 }
 
 impl EndpointUpdate {
-    fn version(&self) -> u64 {
+    fn version(&self) -> StoreVersion {
         match self {
             Self::Snapshot(_, version)
             | Self::PeerSnapshot(_, version)
@@ -187,9 +200,11 @@
 #[derive(Debug, Default)]
 pub(crate) struct EndpointTable {
     by_id: BTreeMap<EndpointId, KnownEndpoint>,
-    pub(crate) version: u64,
+    pub(crate) version: StoreVersion,
     is_store_unreachable: bool,
     store_returned_at: Option<TimeMs>,
+    /// Endpoints that were removed a while ago, with the start of their process, the time, and the era.
+    departed: BTreeMap<EndpointId, (u64, TimeMs, StoreEra)>,
     average_service_ms: HashMap<PoolId, f64>,
 }
 
@@ -228,11 +243,17 @@
         self.is_store_unreachable = !is_reachable;
     }
 
-    /// Applies a change unless its version is older than the list.
-    pub(crate) fn update(&mut self, now: TimeMs, update: EndpointUpdate) {
+    /// Applies a change unless its version is older than the list. Returns whether it shows that the store was
+    /// restored from a copy.
+    pub(crate) fn update(&mut self, now: TimeMs, update: EndpointUpdate) -> bool {
         let version = update.version();
         if version < self.version {
-            return;
+            return false;
+        }
+        let is_restored = self.version != StoreVersion::default() && version.era > self.version.era;
+        if is_restored {
+            // Endpoints that registered after the copy from which the store was restored register again.
+            self.store_returned_at = Some(now);
         }
         self.version = version;
         match update {
@@ -240,19 +261,20 @@
                 for id in self.missing_from(&endpoints) {
                     self.remove(now, &id);
                 }
-                endpoints.into_iter().for_each(|endpoint| self.insert_or_update(endpoint));
+                self.insert_listed(endpoints);
             }
             // The sender has waited out the grace period, so an endpoint missing here is gone even if the store
             // rejects this VM. A VM that kept it would pass it on as part of this version.
             EndpointUpdate::PeerSnapshot(endpoints, _) => {
                 for id in self.missing_from(&endpoints) {
-                    self.by_id.remove(&id);
+                    self.drop_departed(now, &id);
                 }
-                endpoints.into_iter().for_each(|endpoint| self.insert_or_update(endpoint));
+                self.insert_listed(endpoints);
             }
             EndpointUpdate::Changed(endpoint, _) => self.insert_or_update(endpoint),
             EndpointUpdate::Removed(id, _) => self.remove(now, &id),
         }
+        is_restored
     }
 
     fn missing_from(&self, endpoints: &[Endpoint]) -> Vec<EndpointId> {
@@ -260,9 +282,26 @@
         self.by_id.keys().filter(|id| !listed.contains(id)).cloned().collect()
     }
 
-    fn insert_or_update(&mut self, endpoint: Endpoint) {
+    /// Inserts the endpoints of a whole list, except those that departed in an earlier era: a store that was restored
+    /// lists them until their entries expire.
+    fn insert_listed(&mut self, endpoints: Vec<Endpoint>) {
+        let era = self.version.era;
+        for endpoint in endpoints {
+            let has_departed = self.departed.get(&endpoint.id).is_some_and(|(started_at_unix_ms, _, departed_era)| {
+                *started_at_unix_ms == endpoint.started_at_unix_ms && *departed_era < era
+            });
+            if !has_departed {
+                self.insert_or_update(endpoint);
+            }
+        }
+    }
+
+    fn insert_or_update(&mut self, mut endpoint: Endpoint) {
+        self.departed.remove(&endpoint.id);
         match self.by_id.get_mut(&endpoint.id) {
             Some(known) if known.endpoint.started_at_unix_ms == endpoint.started_at_unix_ms => {
+                // A process never leaves the draining state, but a restored store may list an older one.
+                endpoint.is_draining |= known.endpoint.is_draining;
                 known.endpoint = endpoint;
                 known.is_expired = false;
             }
@@ -278,19 +317,30 @@
                 known.is_expired = true;
             }
         } else {
-            self.by_id.remove(id);
+            self.drop_departed(now, id);
+        }
+    }
+
+    fn drop_departed(&mut self, now: TimeMs, id: &EndpointId) {
+        if let Some(known) = self.by_id.remove(id) {
+            let started_at_unix_ms = known.endpoint.started_at_unix_ms;
+            self.departed.insert(id.clone(), (started_at_unix_ms, now, self.version.era));
         }
     }
 
     /// Drops entries that were not renewed after the store came back; returns whether there were any.
     pub(crate) fn sweep(&mut self, now: TimeMs) -> bool {
+        self.departed.retain(|_, (_, departed_at, _)| now.since(*departed_at) < DEPARTED_RETENTION);
         if self.keeps_expired(now) {
             return false;
         }
-        let before = self.by_id.len();
-        self.by_id.retain(|_, known| !known.is_expired);
         self.store_returned_at = None;
-        self.by_id.len() < before
+        let is_expired = |(_, known): &(&EndpointId, &KnownEndpoint)| known.is_expired;
+        let expired: Vec<_> = self.by_id.iter().filter(is_expired).map(|(id, _)| id.clone()).collect();
+        for id in &expired {
+            self.drop_departed(now, id);
+        }
+        !expired.is_empty()
     }
 
     /// Removes an endpoint whose address now belongs to another one.
--- a/crates/boragepass_path/src/placement/mod.rs
+++ b/crates/boragepass_path/src/placement/mod.rs
@@ -7,7 +7,7 @@
 mod rate_limit;
 mod region_choice;
 
-pub use endpoint_table::{Endpoint, EndpointUpdate};
+pub use endpoint_table::{Endpoint, EndpointUpdate, StoreVersion};
 pub(crate) use endpoint_table::{EndpointTable, KnownEndpoint};
 pub(crate) use engine_choice::{
     ChosenEndpoint, PREFILL_TOKENS_PER_MS, RequestRequirements, choose_endpoint, prefill_ms,
--- a/crates/boragepass_path/src/reducer/mod.rs
+++ b/crates/boragepass_path/src/reducer/mod.rs
@@ -25,7 +25,7 @@
 use crate::event::Event;
 use crate::fleet::{Fleet, VmState};
 use crate::message::PieceRequestId;
-use crate::placement::{Endpoint, EndpointTable, PoolBacklogs};
+use crate::placement::{Endpoint, EndpointTable, PoolBacklogs, StoreVersion};
 use crate::record::Record;
 use crate::request::{CallNumber, RequestNumber, RequestState, SendNumber};
 use crate::retry::{CrashTracker, RetryBudget};
@@ -129,7 +129,12 @@
             Event::CallEnded(call, outcome) => self.on_call_ended(now, call, outcome),
             Event::ConfigurationReceived(configuration) => self.on_configuration(now, configuration),
             Event::EndpointsUpdated(update) => {
-                self.endpoint_table.update(now, update);
+                if self.endpoint_table.update(now, update) {
+                    // The copy may lack the row of this VM.
+                    self.effects.push(Effect::RegisterVm);
+                    let version = self.endpoint_table.version;
+                    self.log(Record::new("store was restored from a copy").text("version", version));
+                }
                 self.schedule_state_share(now);
                 self.update_readiness(now);
                 self.run_all_pools(now);
@@ -172,7 +177,7 @@
     }
 
     /// Version of the endpoint list.
-    pub fn endpoints_version(&self) -> u64 {
+    pub fn endpoints_version(&self) -> StoreVersion {
         self.endpoint_table.version
     }
 
--- a/crates/boragepass_soak/src/store.rs
+++ b/crates/boragepass_soak/src/store.rs
@@ -18,10 +18,19 @@
 const SLOW_REPLY_DELAY: Duration = Duration::from_millis(900);
 /// Delay of each reply while the store is silent, longer than any client waits.
 const SILENT_REPLY_DELAY: Duration = Duration::from_secs(3_600);
+/// Versions of which a copy is kept.
+const COPIES_MAX: usize = 64;
+
+/// Rows by table and key.
+type Tables = BTreeMap<String, BTreeMap<String, Row>>;
 
 #[derive(Debug, Default)]
 struct StoreState {
-    tables: BTreeMap<String, BTreeMap<String, Row>>,
+    tables: Tables,
+    /// Tables as of the latest versions, from which the store can be restored.
+    copies: BTreeMap<u64, Tables>,
+    /// How often the store was restored from a copy.
+    restored_count: u64,
     changes: Vec<(String, RowChange)>,
     version: u64,
     /// Changes up to this version are dropped; a read that starts before it is answered with 410.
@@ -49,15 +58,58 @@
     Some(Instant::now() + Duration::from_millis(ms))
 }
 
+fn version_of(change: &RowChange) -> u64 {
+    match change {
+        RowChange::Written(row) => row.version,
+        RowChange::Removed { version, .. } => *version,
+    }
+}
+
 impl StoreState {
     fn put_row(&mut self, table: &str, key: &str, value: Vec<u8>) {
         self.version += 1;
         let row = Row { key: key.to_owned(), value: value.into(), version: self.version };
         self.tables.entry(table.to_owned()).or_default().insert(key.to_owned(), row.clone());
         self.changes.push((table.to_owned(), RowChange::Written(row)));
+        self.keep_copy();
+    }
+
+    fn remove_row(&mut self, table: &str, key: &str) {
+        self.version += 1;
+        let removed = RowChange::Removed { key: key.to_owned(), version: self.version };
+        if let Some(rows) = self.tables.get_mut(table) {
+            rows.remove(key);
+        }
+        self.changes.push((table.to_owned(), removed));
+        self.keep_copy();
+    }
+
+    fn keep_copy(&mut self) {
+        self.copies.insert(self.version, self.tables.clone());
+        while self.copies.len() > COPIES_MAX {
+            self.copies.pop_first();
+        }
+    }
+
+    /// Restores the copy of a version; later changes are lost and their versions are given out again.
+    fn restore_copy(&mut self, version: u64) {
+        let Some(tables) = self.copies.get(&version).cloned() else {
+            return;
+        };
+        self.tables = tables;
+        self.copies.split_off(&(version + 1));
+        self.changes.retain(|(_, change)| version_of(change) <= version);
+        self.version = version;
+        self.restored_count += 1;
     }
 
     fn handle_request(&mut self, request: &ReceivedRequest) -> Option<Reply> {
+        let mut reply = self.reply_to(request)?;
+        reply.headers.push((names::STORE_ERA, (self.restored_count + 1).to_string()));
+        Some(reply)
+    }
+
+    fn reply_to(&mut self, request: &ReceivedRequest) -> Option<Reply> {
         if is_active(self.silent_until) {
             return Some(Reply { head_delay: SILENT_REPLY_DELAY, ..Reply::new(503, "") });
         }
@@ -83,13 +135,9 @@
             let rows = RowPage { rows, version: self.version, has_more: false };
             return Some(Reply { head_delay, ..Reply::new(200, encode_rows(&read.table, &rows)) });
         };
-        if seen_version < self.forgotten_up_to {
+        if seen_version < self.forgotten_up_to || seen_version > self.version {
             return Some(Reply { head_delay, ..Reply::new(410, "") });
         }
-        let version_of = |change: &RowChange| match change {
-            RowChange::Written(row) => row.version,
-            RowChange::Removed { version, .. } => *version,
-        };
         let newer_changes =
             self.changes.iter().filter(|(table, change)| *table == read.table && version_of(change) > seen_version);
         let rows: Vec<_> = newer_changes.map(|(_, change)| change.clone()).collect();
@@ -118,14 +166,9 @@
         self.state().put_row(table, key, value);
     }
 
-    pub(crate) fn remove_row(&self, table: &str, key: &str) {
-        let mut state = self.state();
-        state.version += 1;
-        let removed = RowChange::Removed { key: key.to_owned(), version: state.version };
-        if let Some(rows) = state.tables.get_mut(table) {
-            rows.remove(key);
-        }
-        state.changes.push((table.to_owned(), removed));
+    /// Removes a row on behalf of operators and endpoints.
+    pub fn remove_row(&self, table: &str, key: &str) {
+        self.state().remove_row(table, key);
     }
 
     pub(crate) fn become_unavailable(&self, ms: u64) {
@@ -137,6 +180,21 @@
         self.state().silent_until = deadline_in_ms(ms);
     }
 
+    /// Version of the newest change.
+    pub fn version(&self) -> u64 {
+        self.state().version
+    }
+
+    /// Whether a table has a row with this key.
+    pub fn has_row(&self, table: &str, key: &str) -> bool {
+        self.state().tables.get(table).is_some_and(|rows| rows.contains_key(key))
+    }
+
+    /// Comes back as of a version: later changes are lost, and their versions are given out again.
+    pub fn restore_copy(&self, version: u64) {
+        self.state().restore_copy(version);
+    }
+
     pub(crate) fn slow_down(&self, ms: u64) {
         self.state().slow_until = deadline_in_ms(ms);
     }
