Share only the configuration in force with other VMs

A change that had been confirmed came back older: a VM that read an older configuration in a restored store kept the newer one in force, but passed the older one on to VMs that started or could not reach the store.

Cause: the copy that is kept for other VMs was replaced by whatever the store's table held; the check for an older version stood only in the path from another VM. Both paths now use one function, Driver::receive_configuration, which keeps newer versions only.

Before and after: a_vm_shares_the_configuration_in_force_and_not_an_older_one_of_the_store failed (the later VM had version 1, 2 was in force) and passes.

--- a/crates/boragepass_entry/src/driver.rs
+++ b/crates/boragepass_entry/src/driver.rs
@@ -11,6 +11,7 @@
 use async_std::future::timeout;
 use async_std::task;
 use boragepass_path::{Answer, Effect, Event, Record, RequestNumber, RequestPath, SendNumber};
+use boragepass_platform::decode_configuration;
 use boragepass_server::Clock;
 use bytes::Bytes;
 use futures::channel::oneshot;
@@ -138,6 +139,21 @@
         self.registration_channel.1.recv().await.ok();
     }
 
+    /// Passes a configuration, encoded as in the store, on to the request path. A newer one than that in force is
+    /// also kept for other VMs.
+    pub(crate) fn receive_configuration(self: &Rc<Self>, value: Bytes) {
+        match decode_configuration(&value) {
+            Ok(configuration) => {
+                let current_version = self.with_path(|path, _| path.configuration().map(|known| known.version));
+                if current_version.is_none_or(|version| version < configuration.version) {
+                    self.peers.set_configuration(value);
+                }
+                self.dispatch(Event::ConfigurationReceived(configuration.into()));
+            }
+            Err(error) => self.record(&Record::new("configuration not read").text("reason", error)),
+        }
+    }
+
     /// Queues an event from where effects must not be applied, such as a destructor.
     pub(crate) fn enqueue(&self, event: Event) {
         self.event_queue.borrow_mut().push_back(event);
--- a/crates/boragepass_entry/src/peers.rs
+++ b/crates/boragepass_entry/src/peers.rs
@@ -11,7 +11,6 @@
 use async_std::net::{TcpListener, UdpSocket};
 use async_std::task;
 use boragepass_path::{EndpointUpdate, Event, PeerMessage, Record, RequestPath};
-use boragepass_platform::decode_configuration;
 use boragepass_server::{Identity, Inbox, PeerLinks, Tasks, serve_peers};
 use boragepass_types::{AccessKey, Incarnation, VmId};
 use bytes::Bytes;
@@ -170,16 +169,7 @@
 /// Passes on the configuration and endpoints that another VM shared; older versions change nothing.
 fn apply_shared_state(driver: &Rc<Driver>, state: WireState) {
     if let Some(value) = state.configuration {
-        match decode_configuration(&value) {
-            Ok(configuration) => {
-                let current_version = driver.with_path(|path, _| path.configuration().map(|known| known.version));
-                if current_version.is_none_or(|version| version < configuration.version) {
-                    driver.peers.set_configuration(value.into());
-                }
-                driver.dispatch(Event::ConfigurationReceived(configuration.into()));
-            }
-            Err(error) => driver.record(&Record::new("configuration not read").text("reason", error)),
-        }
+        driver.receive_configuration(value.into());
     }
     let endpoints: Result<Vec<_>, _> = state.endpoints.into_iter().map(TryInto::try_into).collect();
     match endpoints {
--- a/crates/boragepass_entry/src/store_feed.rs
+++ b/crates/boragepass_entry/src/store_feed.rs
@@ -13,8 +13,8 @@
 use async_std::task;
 use boragepass_path::{EndpointUpdate, Event, Record, StorePoll, StoreVersion, VmRecord, VmState};
 use boragepass_platform::{
-    Row, RowChange, decode_changes, decode_configuration, decode_endpoint, decode_rows, encode_row_write, names,
-    table_changes_path, table_rows_path,
+    Row, RowChange, decode_changes, decode_endpoint, decode_rows, encode_row_write, names, table_changes_path,
+    table_rows_path,
 };
 use boragepass_types::{Incarnation, Millicores, SpanMs, StoreEra};
 use bytes::Bytes;
@@ -252,13 +252,7 @@
         if row.key != names::CONFIGURATION_KEY {
             return;
         }
-        match decode_configuration(&row.value) {
-            Ok(configuration) => {
-                self.driver.peers.set_configuration(row.value.clone());
-                self.driver.dispatch(Event::ConfigurationReceived(configuration.into()));
-            }
-            Err(error) => self.driver.record(&Record::new("configuration not read").text("reason", error)),
-        }
+        self.driver.receive_configuration(row.value.clone());
     }
 
     fn decode_endpoint_row(&mut self, row: &Row) -> Option<boragepass_path::Endpoint> {
--- a/crates/boragepass_entry/tests/over_sockets.rs
+++ b/crates/boragepass_entry/tests/over_sockets.rs
@@ -283,6 +283,42 @@
     wait_until("the VM registers again", || store.has_row(names::VM_TABLE, "entry-1"));
 }
 
+/// A VM that shares the older configuration of a restored store would take back a change on VMs that start later.
+#[test]
+fn a_vm_shares_the_configuration_in_force_and_not_an_older_one_of_the_store() {
+    let store = Store::start();
+    let (api_endpoint, _) = serve(|got| Some(Reply::signed(got, "sound")));
+    store.put_row(names::ENDPOINT_TABLE, "i-api", encode_endpoint(&endpoint("i-api", "api", api_endpoint)));
+    store.put_row(names::CONFIGURATION_TABLE, names::CONFIGURATION_KEY, CONFIGURATION.into());
+    let copied_version = store.version();
+    let peer_port = free_port();
+    let peers_at = |ip: &str| ("peers = 127.0.0.1:0", format!("peers = {ip}:{peer_port}"));
+    let vm = EntryVm::start_with(store.address, &[peers_at("127.0.0.1")]);
+    vm.wait_ready();
+    let newer_configuration = CONFIGURATION.replacen("\"version\": 1", "\"version\": 2", 1);
+    store.put_row(names::CONFIGURATION_TABLE, names::CONFIGURATION_KEY, newer_configuration.into());
+    wait_until("the change is in force", || status_of(&vm).contains("\"configuration\":2"));
+    store.restore_copy(copied_version);
+    wait_until("the VM reads the restored store", || status_of(&vm).contains("\"store_era\":2"));
+    std::thread::sleep(Duration::from_millis(500));
+    // This VM does not reach the store, so it learns everything from the other one.
+    let unreachable_store = SocketAddr::from(([127, 0, 0, 1], free_port()));
+    let lines = [
+        peers_at("127.0.0.2"),
+        ("vm = entry-1", "vm = entry-2".to_owned()),
+        ("seeds =", "seeds = 127.0.0.1:1".to_owned()),
+    ];
+    let later_vm = EntryVm::start_with(unreachable_store, &lines);
+    wait_until("the later VM has a configuration", || !status_of(&later_vm).contains("\"configuration\":null"));
+    assert!(status_of(&later_vm).contains("\"configuration\":2"), "{}", status_of(&later_vm));
+}
+
+/// A port that nothing listens on.
+fn free_port() -> u16 {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+    listener.local_addr().expect("a bound address").port()
+}
+
 /// Status and metrics reflect a request that was served, and the addresses name the VM itself.
 #[test]
 fn operators_and_clients_read_status_metrics_and_addresses() {
--- a/crates/boragepass_entry/tests/support/mod.rs
+++ b/crates/boragepass_entry/tests/support/mod.rs
@@ -79,10 +79,20 @@
 
 impl EntryVm {
     pub(crate) fn start(store: SocketAddr) -> Self {
-        let folder = std::env::temp_dir().join(format!("boragepass-entry-{}-{}", std::process::id(), store.port()));
+        Self::start_with(store, &[])
+    }
+
+    /// Starts a VM whose settings differ from the fixture in some lines, given as the old and the new line.
+    pub(crate) fn start_with(store: SocketAddr, changed_lines: &[(&str, String)]) -> Self {
+        static STARTED_VMS: AtomicU64 = AtomicU64::new(0);
+        let number = STARTED_VMS.fetch_add(1, Ordering::Relaxed);
+        let folder = std::env::temp_dir().join(format!("boragepass-entry-{}-{number}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("a temporary folder");
         let path = folder.join("settings.ini");
-        let settings = include_str!("../fixtures/settings.ini").replace("STORE", &store.to_string());
+        let mut settings = include_str!("../fixtures/settings.ini").replace("STORE", &store.to_string());
+        for (old_line, new_line) in changed_lines {
+            settings = settings.replace(old_line, new_line);
+        }
         std::fs::write(&path, settings).expect("a settings file");
         let mut process = Command::new(env!("CARGO_BIN_EXE_boragepass-entry"))
             .arg("--settings")
