Soak: a store that falls silent or loses its last changes, and a check of the configuration

Each seed draws the two faults from a generator of their own, so the faults that it had drawn before stay the same. At the end of a run every VM must have the newest configuration in force, 12 s after the last fault.

--- a/crates/boragepass_soak/src/plan.rs
+++ b/crates/boragepass_soak/src/plan.rs
@@ -41,6 +41,12 @@
     /// The store drops its change history, so that VMs have to read whole tables again.
     #[display("store forgets its history")]
     StoreForgets,
+    /// The store accepts calls but never answers them, for a time.
+    #[display("store is silent for {_0} ms")]
+    StoreSilent(u64),
+    /// The store comes back from a copy that lacks its last changes; operators and endpoints write theirs again.
+    #[display("store comes back from a copy without its last {_0} changes")]
+    StoreRestored(u64),
     /// An endpoint runs requests but closes the connection instead of replying, for a time.
     #[display("endpoint {_0} loses answers for {_1} ms")]
     EndpointLoses(usize, u64),
@@ -79,6 +85,8 @@
 /// Time at the end of a run in which no fault is injected and everything has to recover. It covers the grace period of
 /// a stopped VM and its restart.
 pub(crate) const FAULT_FREE_END_MS: u64 = 12_000;
+/// Distinguishes the generator of the store faults from that of the others.
+const STORE_FAULTS_SEED: u64 = 0x73_746f_7265;
 /// Most faults in one series.
 const FAULTS_PER_SERIES_MAX: usize = 4;
 
@@ -98,11 +106,23 @@
                 at_ms += random.random_range(0..1_500);
             }
         }
+        draw_store_faults(seed, end_ms, &mut faults);
         faults.sort_by_key(|planned| planned.at_ms);
         Self { faults }
     }
 }
 
+/// Draws the faults that were added later, from a generator of their own so that the others stay as they were.
+fn draw_store_faults(seed: u64, end_ms: u64, faults: &mut Vec<PlannedFault>) {
+    let mut random = SmallRng::seed_from_u64(seed ^ STORE_FAULTS_SEED);
+    for fault in [Fault::StoreSilent(random.random_range(500..6_000)), Fault::StoreRestored(random.random_range(1..9))]
+    {
+        if random.random() {
+            faults.push(PlannedFault { at_ms: random.random_range(FAULT_FREE_START_MS..end_ms), fault });
+        }
+    }
+}
+
 fn draw_link_mode(random: &mut SmallRng) -> LinkMode {
     match random.random_range(0..5) {
         0 => LinkMode::Delay(random.random_range(20..400)),
--- a/crates/boragepass_soak/src/run.rs
+++ b/crates/boragepass_soak/src/run.rs
@@ -1,6 +1,8 @@
 //! One run: starts the VMs and their fakes, injects the planned faults while clients send requests, and checks the
 //! ledger.
 
+use std::io::{Read, Write};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -28,6 +30,8 @@
 /// restart.
 const RECOVERY_TIME_MAX: Duration = Duration::from_millis(9_500);
 const READY_POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// Longest time for which a query of a VM waits for the next bytes.
+const QUERY_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Reason for which a run cannot be carried out.
 #[derive(Debug, displaydoc::Display)]
@@ -103,6 +107,7 @@
             site.ledger.record_violation("clients", "a thread of clients panicked");
         }
     }
+    site.check_configurations(configuration_version);
     Ok((plan, site.ledger.check_and_summarize(faults_end_at + RECOVERY_TIME_MAX)))
 }
 
@@ -184,6 +189,17 @@
         Ok(())
     }
 
+    /// Checks that every VM has put the newest configuration in force.
+    fn check_configurations(&self, version: u64) {
+        for vm in &self.vms {
+            let status = query(vm.listen.operators, "/v1/status").unwrap_or_else(|error| error.to_string());
+            if !status.contains(&format!("\"configuration\":{version},")) {
+                let description = format!("does not have configuration {version} in force at the end: {status}");
+                self.ledger.record_violation(format!("VM {}", vm.number), description);
+            }
+        }
+    }
+
     /// Injects a fault. `incarnation` makes the id of an endpoint that restarts unique; `configuration_version` is the
     /// version that the store holds.
     fn inject(&self, fault: Fault, incarnation: u64, configuration_version: &mut u64) {
@@ -201,6 +217,8 @@
             Fault::StoreSlow(ms) => self.store.slow_down(ms),
             Fault::StoreLoses(ms) => self.store.lose_replies(ms),
             Fault::StoreForgets => self.store.forget_changes(),
+            Fault::StoreSilent(ms) => self.store.go_silent(ms),
+            Fault::StoreRestored(changes) => self.store.lose_changes(changes),
             Fault::EndpointLoses(endpoint, ms) => {
                 self.ledger.record_endpoint_disturbance(endpoint, Duration::from_millis(ms));
                 self.endpoints[endpoint].lose_replies(ms);
@@ -239,15 +257,16 @@
 
 /// Whether a VM answers a readiness check with status 200.
 fn is_ready(vm: &SoakVm) -> bool {
-    use std::io::{Read, Write};
-    let query = || -> std::io::Result<bool> {
-        let mut stream = std::net::TcpStream::connect(vm.listen.readiness)?;
-        stream.set_read_timeout(Some(Duration::from_secs(1)))?;
-        write!(stream, "GET {} HTTP/1.1\r\nhost: any\r\nconnection: close\r\n\r\n", names::READINESS_PATH)?;
-        let mut head = [0; 12];
-        stream.read_exact(&mut head)?;
-        Ok(head.ends_with(b"200"))
-    };
     // A VM whose readiness port does not answer yet is not ready.
-    query().unwrap_or(false)
+    query(vm.listen.readiness, names::READINESS_PATH).is_ok_and(|response| response.starts_with("HTTP/1.1 200"))
+}
+
+/// Response to a request on a connection of its own: head and body as text.
+fn query(address: SocketAddr, path: &str) -> std::io::Result<String> {
+    let mut stream = std::net::TcpStream::connect(address)?;
+    stream.set_read_timeout(Some(QUERY_TIMEOUT))?;
+    write!(stream, "GET {path} HTTP/1.1\r\nhost: any\r\nconnection: close\r\n\r\n")?;
+    let mut response = String::new();
+    stream.read_to_string(&mut response)?;
+    Ok(response)
 }
--- a/crates/boragepass_soak/src/store.rs
+++ b/crates/boragepass_soak/src/store.rs
@@ -103,6 +103,20 @@
         self.restored_count += 1;
     }
 
+    /// Brings a table to what it held before the store was restored.
+    fn write_again(&mut self, table: &str, lost_tables: &Tables) {
+        let lost_rows = lost_tables.get(table).cloned().unwrap_or_default();
+        let restored_rows = self.tables.get(table).cloned().unwrap_or_default();
+        for (key, row) in &lost_rows {
+            if restored_rows.get(key).is_none_or(|restored| restored.value != row.value) {
+                self.put_row(table, key, row.value.to_vec());
+            }
+        }
+        for key in restored_rows.keys().filter(|key| !lost_rows.contains_key(*key)) {
+            self.remove_row(table, key);
+        }
+    }
+
     fn handle_request(&mut self, request: &ReceivedRequest) -> Option<Reply> {
         let mut reply = self.reply_to(request)?;
         reply.headers.push((names::STORE_ERA, (self.restored_count + 1).to_string()));
@@ -195,6 +209,17 @@
         self.state().restore_copy(version);
     }
 
+    /// Comes back from a copy that lacks the last changes. What operators and endpoints wrote is written again.
+    pub(crate) fn lose_changes(&self, changes: u64) {
+        let mut state = self.state();
+        let lost_tables = state.tables.clone();
+        let version = state.version.saturating_sub(changes);
+        state.restore_copy(version);
+        for table in [names::CONFIGURATION_TABLE, names::ENDPOINT_TABLE] {
+            state.write_again(table, &lost_tables);
+        }
+    }
+
     pub(crate) fn slow_down(&self, ms: u64) {
         self.state().slow_until = deadline_in_ms(ms);
     }
