--- a/crates/boragepass_entry/src/driver.rs
+++ b/crates/boragepass_entry/src/driver.rs
@@ -220,8 +220,10 @@
                 self.peers.share_state(&vm, address, &self.path.borrow(), with_configuration);
             }
             Effect::FollowStore(follows) => self.follows_store.set(follows),
-            // A full channel means that the task is about to register this VM already.
-            Effect::RegisterVm => drop(self.registration_channel.0.try_send(())),
+            Effect::RegisterVm => {
+                // A full channel means that this VM is about to register already.
+                self.registration_channel.0.try_send(()).ok();
+            }
             Effect::SetReady(is_ready) => self.is_ready.set(is_ready),
             Effect::CloseConnections => {
                 self.connection_shutdown_sender.borrow_mut().take();
--- a/crates/boragepass_entry/src/store_feed.rs
+++ b/crates/boragepass_entry/src/store_feed.rs
@@ -56,7 +56,7 @@
     driver: Rc<Driver>,
     client: StoreClient,
     table: Table,
-    recovery: SpanMs,
+    recovery_ms: SpanMs,
     is_store_reachable: bool,
     /// When the last reply arrived, or when the feed started.
     last_reply_at: Instant,
@@ -68,15 +68,15 @@
     random: SmallRng,
 }
 
-/// Starts to follow the store's tables, and registers this VM in the store. `recovery` is the time after a
+/// Starts to follow the store's tables, and registers this VM in the store. `recovery_ms` is the time after a
 /// disruption of the store within which its newest state has to be known.
-pub(crate) fn start(driver: &Rc<Driver>, store: SocketAddr, recovery: SpanMs, local_record: VmRecord, seed: u64) {
+pub(crate) fn start(driver: &Rc<Driver>, store: SocketAddr, recovery_ms: SpanMs, local_record: VmRecord, seed: u64) {
     for table in [Table::Configuration, Table::Endpoints] {
         let feed = TableFeed {
             driver: driver.clone(),
             client: StoreClient::new(store),
             table,
-            recovery,
+            recovery_ms,
             is_store_reachable: true,
             last_reply_at: Instant::now(),
             last_call_sent_at: Instant::now(),
@@ -155,9 +155,9 @@
             while self.is_store_reachable && !self.driver.follows_store.get() {
                 task::sleep(ROLE_CHECK_INTERVAL).await;
             }
-            let poll = StorePoll::next(self.is_store_reachable, self.recovery);
-            let path = table_changes_path(self.table.name(), last_version, poll.hold.0);
-            let body = self.get(&path, Duration::from_millis(poll.timeout.0)).await;
+            let poll = StorePoll::next(self.is_store_reachable, self.recovery_ms);
+            let path = table_changes_path(self.table.name(), last_version, poll.hold_ms.0);
+            let body = self.get(&path, Duration::from_millis(poll.timeout_ms.0)).await;
             let changes = body.and_then(|body| decode_changes(&body).map_err(StoreError::Unreadable));
             match changes {
                 Ok(changes) => {
--- a/crates/boragepass_path/src/store_poll.rs
+++ b/crates/boragepass_path/src/store_poll.rs
@@ -18,18 +18,18 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct StorePoll {
     /// How long the store may hold the poll open if there are no changes.
-    pub hold: SpanMs,
+    pub hold_ms: SpanMs,
     /// Time after which the poll counts as lost.
-    pub timeout: SpanMs,
+    pub timeout_ms: SpanMs,
 }
 
 impl StorePoll {
-    /// Chooses the next poll, so that the store's newest state is known `recovery` after a disruption ends.
-    pub fn next(is_store_reachable: bool, recovery: SpanMs) -> Self {
+    /// Chooses the next poll, so that the store's newest state is known `recovery_ms` after a disruption ends.
+    pub fn next(is_store_reachable: bool, recovery_ms: SpanMs) -> Self {
         if is_store_reachable {
-            Self { hold: recovery.percent(HOLD_PERCENT), timeout: recovery.percent(TIMEOUT_PERCENT) }
+            Self { hold_ms: recovery_ms.percent(HOLD_PERCENT), timeout_ms: recovery_ms.percent(TIMEOUT_PERCENT) }
         } else {
-            Self { hold: SpanMs(0), timeout: recovery.percent(TIMEOUT_UNREACHABLE_PERCENT) }
+            Self { hold_ms: SpanMs(0), timeout_ms: recovery_ms.percent(TIMEOUT_UNREACHABLE_PERCENT) }
         }
     }
 }
--- a/crates/boragepass_path/tests/store_polls.rs
+++ b/crates/boragepass_path/tests/store_polls.rs
@@ -20,9 +20,9 @@
         if now >= silent_until {
             return now + CALL_MS;
         }
-        let ends_at = now + poll.hold.0 + CALL_MS;
+        let ends_at = now + poll.hold_ms.0 + CALL_MS;
         is_store_reachable = is_received && ends_at < silent_from;
-        now = if is_store_reachable { ends_at } else { now + poll.timeout.0 + RETRY_DELAY_MS };
+        now = if is_store_reachable { ends_at } else { now + poll.timeout_ms.0 + RETRY_DELAY_MS };
     }
 }
 
@@ -41,5 +41,5 @@
 #[test]
 fn a_store_that_replies_is_polled_rarely() {
     let poll = StorePoll::next(true, SpanMs(RECOVERY_MS));
-    assert!(poll.hold.0 >= RECOVERY_MS / 2, "{poll:?}");
+    assert!(poll.hold_ms.0 >= RECOVERY_MS / 2, "{poll:?}");
 }
