--- a/crates/boragepass_entry/src/peer_wire.rs
+++ b/crates/boragepass_entry/src/peer_wire.rs
@@ -211,7 +211,7 @@
             |load: &PoolLoad| (load.pool.to_string(), load.region.to_string(), load.wait_ms, load.healthy_endpoints);
         let endpoint_load = |load: &EndpointLoad| (load.endpoint.to_string(), load.in_flight, load.unread_tokens);
         let endpoint_limit = |report: &EndpointLimitReport| {
-            (report.endpoint.to_string(), report.limit.map(|limit| limit.0), report.age.0)
+            (report.endpoint.to_string(), report.limit.map(|limit| limit.0), report.age_ms.0)
         };
         Self {
             vm: (&heartbeat.vm).into(),
@@ -239,7 +239,7 @@
         };
         let endpoint_limit = |(endpoint, limit, age_ms): (String, Option<u64>, u64)| {
             let limit = limit.map(RequestRate);
-            Ok(EndpointLimitReport { endpoint: parse_field(&endpoint)?, limit, age: SpanMs(age_ms) })
+            Ok(EndpointLimitReport { endpoint: parse_field(&endpoint)?, limit, age_ms: SpanMs(age_ms) })
         };
         Ok(Self {
             vm: wire.vm.try_into()?,
--- a/crates/boragepass_fakes/src/path_fleet/fleet/mod.rs
+++ b/crates/boragepass_fakes/src/path_fleet/fleet/mod.rs
@@ -781,9 +781,9 @@
         let (now, incarnation) = (self.now, self.vms[vm].incarnation);
         let rejections = self.endpoints.get_mut(id)?.rejections.as_mut().filter(|it| now < it.rejects_until)?;
         rejections.on_rejection(now + SpanMs(delay_ms), (vm, incarnation));
-        let pause = Some(rejections.pause);
+        let pause_ms = Some(rejections.pause);
         let signals = self.endpoint_signals(vm, id, delay_ms)?;
-        Some(EndpointSignals { pause, ..signals })
+        Some(EndpointSignals { pause_ms, ..signals })
     }
 
     /// Checks that a VM keeps to what the endpoint has stated of itself when a request or call arrives there.
--- a/crates/boragepass_path/src/event.rs
+++ b/crates/boragepass_path/src/event.rs
@@ -77,7 +77,7 @@
     /// Whether it is leaving and takes no new work.
     pub is_leaving: bool,
     /// Time for which it wants no requests from this VM, if it rejected one.
-    pub pause: Option<SpanMs>,
+    pub pause_ms: Option<SpanMs>,
 }
 
 /// Properties of a reply that its status and headers establish.
--- a/crates/boragepass_path/src/message.rs
+++ b/crates/boragepass_path/src/message.rs
@@ -113,7 +113,7 @@
     /// Rate of requests that it takes from all VMs together; `None` if it no longer limits it.
     pub limit: Option<RequestRate>,
     /// Time since the reply.
-    pub age: SpanMs,
+    pub age_ms: SpanMs,
 }
 
 /// State that a VM sends to the others several times a second.
--- a/crates/boragepass_path/src/placement/endpoint_table.rs
+++ b/crates/boragepass_path/src/placement/endpoint_table.rs
@@ -81,6 +81,16 @@
     }
 }
 
+/// Removal of an endpoint from the list.
+#[derive(Debug, Clone, Copy)]
+struct Departure {
+    /// Start of the endpoint's process.
+    started_at_unix_ms: u64,
+    departed_at: TimeMs,
+    /// Era of the list that it was removed from.
+    era: StoreEra,
+}
+
 /// Endpoint with what this VM knows of it.
 #[derive(Debug, Clone)]
 pub(crate) struct KnownEndpoint {
@@ -203,8 +213,8 @@
     pub(crate) version: StoreVersion,
     is_store_unreachable: bool,
     store_returned_at: Option<TimeMs>,
-    /// Endpoints that were removed a while ago, with the start of their process, the time, and the era.
-    departed: BTreeMap<EndpointId, (u64, TimeMs, StoreEra)>,
+    /// Endpoints that were removed a while ago.
+    departed: BTreeMap<EndpointId, Departure>,
     average_service_ms: HashMap<PoolId, f64>,
 }
 
@@ -287,8 +297,8 @@
     fn insert_listed(&mut self, endpoints: Vec<Endpoint>) {
         let era = self.version.era;
         for endpoint in endpoints {
-            let has_departed = self.departed.get(&endpoint.id).is_some_and(|(started_at_unix_ms, _, departed_era)| {
-                *started_at_unix_ms == endpoint.started_at_unix_ms && *departed_era < era
+            let has_departed = self.departed.get(&endpoint.id).is_some_and(|departure| {
+                departure.started_at_unix_ms == endpoint.started_at_unix_ms && departure.era < era
             });
             if !has_departed {
                 self.insert_or_update(endpoint);
@@ -324,13 +334,13 @@
     fn drop_departed(&mut self, now: TimeMs, id: &EndpointId) {
         if let Some(known) = self.by_id.remove(id) {
             let started_at_unix_ms = known.endpoint.started_at_unix_ms;
-            self.departed.insert(id.clone(), (started_at_unix_ms, now, self.version.era));
+            self.departed.insert(id.clone(), Departure { started_at_unix_ms, departed_at: now, era: self.version.era });
         }
     }
 
     /// Drops entries that were not renewed after the store came back; returns whether there were any.
     pub(crate) fn sweep(&mut self, now: TimeMs) -> bool {
-        self.departed.retain(|_, (_, departed_at, _)| now.since(*departed_at) < DEPARTED_RETENTION);
+        self.departed.retain(|_, departure| now.since(departure.departed_at) < DEPARTED_RETENTION);
         if self.keeps_expired(now) {
             return false;
         }
@@ -374,7 +384,7 @@
             Some(EndpointLimitReport {
                 endpoint: known.endpoint.id.clone(),
                 limit: statement.limit,
-                age: now.since(statement.stated_at),
+                age_ms: now.since(statement.stated_at),
             })
         };
         self.by_id.values().filter_map(report).collect()
@@ -385,7 +395,7 @@
         let mut has_changed = false;
         for report in reports {
             if let Some(known) = self.by_id.get_mut(&report.endpoint) {
-                let stated_at = TimeMs(now.0.saturating_sub(report.age.0));
+                let stated_at = TimeMs(now.0.saturating_sub(report.age_ms.0));
                 has_changed |= known.rate_limiter.on_statement(LimitStatement { limit: report.limit, stated_at });
             }
         }
--- a/crates/boragepass_path/src/reducer/sends.rs
+++ b/crates/boragepass_path/src/reducer/sends.rs
@@ -269,7 +269,7 @@
         let Some(known_endpoint) = self.endpoint_table.get_mut(endpoint) else {
             return;
         };
-        if let Some(pause) = signals.pause {
+        if let Some(pause) = signals.pause_ms {
             known_endpoint.on_pause_requested(now, pause);
         }
         let is_newly_leaving = signals.is_leaving && known_endpoint.on_leaving_announced();
@@ -340,7 +340,7 @@
         let Some(state) = self.requests.get_mut(&request) else {
             return;
         };
-        let pause = head.signals.and_then(|signals| signals.pause);
+        let pause = head.signals.and_then(|signals| signals.pause_ms);
         let record = Record::new("endpoint turned the request away")
             .text("request", &state.arrival.client_id)
             .number("send", send.0)
