Tell a refused client to return after the pause of all endpoints, also those it was sent to

A request whose endpoints had all asked for a pause of 3 s was refused with a Retry-After of 562 ms: the time was that of the endpoints it had not been sent to, of which none was left, so the default held. The next request may go to any of them, so all count now.

Before and after: a_client_is_told_to_return_after_the_pause_that_all_endpoints_asked_for failed (562, 4120, 3150, 4119 ms for pauses of 3,000 ms) and passes.

--- a/crates/boragepass_fakes/tests/path_peers.rs
+++ b/crates/boragepass_fakes/tests/path_peers.rs
@@ -6,8 +6,9 @@
 
 use boragepass_fakes::path_fleet::{Deployment, Site};
 use boragepass_path::{
-    ApiKey, Arrival, Batching, ConfigurationVersion, Effect, Endpoint, EndpointUpdate, Event, Heartbeat, PathSettings,
-    PeerMessage, RequestNumber, RequestPath, RetryLimits, StoreVersion, VmRecord, VmState,
+    ApiKey, Arrival, Batching, ConfigurationVersion, Effect, Endpoint, EndpointSignals, EndpointUpdate, Event,
+    Heartbeat, PathSettings, PeerMessage, ReplyHead, RequestNumber, RequestPath, RetryLimits, StoreVersion, VmRecord,
+    VmState,
 };
 use boragepass_types::{EndpointId, Hash64, Incarnation, Millicores, Region, SpanMs, StoreEra, TimeMs, VmId};
 
@@ -198,6 +199,37 @@
     );
 }
 
+/// Rejects all sends of a request, each time with a pause, and returns when its client may come back.
+fn retry_after_rejections(path: &mut RequestPath, number: u64, pause_ms: SpanMs) -> Option<SpanMs> {
+    let Event::RequestArrived(mut request) = arrival(number) else {
+        panic!("the event is an arrival");
+    };
+    request.path = "/deposit/x".into();
+    request.pieces = Vec::new();
+    let mut pending: Vec<Effect> = path.handle(NOW, Event::RequestArrived(request));
+    while let Some(effect) = pending.pop() {
+        match effect {
+            Effect::Send { send, .. } => {
+                let signals = Some(EndpointSignals { pause_ms: Some(pause_ms), ..EndpointSignals::default() });
+                let head = ReplyHead { status: 503, is_signed: false, is_for_request: true, is_not_run: true, signals };
+                pending.extend(path.handle(NOW, Event::ReplyHeadArrived(send, head)));
+            }
+            Effect::Respond(_, answer) => return answer.retry_after_ms,
+            _ => {}
+        }
+    }
+    panic!("the request has no answer");
+}
+
+#[test]
+fn a_client_is_told_to_return_after_the_pause_that_all_endpoints_asked_for() {
+    let mut path = request_path(&Deployment::of(Site::Gigdesk));
+    let pause_ms = SpanMs(3_000);
+    let retries: Vec<_> = (1..=4).map(|number| retry_after_rejections(&mut path, number, pause_ms)).collect();
+    let early = retries.iter().filter(|retry_after| **retry_after < Some(pause_ms)).count();
+    assert_eq!(early, 0, "{retries:?}");
+}
+
 /// A store that was restored from a copy lists endpoints as they were seconds ago, under a lower version.
 #[test]
 fn a_restored_list_brings_back_no_endpoint_that_departed_or_drains() {
--- a/crates/boragepass_path/src/reducer/endings.rs
+++ b/crates/boragepass_path/src/reducer/endings.rs
@@ -32,9 +32,8 @@
             _ => reason,
         };
         let capacity_in = match reason {
-            RefusalReason::LimitedByEndpoints => {
-                self.endpoint_table.accepts_in(now, &state.pool, &state.tried_endpoints)
-            }
+            // The client's next request may go to the endpoints that this one was sent to.
+            RefusalReason::LimitedByEndpoints => self.endpoint_table.accepts_in(now, &state.pool, &[]),
             _ => None,
         };
         let capacity_in = capacity_in.unwrap_or(DEFAULT_RETRY_AFTER);
