--- a/crates/boragepass_settings/src/entry.rs
+++ b/crates/boragepass_settings/src/entry.rs
@@ -105,19 +105,20 @@
 #[derive(Debug, displaydoc::Display)]
 enum RecoveryTimeError {
     /// {0}
-    Unreadable(std::num::ParseIntError),
+    Unreadable(std::num::ParseFloatError),
     /// must be at least {0}
     TooShort(SpanMs),
 }
 
-/// Recovery time of the store feed in milliseconds.
+/// Recovery time of the store feed in milliseconds, with a fraction.
 struct RecoveryTime(SpanMs);
 
 impl FromStr for RecoveryTime {
     type Err = RecoveryTimeError;
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
-        let recovery = text.parse().map(SpanMs).map_err(RecoveryTimeError::Unreadable)?;
+        let recovery_ms: f64 = text.parse().map_err(RecoveryTimeError::Unreadable)?;
+        let recovery = SpanMs(recovery_ms.max(0.0) as u64);
         if recovery < STORE_RECOVERY_MIN {
             return Err(RecoveryTimeError::TooShort(STORE_RECOVERY_MIN));
         }
