--- a/crates/boragepass_path/src/reducer/mod.rs
+++ b/crates/boragepass_path/src/reducer/mod.rs
@@ -2,13 +2,15 @@
 //!
 //! This file holds the state, readiness, and the drain of a stopping process. The submodules hold the flows:
 //! arrival and admission (`arrivals`), stages of this VM's requests (`stage_flow`), pools that this VM leads
-//! (`leading`), sends to endpoints (`sends`), ends of requests (`endings`), and other VMs (`peers`).
+//! (`leading`), sends to endpoints (`sends`), what endpoints state in replies (`signals`), ends of requests
+//! (`endings`), and other VMs (`peers`).
 
 mod arrivals;
 mod endings;
 mod leading;
 mod peers;
 mod sends;
+mod signals;
 mod stage_flow;
 
 use std::collections::{BTreeMap, HashMap};
