--- a/crates/boragepass_path/src/placement/endpoint_table.rs
+++ b/crates/boragepass_path/src/placement/endpoint_table.rs
@@ -290,6 +290,11 @@
         is_restored
     }
 
+    /// Listed endpoints that announced their leaving in a reply.
+    pub(crate) fn announced_leaving(&self) -> impl Iterator<Item = &EndpointId> {
+        self.by_id.iter().filter(|(_, known)| known.has_announced_leaving).map(|(id, _)| id)
+    }
+
     fn missing_from(&self, endpoints: &[Endpoint]) -> Vec<EndpointId> {
         let listed: BTreeSet<_> = endpoints.iter().map(|endpoint| &endpoint.id).collect();
         self.by_id.keys().filter(|id| !listed.contains(id)).cloned().collect()
--- a/crates/boragepass_path/src/reducer/mod.rs
+++ b/crates/boragepass_path/src/reducer/mod.rs
@@ -30,7 +30,7 @@
 use crate::event::Event;
 use crate::fleet::{Fleet, VmState};
 use crate::message::PieceRequestId;
-use crate::placement::{Endpoint, EndpointTable, PoolBacklogs, StoreVersion};
+use crate::placement::{Endpoint, EndpointTable, EndpointUpdate, PoolBacklogs, StoreVersion};
 use crate::record::Record;
 use crate::request::{CallNumber, RequestNumber, RequestState, SendNumber, StreamVersions};
 use crate::retry::{CrashTracker, RetryBudget};
@@ -136,17 +136,7 @@
             Event::EndpointDown(endpoint) => self.on_endpoint_down(now, &endpoint),
             Event::CallEnded(call, outcome) => self.on_call_ended(now, call, outcome),
             Event::ConfigurationReceived(configuration) => self.on_configuration(now, configuration),
-            Event::EndpointsUpdated(update) => {
-                if self.endpoint_table.update(now, update) {
-                    // The copy may lack the row of this VM.
-                    self.effects.push(Effect::RegisterVm);
-                    let version = self.endpoint_table.version;
-                    self.log(Record::new("store was restored from a copy").text("version", version));
-                }
-                self.schedule_state_share(now);
-                self.update_readiness(now);
-                self.run_all_pools(now);
-            }
+            Event::EndpointsUpdated(update) => self.on_endpoints_updated(now, update),
             Event::StoreReachable(is_reachable) => {
                 self.endpoint_table.on_store_reachability(now, is_reachable);
                 self.fleet.can_reach_store = is_reachable;
@@ -240,6 +230,26 @@
         }
     }
 
+    fn on_endpoints_updated(&mut self, now: TimeMs, update: EndpointUpdate) {
+        let announced: Vec<_> = self.endpoint_table.announced_leaving().cloned().collect();
+        let is_restored = self.endpoint_table.update(now, update);
+        let version = self.endpoint_table.version;
+        if is_restored {
+            // The copy may lack the row of this VM.
+            self.effects.push(Effect::RegisterVm);
+            self.log(Record::new("store was restored from a copy").text("version", version));
+        }
+        for endpoint in announced {
+            if self.endpoint_table.get(&endpoint).is_none() {
+                let record = Record::new("endpoint that announced its leaving is no longer listed");
+                self.log(record.text("endpoint", &endpoint).text("version", version));
+            }
+        }
+        self.schedule_state_share(now);
+        self.update_readiness(now);
+        self.run_all_pools(now);
+    }
+
     fn on_configuration(&mut self, now: TimeMs, configuration: Arc<Configuration>) {
         let current_version = self.configuration.as_ref().map(|configuration| configuration.version);
         if current_version.is_some_and(|version| version >= configuration.version) {
--- a/crates/boragepass_path/src/reducer/signals.rs
+++ b/crates/boragepass_path/src/reducer/signals.rs
@@ -15,6 +15,9 @@
             self.endpoint_table.on_report(now, endpoint, load);
         }
         let Some(known_endpoint) = self.endpoint_table.get_mut(endpoint) else {
+            if signals.is_leaving {
+                self.log(Record::new("endpoint that is not listed announces its leaving").text("endpoint", endpoint));
+            }
             return;
         };
         if let Some(pause) = signals.pause_ms {
