Failing tests: what endpoints state of themselves is lost with their entries

The model's store now has entries of its own: they lapse and return, an endpoint removes its entry and serves on, and the store is restored from a copy.

--- a/crates/boragepass_fakes/src/path_fleet/endpoint.rs
+++ b/crates/boragepass_fakes/src/path_fleet/endpoint.rs
@@ -26,8 +26,8 @@
 #[derive(Debug)]
 pub(super) struct FakeEndpoint {
     pub(super) endpoint: Endpoint,
-    /// Whether the store lists the endpoint.
-    pub(super) is_listed: bool,
+    /// Whether it keeps an entry in the store.
+    pub(super) is_registered: bool,
     /// End of a crash; until then the endpoint refuses connections, or does not answer if it is unresponsive.
     pub(super) down_until: TimeMs,
     pub(super) is_unresponsive: bool,
@@ -40,6 +40,8 @@
     /// Number of crashes; work that started under an earlier number is lost.
     pub(super) generation: u64,
     pub(super) running_requests: usize,
+    /// Requests and calls that arrived since its last start.
+    pub(super) arrivals: u32,
     pub(super) drain_started_at: Option<TimeMs>,
     pub(super) stated_limit: Option<StatedLimit>,
     pub(super) leaving: Option<LeavingAnnouncement>,
@@ -92,7 +94,7 @@
     pub(super) fn new(endpoint: Endpoint, stage: Option<StagePool>) -> Self {
         Self {
             endpoint,
-            is_listed: true,
+            is_registered: true,
             down_until: TimeMs(0),
             is_unresponsive: false,
             slowness: 1.0,
@@ -100,6 +102,7 @@
             error_answer_share: 0.0,
             generation: 0,
             running_requests: 0,
+            arrivals: 0,
             drain_started_at: None,
             stated_limit: None,
             leaving: None,
@@ -126,6 +129,7 @@
         self.is_unresponsive = is_unresponsive;
         self.generation += 1;
         self.running_requests = 0;
+        self.arrivals = 0;
         self.prefill_free_at_ms = 0.0;
         self.prompt_cache.clear();
         if let Some(stage) = &mut self.stage {
--- a/crates/boragepass_fakes/src/path_fleet/fleet/resumption.rs
+++ b/crates/boragepass_fakes/src/path_fleet/fleet/resumption.rs
@@ -22,7 +22,7 @@
         endpoint.drain_started_at = None;
         endpoint.leaving = None;
         self.endpoints.insert(new_id.clone(), endpoint);
-        self.publish(|version| EndpointUpdate::Removed(id.clone(), version));
+        self.remove_entry(id);
         self.schedule(self.now + SpanMs(down_ms), Action::ReturnEngine(new_id.clone()));
         Some(new_id)
     }
@@ -36,6 +36,12 @@
         self.schedule(self.now + SpanMs(down_ms), Action::ReturnEngine(id.clone()));
     }
 
+    /// Restarts an endpoint under its id; it is up after a time.
+    pub fn restart_endpoint(&mut self, id: &EndpointId, down_ms: u64) {
+        self.inject_fault(id, EndpointFault::Crash { duration_ms: down_ms, is_unresponsive: false });
+        self.schedule(self.now + SpanMs(down_ms), Action::ReturnEngine(id.clone()));
+    }
+
     /// Schedules the next attempt of a client whose stream broke, if it takes streams up again.
     pub(super) fn plan_next_attempt(&mut self, client_id: &Arc<str>) {
         let stream = self.ledger.stream_of(client_id);
--- /dev/null
+++ b/crates/boragepass_fakes/src/path_fleet/fleet/store.rs
@@ -0,0 +1,151 @@
+//! The store: its list of endpoints, who gets its contents and changes, entries that lapse, and a restore from a copy.
+
+use super::*;
+
+/// Longest time until endpoints that live have written the entries again that a restored store lost. The users' pages
+/// allow about two seconds.
+const REWRITE_DELAY_MAX_MS: u64 = 1_500;
+
+/// Endpoint list of the store.
+#[derive(Debug)]
+pub(super) struct Store {
+    entries: BTreeMap<EndpointId, Endpoint>,
+    version: u64,
+    era: StoreEra,
+    /// Version and entries from which the store can be restored.
+    copy: (u64, BTreeMap<EndpointId, Endpoint>),
+    restored_at: Option<TimeMs>,
+}
+
+impl Store {
+    pub(super) fn new(endpoints: &[Endpoint]) -> Self {
+        let entries: BTreeMap<_, _> =
+            endpoints.iter().map(|endpoint| (endpoint.id.clone(), endpoint.clone())).collect();
+        Self { copy: (1, entries.clone()), entries, version: 1, era: StoreEra(1), restored_at: None }
+    }
+
+    fn version(&self) -> StoreVersion {
+        StoreVersion { era: self.era, number: self.version }
+    }
+
+    /// Whether the store was restored so recently that VMs need not know yet what it lost.
+    pub(super) fn was_restored_lately(&self, now: TimeMs) -> bool {
+        self.restored_at.is_some_and(|at| now.since(at).0 < CONTACT_MS + DRAIN_GRACE_MS)
+    }
+}
+
+impl PathFleet {
+    /// Delivers the configuration, the endpoints and the VM list of the store, unless the VM is cut off from it.
+    pub(super) fn deliver_store_contents(&mut self, vm: usize) {
+        if self.vms[vm].is_cut_from_store {
+            return;
+        }
+        let configuration = Arc::new(self.deployment.configuration(self.configuration_version));
+        let endpoints = self.store.entries.values().cloned().collect();
+        let update = EndpointUpdate::Snapshot(endpoints, self.store.version());
+        let records = self.vm_records();
+        for event in
+            [Event::ConfigurationReceived(configuration), Event::EndpointsUpdated(update), Event::VmsListed(records)]
+        {
+            self.deliver(vm, STORE_DELAY_MS, event);
+        }
+    }
+
+    /// Cuts a VM off from the store, or connects it again.
+    pub fn set_cut_from_store(&mut self, vm: usize, is_cut: bool) {
+        if self.vms[vm].is_cut_from_store == is_cut {
+            return;
+        }
+        self.vms[vm].is_cut_from_store = is_cut;
+        self.deliver(vm, STORE_DELAY_MS, Event::StoreReachable(!is_cut));
+        self.deliver_store_contents(vm);
+    }
+
+    /// Publishes the configuration under a new version.
+    pub fn change_configuration(&mut self) {
+        self.configuration_version += 1;
+        self.store.version += 1;
+        let configuration = Arc::new(self.deployment.configuration(self.configuration_version));
+        for vm in 0..self.vms.len() {
+            if !self.vms[vm].is_cut_from_store && self.vms[vm].is_store_follower {
+                self.deliver(vm, STORE_DELAY_MS, Event::ConfigurationReceived(configuration.clone()));
+            }
+        }
+    }
+
+    /// Delivers a change of the endpoint list to the VMs that follow the store.
+    fn publish(&mut self, update: impl Fn(StoreVersion) -> EndpointUpdate) {
+        self.store.version += 1;
+        let version = self.store.version();
+        for vm in 0..self.vms.len() {
+            if !self.vms[vm].is_cut_from_store && self.vms[vm].is_store_follower {
+                self.deliver(vm, STORE_DELAY_MS, Event::EndpointsUpdated(update(version)));
+            }
+        }
+    }
+
+    /// An endpoint writes its entry; one that is down does so once it is up.
+    pub(super) fn write_entry(&mut self, id: &EndpointId) {
+        let Some(endpoint) = self.endpoints.get_mut(id) else {
+            return;
+        };
+        if endpoint.is_down(self.now) {
+            let at = endpoint.down_until;
+            self.schedule(at, Action::WriteEntry(id.clone()));
+            return;
+        }
+        endpoint.is_registered = true;
+        let entry = endpoint.endpoint.clone();
+        self.store.entries.insert(id.clone(), entry.clone());
+        self.publish(|version| EndpointUpdate::Changed(entry.clone(), version));
+    }
+
+    pub(super) fn remove_entry(&mut self, id: &EndpointId) {
+        if let Some(endpoint) = self.endpoints.get_mut(id) {
+            endpoint.is_registered = false;
+        }
+        if self.store.entries.remove(id).is_some() {
+            self.publish(|version| EndpointUpdate::Removed(id.clone(), version));
+        }
+    }
+
+    /// Lets the entry of an endpoint lapse; the endpoint serves on and writes it again after a time.
+    pub fn lapse_entry(&mut self, id: &EndpointId, duration_ms: u64) {
+        self.remove_entry(id);
+        let at = self.now + SpanMs(duration_ms);
+        self.schedule(at, Action::WriteEntry(id.clone()));
+    }
+
+    /// Keeps a copy of the store from which it can be restored.
+    pub fn keep_store_copy(&mut self) {
+        self.store.copy = (self.store.version, self.store.entries.clone());
+    }
+
+    /// Restores the store from its copy, in a new era. The endpoints that live write again what it lost.
+    pub fn restore_store(&mut self) {
+        let (version, entries) = self.store.copy.clone();
+        self.store.entries = entries;
+        self.store.version = version;
+        self.store.era = StoreEra(self.store.era.0 + 1);
+        self.store.restored_at = Some(self.now);
+        for vm in 0..self.vms.len() {
+            if self.vms[vm].is_store_follower {
+                self.deliver_store_contents(vm);
+            }
+        }
+        let at = self.now + SpanMs(self.rng.random_range(0..REWRITE_DELAY_MAX_MS));
+        self.schedule(at, Action::WriteEntriesAgain);
+    }
+
+    /// Brings the entries of a restored store up to date.
+    pub(super) fn write_entries_again(&mut self) {
+        let is_current =
+            |endpoint: &FakeEndpoint| self.store.entries.get(&endpoint.endpoint.id) == Some(&endpoint.endpoint);
+        let registered = self.endpoints.values().filter(|endpoint| endpoint.is_registered);
+        let lost: Vec<_> = registered.filter(|it| !is_current(it)).map(|it| it.endpoint.id.clone()).collect();
+        let is_registered = |id: &EndpointId| self.endpoints.get(id).is_some_and(|endpoint| endpoint.is_registered);
+        let stale: Vec<_> = self.store.entries.keys().filter(|id| !is_registered(id)).cloned().collect();
+        lost.iter().for_each(|id| self.write_entry(id));
+        stale.iter().for_each(|id| self.remove_entry(id));
+    }
+}
--- /dev/null
+++ b/crates/boragepass_fakes/tests/path_statements.rs
@@ -0,0 +1,153 @@
+//! What endpoints state of themselves in replies (their leaving, a pause, a rate limit) holds while the list of
+//! endpoints loses them and gets them back, in virtual time.
+
+use boragepass_fakes::path_fleet::{Deployment, EndpointFault, PathFleet, Site};
+use boragepass_types::{EndpointId, RequestRate};
+
+const WARM_UP_MS: u64 = 2_000;
+const ANNOUNCEMENT_MS: u64 = 1_500;
+/// Longer than a VM may still send to an endpoint after its announcement.
+const WATCHED_MS: u64 = 8_000;
+
+/// Site under its usual load, and one endpoint of each of its pools.
+fn loaded_fleet(site: Site, seed: u64) -> (PathFleet, Vec<EndpointId>) {
+    let mut fleet = PathFleet::new(Deployment::of(site), seed);
+    fleet.run_until(1_000);
+    fleet.set_load(1.0);
+    fleet.run_for(WARM_UP_MS);
+    let mut leaving: Vec<EndpointId> = Vec::new();
+    for endpoint in &fleet.deployment.endpoints {
+        let is_of_pool = |id: &EndpointId| id.as_str().split('-').next() == Some(endpoint.pool.as_str());
+        if !leaving.iter().any(is_of_pool) {
+            leaving.push(endpoint.id.clone());
+        }
+    }
+    (fleet, leaving)
+}
+
+fn inject(fleet: &mut PathFleet, endpoints: &[EndpointId], fault: EndpointFault) {
+    endpoints.iter().for_each(|id| fleet.inject_fault(id, fault));
+}
+
+fn assert_no_violation(fleet: &PathFleet, site: Site) {
+    let violations = fleet.ledger.violations();
+    assert!(violations.is_empty(), "{site}: {} ({} in all)", violations[0], violations.len());
+}
+
+const SITES: [Site; 3] = [Site::Lampu, Site::Gigdesk, Site::LampuGrown];
+
+#[test]
+fn an_endpoint_that_announced_its_leaving_gets_no_request_when_its_entry_lapses_and_returns() {
+    for site in SITES {
+        let (mut fleet, leaving) = loaded_fleet(site, 1);
+        inject(&mut fleet, &leaving, EndpointFault::AnnounceLeaving);
+        fleet.run_for(ANNOUNCEMENT_MS);
+        leaving.iter().for_each(|id| fleet.lapse_entry(id, 500));
+        fleet.run_for(WATCHED_MS);
+        assert_no_violation(&fleet, site);
+    }
+}
+
+#[test]
+fn an_endpoint_that_announces_its_leaving_while_it_is_not_listed_gets_no_request_later() {
+    for site in SITES {
+        let (mut fleet, leaving) = loaded_fleet(site, 2);
+        fleet.keep_store_copy();
+        inject(&mut fleet, &leaving, EndpointFault::Unregister);
+        fleet.run_for(ANNOUNCEMENT_MS);
+        leaving.iter().for_each(|id| fleet.lapse_entry(id, 500));
+        fleet.run_for(WATCHED_MS);
+        assert_no_violation(&fleet, site);
+    }
+}
+
+#[test]
+fn an_endpoint_that_announced_its_leaving_gets_no_request_when_the_store_is_restored() {
+    for site in SITES {
+        let (mut fleet, leaving) = loaded_fleet(site, 3);
+        fleet.keep_store_copy();
+        inject(&mut fleet, &leaving, EndpointFault::AnnounceLeaving);
+        fleet.run_for(ANNOUNCEMENT_MS);
+        inject(&mut fleet, &leaving, EndpointFault::Unregister);
+        fleet.run_for(500);
+        fleet.restore_store();
+        fleet.run_for(WATCHED_MS);
+        assert_no_violation(&fleet, site);
+    }
+}
+
+/// No VM reads the store between the restart and the announcement.
+#[test]
+fn an_endpoint_that_announces_its_leaving_after_an_unseen_restart_gets_no_request_later() {
+    for site in SITES {
+        let (mut fleet, leaving) = loaded_fleet(site, 4);
+        (0..fleet.vm_count()).for_each(|vm| fleet.set_cut_from_store(vm, true));
+        leaving.iter().for_each(|id| fleet.restart_endpoint(id, 300));
+        fleet.run_for(1_000);
+        inject(&mut fleet, &leaving, EndpointFault::AnnounceLeaving);
+        fleet.run_for(ANNOUNCEMENT_MS);
+        (0..fleet.vm_count()).for_each(|vm| fleet.set_cut_from_store(vm, false));
+        fleet.run_for(WATCHED_MS);
+        assert_no_violation(&fleet, site);
+    }
+}
+
+/// The copy lists the start before the last one, until the endpoints write their entries again.
+#[test]
+fn an_endpoint_that_announced_its_leaving_gets_no_request_when_a_copy_lists_an_earlier_start() {
+    for site in SITES {
+        let (mut fleet, leaving) = loaded_fleet(site, 5);
+        fleet.keep_store_copy();
+        leaving.iter().for_each(|id| fleet.restart_endpoint(id, 300));
+        fleet.run_for(1_000);
+        inject(&mut fleet, &leaving, EndpointFault::AnnounceLeaving);
+        fleet.run_for(ANNOUNCEMENT_MS);
+        fleet.restore_store();
+        fleet.run_for(WATCHED_MS);
+        assert_no_violation(&fleet, site);
+    }
+}
+
+#[test]
+fn an_endpoint_that_restarts_after_its_leaving_is_used_again() {
+    for site in [Site::Lampu, Site::Gigdesk] {
+        let (mut fleet, leaving) = loaded_fleet(site, 6);
+        inject(&mut fleet, &leaving, EndpointFault::AnnounceLeaving);
+        fleet.run_for(ANNOUNCEMENT_MS);
+        leaving.iter().for_each(|id| fleet.restart_endpoint(id, 300));
+        fleet.run_for(WATCHED_MS);
+        assert_no_violation(&fleet, site);
+        let unused: Vec<_> = leaving.iter().filter(|id| fleet.work_since_restart(id) == 0).collect();
+        assert!(unused.is_empty(), "{site}: {unused:?}");
+    }
+}
+
+#[test]
+fn a_pause_that_an_endpoint_asked_for_holds_when_its_entry_lapses_and_returns() {
+    for site in SITES {
+        let (mut fleet, endpoints) = loaded_fleet(site, 7);
+        inject(&mut fleet, &endpoints, EndpointFault::RejectWithPause { duration_ms: 4_000, pause_ms: 4_000 });
+        fleet.run_for(ANNOUNCEMENT_MS);
+        (0..4).for_each(|_| {
+            endpoints.iter().for_each(|id| fleet.lapse_entry(id, 100));
+            fleet.run_for(400);
+        });
+        fleet.run_for(WATCHED_MS);
+        assert_no_violation(&fleet, site);
+    }
+}
+
+#[test]
+fn a_rate_limit_that_an_endpoint_states_holds_when_its_entry_lapses_and_returns() {
+    for site in SITES {
+        let (mut fleet, endpoints) = loaded_fleet(site, 8);
+        inject(&mut fleet, &endpoints, EndpointFault::LimitRate(RequestRate(500)));
+        fleet.run_for(6_000);
+        (0..16).for_each(|_| {
+            endpoints.iter().for_each(|id| fleet.lapse_entry(id, 100));
+            fleet.run_for(400);
+        });
+        fleet.run_for(WATCHED_MS);
+        assert_no_violation(&fleet, site);
+    }
+}
