Keep what endpoints state of themselves when their entries are removed

Callers' requests reached endpoints that had announced their leaving in a reply relayed more than 2.5 s before. Cause: a VM kept the announcement, a pause and a rate limit in the endpoint's entry of its table. A removed entry took them along, and one that returned started without; a reply that arrived while the endpoint was not listed was not looked at. Class: what an endpoint states of its process was bound to how the store lists it.

Change: a removed endpoint is kept aside with all that is known of it for 120 s. Replies still update it, it is chosen for nothing, and its entry revives it if that names the same start.

--- a/crates/boragepass_path/src/placement/endpoint_table.rs
+++ b/crates/boragepass_path/src/placement/endpoint_table.rs
@@ -3,6 +3,9 @@
 //! An endpoint whose entry is removed while the store is reachable is gone. Entries that expire while
 //! the store is unreachable are kept until it has been back for [`EXPIRY_GRACE`], since live endpoints
 //! renew theirs within that time.
+//!
+//! What this VM knows of an endpoint outlives its entry for [`DEPARTED_RETENTION`]: an endpoint whose entry is removed may serve
+//! on, and its entry may return.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
@@ -19,9 +22,11 @@
 
 /// Time in which live endpoints renew expired entries after the store is back, as the platform documents.
 const EXPIRY_GRACE: SpanMs = SpanMs(2_000);
-/// Time for which a departed endpoint is remembered: longer than the store's copies are old, with the time until
+/// Time for which what is known of a departed endpoint is kept, longer than an endpoint that is leaving serves on.
+const DEPARTED_RETENTION: SpanMs = SpanMs(120_000);
+/// Time for which a restored store may list a departed endpoint: longer than its copies are old, with the time until
 /// entries expire there.
-const DEPARTED_RETENTION: SpanMs = SpanMs(30_000);
+const RESTORED_ENTRY_AGE_MAX: SpanMs = SpanMs(30_000);
 /// Age at which an endpoint's load report is ignored; a new one lags by some 100 ms already.
 const REPORT_AGE_MAX: SpanMs = SpanMs(1_000);
 /// Age at which the load that another VM reported is ignored.
@@ -84,11 +89,10 @@
     }
 }
 
-/// Removal of an endpoint from the list.
-#[derive(Debug, Clone, Copy)]
+/// Endpoint that was removed from the list.
+#[derive(Debug, Clone)]
 struct Departure {
-    /// Start of the endpoint's process.
-    started_at_unix_ms: u64,
+    known: KnownEndpoint,
     departed_at: TimeMs,
     /// Era of the list that it was removed from.
     era: StoreEra,
@@ -216,7 +220,7 @@
     pub(crate) version: StoreVersion,
     is_store_unreachable: bool,
     store_returned_at: Option<TimeMs>,
-    /// Endpoints that were removed a while ago.
+    /// Endpoints that were removed a while ago. They are chosen for nothing.
     departed: BTreeMap<EndpointId, Departure>,
     average_service_ms: HashMap<PoolId, f64>,
 }
@@ -230,8 +234,10 @@
         self.by_id.get(id)
     }
 
+    /// What is known of an endpoint that is listed, or was until a while ago.
     pub(crate) fn get_mut(&mut self, id: &EndpointId) -> Option<&mut KnownEndpoint> {
-        self.by_id.get_mut(id)
+        let departed = self.departed.get_mut(id).map(|departure| &mut departure.known);
+        self.by_id.get_mut(id).or(departed)
     }
 
     pub(crate) fn iter(&self) -> impl Iterator<Item = &KnownEndpoint> {
@@ -274,7 +280,7 @@
                 for id in self.missing_from(&endpoints) {
                     self.remove(now, &id);
                 }
-                self.insert_listed(endpoints);
+                self.insert_listed(now, endpoints);
             }
             // The sender has waited out the grace period, so an endpoint missing here is gone even if the store
             // rejects this VM. A VM that kept it would pass it on as part of this version.
@@ -282,7 +288,7 @@
                 for id in self.missing_from(&endpoints) {
                     self.drop_departed(now, &id);
                 }
-                self.insert_listed(endpoints);
+                self.insert_listed(now, endpoints);
             }
             EndpointUpdate::Changed(endpoint, _) => self.insert_or_update(endpoint),
             EndpointUpdate::Removed(id, _) => self.remove(now, &id),
@@ -302,11 +308,13 @@
 
     /// Inserts the endpoints of a whole list, except those that departed in an earlier era: a store that was restored
     /// lists them until their entries expire.
-    fn insert_listed(&mut self, endpoints: Vec<Endpoint>) {
+    fn insert_listed(&mut self, now: TimeMs, endpoints: Vec<Endpoint>) {
         let era = self.version.era;
         for endpoint in endpoints {
             let has_departed = self.departed.get(&endpoint.id).is_some_and(|departure| {
-                departure.started_at_unix_ms == endpoint.started_at_unix_ms && departure.era < era
+                departure.known.endpoint.started_at_unix_ms == endpoint.started_at_unix_ms
+                    && departure.era < era
+                    && now.since(departure.departed_at) < RESTORED_ENTRY_AGE_MAX
             });
             if !has_departed {
                 self.insert_or_update(endpoint);
@@ -315,18 +323,19 @@
     }
 
     fn insert_or_update(&mut self, mut endpoint: Endpoint) {
-        self.departed.remove(&endpoint.id);
-        match self.by_id.get_mut(&endpoint.id) {
-            Some(known) if known.endpoint.started_at_unix_ms == endpoint.started_at_unix_ms => {
+        let departed = self.departed.remove(&endpoint.id).map(|departure| departure.known);
+        let known = self.by_id.remove(&endpoint.id).or(departed);
+        let known = match known {
+            Some(mut known) if known.endpoint.started_at_unix_ms == endpoint.started_at_unix_ms => {
                 // A process never leaves the draining state, but a restored store may list an older one.
                 endpoint.is_draining |= known.endpoint.is_draining;
                 known.endpoint = endpoint;
                 known.is_expired = false;
+                known
             }
-            Some(_) | None => {
-                self.by_id.insert(endpoint.id.clone(), KnownEndpoint::new(endpoint));
-            }
-        }
+            Some(_) | None => KnownEndpoint::new(endpoint),
+        };
+        self.by_id.insert(known.endpoint.id.clone(), known);
     }
 
     fn remove(&mut self, now: TimeMs, id: &EndpointId) {
@@ -341,8 +350,7 @@
 
     fn drop_departed(&mut self, now: TimeMs, id: &EndpointId) {
         if let Some(known) = self.by_id.remove(id) {
-            let started_at_unix_ms = known.endpoint.started_at_unix_ms;
-            self.departed.insert(id.clone(), Departure { started_at_unix_ms, departed_at: now, era: self.version.era });
+            self.departed.insert(id.clone(), Departure { known, departed_at: now, era: self.version.era });
         }
     }
 
@@ -362,8 +370,8 @@
     }
 
     /// Removes an endpoint whose address now belongs to another one.
-    pub(crate) fn remove_replaced(&mut self, id: &EndpointId) {
-        self.by_id.remove(id);
+    pub(crate) fn remove_replaced(&mut self, now: TimeMs, id: &EndpointId) {
+        self.drop_departed(now, id);
     }
 
     /// Records the load that an endpoint reported in a reply.
@@ -423,7 +431,7 @@
     pub(crate) fn on_limit_reports(&mut self, now: TimeMs, reports: Vec<EndpointLimitReport>) -> bool {
         let mut has_changed = false;
         for report in reports {
-            if let Some(known) = self.by_id.get_mut(&report.endpoint) {
+            if let Some(known) = self.get_mut(&report.endpoint) {
                 let stated_at = TimeMs(now.0.saturating_sub(report.age_ms.0));
                 has_changed |= known.rate_limiter.on_statement(LimitStatement { limit: report.limit, stated_at });
             }
--- a/crates/boragepass_path/src/reducer/sends.rs
+++ b/crates/boragepass_path/src/reducer/sends.rs
@@ -347,7 +347,7 @@
         match head.status {
             // Misdirected: the address now belongs to another endpoint.
             421 => {
-                self.endpoint_table.remove_replaced(&active_send.endpoint);
+                self.endpoint_table.remove_replaced(now, &active_send.endpoint);
                 self.on_endpoint_down(now, &active_send.endpoint);
             }
             // Conflict: a stage result that the request needs is gone.
--- a/crates/boragepass_path/src/reducer/signals.rs
+++ b/crates/boragepass_path/src/reducer/signals.rs
@@ -16,7 +16,7 @@
         }
         let Some(known_endpoint) = self.endpoint_table.get_mut(endpoint) else {
             if signals.is_leaving {
-                self.log(Record::new("endpoint that is not listed announces its leaving").text("endpoint", endpoint));
+                self.log(Record::new("unknown endpoint announces its leaving").text("endpoint", endpoint));
             }
             return;
         };
@@ -31,7 +31,9 @@
             self.update_limit_shares(now);
         }
         if is_newly_leaving {
-            self.log(Record::new("endpoint announces its leaving").text("endpoint", endpoint));
+            let is_listed = self.endpoint_table.get(endpoint).is_some();
+            let record = Record::new("endpoint announces its leaving").text("endpoint", endpoint);
+            self.log(record.text("is_listed", is_listed));
         }
     }
 
