Ignore earlier starts of endpoints in the list of a restored store

A store that was restored from a copy may list the start of an endpoint before its last one. The VM took the entry for another process, and so did it with the entry of the later start that followed: both times it began without what the endpoint had announced. Single changes of the store still count, since it gives them in order.

--- a/crates/boragepass_path/src/placement/endpoint_table.rs
+++ b/crates/boragepass_path/src/placement/endpoint_table.rs
@@ -306,17 +306,20 @@
         self.by_id.keys().filter(|id| !listed.contains(id)).cloned().collect()
     }
 
-    /// Inserts the endpoints of a whole list, except those that departed in an earlier era: a store that was restored
-    /// lists them until their entries expire.
+    /// Inserts the endpoints of a whole list, except those that departed in an earlier era and those that restarted since:
+    /// a store that was restored lists them until their entries expire or are written again.
     fn insert_listed(&mut self, now: TimeMs, endpoints: Vec<Endpoint>) {
         let era = self.version.era;
         for endpoint in endpoints {
+            let has_restarted = self
+                .get(&endpoint.id)
+                .is_some_and(|known| known.endpoint.started_at_unix_ms > endpoint.started_at_unix_ms);
             let has_departed = self.departed.get(&endpoint.id).is_some_and(|departure| {
-                departure.known.endpoint.started_at_unix_ms == endpoint.started_at_unix_ms
+                departure.known.endpoint.started_at_unix_ms >= endpoint.started_at_unix_ms
                     && departure.era < era
                     && now.since(departure.departed_at) < RESTORED_ENTRY_AGE_MAX
             });
-            if !has_departed {
+            if !has_departed && !has_restarted {
                 self.insert_or_update(endpoint);
             }
         }
