Take a statement in a reply to be of the process that ran when it arrived

An endpoint restarted under its id while no VM read the store, then announced its leaving. The VM noted that for the start it knew, and dropped it when the entry of the later start arrived: requests went there again. Statements (leaving, pause, rate limit) now have the time of their arrival, and a later start keeps those that are no older than itself. Starts are Unix times, so the path gets the time of day once, at the start of the process; steps of the time of day do not matter after that.

--- a/crates/boragepass_entry/src/json_log.rs
+++ b/crates/boragepass_entry/src/json_log.rs
@@ -6,9 +6,10 @@
 
 use std::cell::{Cell, RefCell};
 use std::io::Write;
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use std::time::Instant;
 
 use boragepass_path::{Record, RecordValue};
+use boragepass_server::unix_time;
 use serde_json::{Map, Value};
 use tracing_appender::non_blocking::{NonBlocking, NonBlockingBuilder, WorkerGuard};
 
@@ -69,7 +70,7 @@
         if !self.try_take_token() {
             return;
         }
-        let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let since_epoch = unix_time();
         let mut line = Map::new();
         line.insert("at_ms".to_owned(), Value::from(since_epoch.as_millis() as u64));
         line.insert("vm".to_owned(), Value::from(self.vm.as_str()));
--- a/crates/boragepass_fakes/src/path_fleet/fleet/harmful_part.rs
+++ b/crates/boragepass_fakes/src/path_fleet/fleet/harmful_part.rs
@@ -92,7 +92,7 @@
         let Some(endpoint) = self.endpoints.get_mut(id) else {
             return;
         };
-        // The time of day of the model is that of its clock. A new process knows nothing of what the old one announced.
+        // A new process knows nothing of what the old one announced.
         endpoint.endpoint.started_at_unix_ms = self.now.0;
         endpoint.leaving = None;
         self.write_entry(id);
--- a/crates/boragepass_fakes/src/path_fleet/fleet/mod.rs
+++ b/crates/boragepass_fakes/src/path_fleet/fleet/mod.rs
@@ -18,7 +18,7 @@
 use boragepass_path::{
     Arrival, Batching, CallFailure, CallNumber, CallOutcome, Effect, Endpoint, EndpointSignals, EndpointUpdate, Event,
     EventId, PathSettings, PeerMessage, PieceOutcome, Progress, PromptPart, Repeatability, ReplyHead, RequestNumber,
-    RequestPath, RetryLimits, SendFailure, SendNumber, StoreVersion, VmRecord, VmState,
+    RequestPath, RetryLimits, SendFailure, SendNumber, StoreVersion, TimeOfDay, VmRecord, VmState,
 };
 use boragepass_types::{
     EndpointId, FailureDomain, Hash64, Incarnation, Millicores, RequestRate, SpanMs, StoreEra, TimeMs, VmId,
@@ -362,6 +362,8 @@
             retries: RetryLimits { ratio: 0.2, slack: 56.0, window_ms: SpanMs(10_000) },
             stop_grace_ms: SpanMs(8_000),
             batching: self.batching,
+            // The time of day of the model is that of its clock.
+            time_of_day: TimeOfDay { reading: START_TIME, unix_ms: START_TIME.0 },
             seed: vm.incarnation,
         }
     }
--- a/crates/boragepass_fakes/tests/path_faults.rs
+++ b/crates/boragepass_fakes/tests/path_faults.rs
@@ -1,7 +1,8 @@
 //! Property test: the guarantees of the request path hold under any sequence of faults.
 //!
-//! Several VMs serve a site in virtual time while endpoints crash, stop responding, slow down, lose
-//! answers and drain, and VMs are killed, stopped, paused and cut off from the store. The oracle is
+//! Several VMs serve a site in virtual time while endpoints crash, restart, stop responding, slow down, lose
+//! answers, drain and announce their leaving, VMs are killed, stopped, paused and cut off from the store, and the store
+//! loses entries and is restored from a copy. The oracle is
 //! the model's ledger of what clients and endpoints saw; it knows no decisions of the VMs.
 
 #![allow(clippy::unwrap_used, reason = "a test fails where it panics")]
@@ -38,6 +39,10 @@
     StartHarmfulRequests { kind: usize, part: u64, per_s: u64 },
     StopHarmfulRequests,
     UpgradeEndpoint { endpoint: usize, version: u64, down_ms: u64 },
+    RestartEndpoint { endpoint: usize, down_ms: u64 },
+    LapseEntry { endpoint: usize, ms: u64 },
+    KeepStoreCopy,
+    RestoreStore,
     Advance { ms: u64 },
 }
 
@@ -52,6 +57,10 @@
         2 => (0_u32..10).prop_map(|tenths| EndpointFault::LoseAnswers(f64::from(tenths) / 10.0)),
         1 => (0_u32..10).prop_map(|tenths| EndpointFault::ReturnErrors(f64::from(tenths) / 10.0)),
         1 => Just(EndpointFault::Drain),
+        1 => Just(EndpointFault::AnnounceLeaving),
+        1 => Just(EndpointFault::Unregister),
+        1 => (500_u64..4_000, 200_u64..4_000)
+            .prop_map(|(duration_ms, pause_ms)| EndpointFault::RejectWithPause { duration_ms, pause_ms }),
         1 => (0_u64..8_000).prop_map(|rate| EndpointFault::LimitRate(RequestRate(rate))),
         1 => Just(EndpointFault::LiftRateLimit),
     ]
@@ -82,6 +91,11 @@
             1 => Just(Step::StopHarmfulRequests),
             2 => (0..ENDPOINTS, 1_u64..4, 0_u64..3_000)
                 .prop_map(|(endpoint, version, down_ms)| Step::UpgradeEndpoint { endpoint, version, down_ms }),
+            1 => (0..ENDPOINTS, 100_u64..3_000)
+                .prop_map(|(endpoint, down_ms)| Step::RestartEndpoint { endpoint, down_ms }),
+            2 => (0..ENDPOINTS, 50_u64..4_000).prop_map(|(endpoint, ms)| Step::LapseEntry { endpoint, ms }),
+            1 => Just(Step::KeepStoreCopy),
+            1 => Just(Step::RestoreStore),
             6 => (10_u64..2_500).prop_map(|ms| Step::Advance { ms }),
         ]
         .boxed()
@@ -144,6 +158,16 @@
                 let engines: Vec<_> = fleet.endpoint_ids().into_iter().filter(is_engine).collect();
                 fleet.upgrade_endpoint(&engines[endpoint % engines.len()], &version.to_string(), down_ms);
             }
+            Step::RestartEndpoint { endpoint, down_ms } => {
+                let ids = fleet.endpoint_ids();
+                fleet.restart_endpoint(&ids[endpoint % ids.len()], down_ms);
+            }
+            Step::LapseEntry { endpoint, ms } => {
+                let ids = fleet.endpoint_ids();
+                fleet.lapse_entry(&ids[endpoint % ids.len()], ms);
+            }
+            Step::KeepStoreCopy => fleet.keep_store_copy(),
+            Step::RestoreStore => fleet.restore_store(),
             Step::Advance { ms } => fleet.run_for(ms),
         }
         test.check();
--- a/crates/boragepass_path/src/placement/endpoint_table.rs
+++ b/crates/boragepass_path/src/placement/endpoint_table.rs
@@ -15,10 +15,12 @@
 
 use super::engine_choice::PREFILL_TOKENS_PER_MS;
 use super::prompt_cache::PromptCache;
-use super::rate_limit::{LimitStatement, RateLimiter};
+use super::rate_limit::LimitStatement;
+use super::statements::EndpointStatements;
 use crate::event::{PromptPart, ReportedLoad};
 use crate::message::{EndpointLimitReport, EndpointLoad};
 use crate::request::{BeginningVersion, StreamVersion};
+use crate::settings::TimeOfDay;
 
 /// Time in which live endpoints renew expired entries after the store is back, as the platform documents.
 const EXPIRY_GRACE: SpanMs = SpanMs(2_000);
@@ -116,11 +118,7 @@
     /// Whether the store lost its entry and it is kept only for the grace period.
     is_expired: bool,
     full_until: TimeMs,
-    pub(crate) rate_limiter: RateLimiter,
-    /// Until when it wants no requests from this VM, as a rejection stated.
-    paused_until: TimeMs,
-    /// Whether it announced its leaving in a reply; the store may still list it as ready.
-    has_announced_leaving: bool,
+    pub(crate) statements: EndpointStatements,
 }
 
 impl KnownEndpoint {
@@ -136,9 +134,7 @@
             prompt_cache: PromptCache::default(),
             is_expired: false,
             full_until: TimeMs(0),
-            rate_limiter: RateLimiter::default(),
-            paused_until: TimeMs(0),
-            has_announced_leaving: false,
+            statements: EndpointStatements::default(),
         }
     }
 
@@ -170,37 +166,27 @@
     }
 
     fn takes_new_work(&self) -> bool {
-        !self.endpoint.is_draining && !self.has_announced_leaving
-    }
-
-    /// Records that it announced its leaving in a reply; returns whether that is new.
-    pub(crate) fn on_leaving_announced(&mut self) -> bool {
-        !std::mem::replace(&mut self.has_announced_leaving, true)
-    }
-
-    /// Records that it wants no requests from this VM for a time.
-    pub(crate) fn on_pause_requested(&mut self, now: TimeMs, pause: SpanMs) {
-        self.paused_until = self.paused_until.max(now + pause);
+        !self.endpoint.is_draining && !self.statements.is_leaving()
     }
 
     /// Time until its rate limit and the pause that it asked for allow a request of this VM; `None` if that is not known.
     pub(crate) fn accepts_in(&self, now: TimeMs) -> Option<SpanMs> {
-        Some(self.rate_limiter.allows_in(now)?.max(self.paused_until.since(now)))
+        Some(self.statements.rate_limiter.allows_in(now)?.max(self.statements.paused_until().since(now)))
     }
 
     /// Whether it asked this VM for a pause that is not over.
     pub(crate) fn is_paused(&self, now: TimeMs) -> bool {
-        now < self.paused_until
+        now < self.statements.paused_until()
     }
 
     /// Whether its rate limit and the pause that it asked for allow a request of this VM.
     pub(crate) fn accepts(&self, now: TimeMs) -> bool {
-        !self.is_paused(now) && self.rate_limiter.allows(now)
+        !self.is_paused(now) && self.statements.rate_limiter.allows(now)
     }
 
     /// Whether it states a rate limit or asked for a pause.
     pub(crate) fn limits_requests(&self, now: TimeMs) -> bool {
-        self.is_paused(now) || self.rate_limiter.limit().is_some()
+        self.is_paused(now) || self.statements.rate_limiter.limit().is_some()
     }
 
     pub(crate) fn is_ejected(&self, now: TimeMs) -> bool {
@@ -214,8 +200,9 @@
 }
 
 /// All endpoints on the list, and the average service time of each pool.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct EndpointTable {
+    clock: TimeOfDay,
     by_id: BTreeMap<EndpointId, KnownEndpoint>,
     pub(crate) version: StoreVersion,
     is_store_unreachable: bool,
@@ -226,6 +213,18 @@
 }
 
 impl EndpointTable {
+    pub(crate) fn new(clock: TimeOfDay) -> Self {
+        Self {
+            clock,
+            by_id: BTreeMap::new(),
+            version: StoreVersion::default(),
+            is_store_unreachable: false,
+            store_returned_at: None,
+            departed: BTreeMap::new(),
+            average_service_ms: HashMap::new(),
+        }
+    }
+
     pub(crate) fn is_empty(&self) -> bool {
         self.by_id.is_empty()
     }
@@ -298,7 +297,7 @@
 
     /// Listed endpoints that announced their leaving in a reply.
     pub(crate) fn announced_leaving(&self) -> impl Iterator<Item = &EndpointId> {
-        self.by_id.iter().filter(|(_, known)| known.has_announced_leaving).map(|(id, _)| id)
+        self.by_id.iter().filter(|(_, known)| known.statements.is_leaving()).map(|(id, _)| id)
     }
 
     fn missing_from(&self, endpoints: &[Endpoint]) -> Vec<EndpointId> {
@@ -336,7 +335,12 @@
                 known.is_expired = false;
                 known
             }
-            Some(_) | None => KnownEndpoint::new(endpoint),
+            Some(earlier) => {
+                let start = self.clock.reading_at(endpoint.started_at_unix_ms);
+                let statements = earlier.statements.of_process_since(start);
+                KnownEndpoint { statements, ..KnownEndpoint::new(endpoint) }
+            }
+            None => KnownEndpoint::new(endpoint),
         };
         self.by_id.insert(known.endpoint.id.clone(), known);
     }
@@ -386,7 +390,7 @@
 
     /// Endpoints with a rate limit in force.
     pub(crate) fn limited_mut(&mut self) -> impl Iterator<Item = &mut KnownEndpoint> {
-        self.by_id.values_mut().filter(|known| known.rate_limiter.limit().is_some())
+        self.by_id.values_mut().filter(|known| known.statements.rate_limiter.limit().is_some())
     }
 
     /// Time until an endpoint of a pool that the stream may go on at, leaving out those in `excluded`, accepts a request
@@ -420,7 +424,7 @@
     /// Statements about rate limits that this VM got, for its heartbeat.
     pub(crate) fn own_limit_reports(&self, now: TimeMs) -> Vec<EndpointLimitReport> {
         let report = |known: &KnownEndpoint| {
-            let statement = known.rate_limiter.reported_statement(now)?;
+            let statement = known.statements.rate_limiter.reported_statement(now)?;
             Some(EndpointLimitReport {
                 endpoint: known.endpoint.id.clone(),
                 limit: statement.limit,
@@ -436,7 +440,8 @@
         for report in reports {
             if let Some(known) = self.get_mut(&report.endpoint) {
                 let stated_at = TimeMs(now.0.saturating_sub(report.age_ms.0));
-                has_changed |= known.rate_limiter.on_statement(LimitStatement { limit: report.limit, stated_at });
+                has_changed |=
+                    known.statements.rate_limiter.on_statement(LimitStatement { limit: report.limit, stated_at });
             }
         }
         has_changed
--- a/crates/boragepass_path/src/placement/mod.rs
+++ b/crates/boragepass_path/src/placement/mod.rs
@@ -6,6 +6,7 @@
 mod prompt_cache;
 mod rate_limit;
 mod region_choice;
+mod statements;
 
 pub use endpoint_table::{Endpoint, EndpointUpdate, StoreVersion};
 pub(crate) use endpoint_table::{EndpointTable, KnownEndpoint};
--- a/crates/boragepass_path/src/placement/rate_limit.rs
+++ b/crates/boragepass_path/src/placement/rate_limit.rs
@@ -40,6 +40,14 @@
 }
 
 impl RateLimiter {
+    /// The limit as a process stated it that started at `start`: none if all statements are older.
+    pub(crate) fn stated_since(&self, start: TimeMs) -> Self {
+        if self.newest.is_none_or(|newest| newest.stated_at < start) {
+            return Self::default();
+        }
+        Self { own: self.own.filter(|own| own.stated_at >= start), ..*self }
+    }
+
     /// Limit in force.
     pub(crate) fn limit(&self) -> Option<RequestRate> {
         self.newest?.limit
--- a/crates/boragepass_path/src/reducer/leading.rs
+++ b/crates/boragepass_path/src/reducer/leading.rs
@@ -107,7 +107,7 @@
             let Some(known_endpoint) = self.endpoint_table.get_mut(&call.endpoint) else {
                 continue;
             };
-            known_endpoint.rate_limiter.take(now);
+            known_endpoint.statements.rate_limiter.take(now);
             let target = SendTarget { endpoint: call.endpoint.clone(), address: known_endpoint.endpoint.address };
             self.calls.insert(call.call, pool_key.clone());
             self.timers.set(now + call.overdue_ms, Timer::CallOverdue(call.call));
--- a/crates/boragepass_path/src/reducer/mod.rs
+++ b/crates/boragepass_path/src/reducer/mod.rs
@@ -97,7 +97,7 @@
         Self {
             configuration: None,
             fleet: Fleet::new(&settings),
-            endpoint_table: EndpointTable::default(),
+            endpoint_table: EndpointTable::new(settings.time_of_day),
             pool_backlogs: PoolBacklogs::default(),
             led_pools: BTreeMap::new(),
             retry_budget: RetryBudget::new(settings.retries),
--- a/crates/boragepass_path/src/reducer/sends.rs
+++ b/crates/boragepass_path/src/reducer/sends.rs
@@ -124,8 +124,8 @@
         known_endpoint.in_flight += 1;
         known_endpoint.own_pending_prefill_tokens += choice.uncached_tokens;
         let target = SendTarget { endpoint: choice.endpoint.clone(), address: known_endpoint.endpoint.address };
-        known_endpoint.rate_limiter.take(now);
-        let rate_limit = known_endpoint.rate_limiter.limit();
+        known_endpoint.statements.rate_limiter.take(now);
+        let rate_limit = known_endpoint.statements.rate_limiter.limit();
         let software_version = known_endpoint.endpoint.software_version.clone();
         let may_reuse = state.route.repeatability.is_repeatable() || known_endpoint.avoid_connection_reuse_until <= now;
         let service = state.configuration.service(&state.pool);
--- a/crates/boragepass_path/src/reducer/signals.rs
+++ b/crates/boragepass_path/src/reducer/signals.rs
@@ -21,11 +21,11 @@
             return;
         };
         if let Some(pause) = signals.pause_ms {
-            known_endpoint.on_pause_requested(now, pause);
+            known_endpoint.statements.on_pause(now, pause);
         }
-        let is_newly_leaving = signals.is_leaving && known_endpoint.on_leaving_announced();
+        let is_newly_leaving = signals.is_leaving && known_endpoint.statements.on_leaving(now);
         let statement = LimitStatement { limit: signals.rate_limit, stated_at: now };
-        if known_endpoint.rate_limiter.on_own_statement(statement) {
+        if known_endpoint.statements.rate_limiter.on_own_statement(statement) {
             let limit = signals.rate_limit.map_or_else(|| "none".to_owned(), |limit| limit.to_string());
             self.log(Record::new("endpoint states a rate limit").text("endpoint", endpoint).text("limit", limit));
             self.update_limit_shares(now);
@@ -47,10 +47,10 @@
                 let leader = pool_leader(&self.fleet, now, &endpoint.pool, region);
                 (leader.as_ref() == Some(&self.settings.vm)).then_some(1)
             } else {
-                let vms_max = known_endpoint.rate_limiter.limit().map_or(0, sharing_vms_max);
+                let vms_max = known_endpoint.statements.rate_limiter.limit().map_or(0, sharing_vms_max);
                 limit_sharing_vms(&self.fleet, now, endpoint, region, vms_max)
             };
-            known_endpoint.rate_limiter.set_sharing_vms(now, sharing_vms);
+            known_endpoint.statements.rate_limiter.set_sharing_vms(now, sharing_vms);
         }
     }
 }
--- a/crates/boragepass_server/src/clock.rs
+++ b/crates/boragepass_server/src/clock.rs
@@ -33,6 +33,10 @@
 /// Incarnation of a process that starts now: microseconds since the Unix epoch, so that a later start
 /// on the same VM has a larger number.
 pub fn new_incarnation() -> Incarnation {
-    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    Incarnation(since_epoch.as_micros() as u64)
+    Incarnation(unix_time().as_micros() as u64)
+}
+
+/// Time since the Unix epoch, by the time of day.
+pub fn unix_time() -> Duration {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
 }
--- a/crates/boragepass_server/src/lib.rs
+++ b/crates/boragepass_server/src/lib.rs
@@ -16,7 +16,7 @@
 mod replies;
 mod tasks;
 
-pub use clock::{Clock, new_incarnation};
+pub use clock::{Clock, new_incarnation, unix_time};
 pub use daemon::{Daemon, StartError};
 pub use peer_link::{Identity, PeerLinks, Traffic};
 pub use peer_server::{Inbox, serve as serve_peers};
