--- a/crates/boragepass_fakes/src/path_fleet/fleet/mod.rs
+++ b/crates/boragepass_fakes/src/path_fleet/fleet/mod.rs
@@ -462,7 +462,6 @@
             EndpointFault::LiftRateLimit => endpoint.stated_limit = None,
             EndpointFault::Drain => {
                 endpoint.endpoint.is_draining = true;
-                endpoint.drain_started_at = Some(now);
                 self.write_entry(id);
             }
         }
--- a/crates/boragepass_fakes/src/path_fleet/fleet/store.rs
+++ b/crates/boragepass_fakes/src/path_fleet/fleet/store.rs
@@ -95,6 +95,9 @@
             return;
         }
         endpoint.is_registered = true;
+        if endpoint.endpoint.is_draining {
+            endpoint.drain_started_at.get_or_insert(self.now);
+        }
         let entry = endpoint.endpoint.clone();
         self.store.entries.insert(id.clone(), entry.clone());
         self.publish(|version| EndpointUpdate::Changed(entry.clone(), version));
