Read what endpoints state in replies whose body is lost and in those to freed results

An endpoint states its leaving in all its answers. A VM looked at a reply only if its body came whole and a request or call waited for it: the head of a reply that broke off and the replies to freed results were dropped, so it learned later than it could have.

--- a/crates/boragepass_entry/src/sends.rs
+++ b/crates/boragepass_entry/src/sends.rs
@@ -167,8 +167,15 @@
     }
     let body = match driver.connections.body_reader.read(response.into_body()).await {
         Ok(body) => body,
-        Err(BodyError::ConnectionLost) => return Err(SendFailure::ConnectionLost),
-        Err(BodyError::TooLarge) => return Err(SendFailure::UnusableReply),
+        Err(error) => {
+            if let Some(signals) = reply_head.signals {
+                driver.dispatch(Event::EndpointStated(target.endpoint.clone(), signals));
+            }
+            return Err(match error {
+                BodyError::ConnectionLost => SendFailure::ConnectionLost,
+                BodyError::TooLarge => SendFailure::UnusableReply,
+            });
+        }
     };
     if !reply_head.is_for_request {
         // The reply to this request may still follow on the connection, so it is not reused.
--- a/crates/boragepass_entry/src/stage_calls.rs
+++ b/crates/boragepass_entry/src/stage_calls.rs
@@ -7,14 +7,16 @@
 use async_std::future::timeout;
 use async_std::task;
 use boragepass_path::{CallEntry, CallFailure, CallNumber, CallOutcome, Event, Record, SendTarget};
-use boragepass_platform::{StageCallReply, decode_stage_call_reply, encode_free_results, encode_stage_call, names};
+use boragepass_platform::{
+    StageCallReply, decode_signals, decode_stage_call_reply, encode_free_results, encode_stage_call, names,
+};
 use boragepass_types::SpanMs;
 use bytes::Bytes;
 use http::header::{CONTENT_TYPE, HOST, HeaderValue};
 use http::{HeaderMap, Method, Request, StatusCode, Uri};
 use http_body_util::Full;
 
-use crate::connections::{Connections, ExchangeError};
+use crate::connections::ExchangeError;
 use crate::driver::Driver;
 
 /// Longest time of a call that frees results; endpoints drop results by themselves after seconds.
@@ -46,7 +48,7 @@
     let driver = driver.clone();
     task::spawn_local(async move {
         let call_timeout = Duration::from_millis(timeout_ms.0);
-        let call_result = timeout(call_timeout, call_stage(&driver.connections, &target, &entries)).await;
+        let call_result = timeout(call_timeout, call_stage(&driver, &target, &entries)).await;
         let outcome = match call_result {
             Ok(Ok(outcome)) => outcome,
             Ok(Err(failure)) => CallOutcome { results: Err(failure), signals: None },
@@ -57,12 +59,12 @@
 }
 
 async fn call_stage(
-    connections: &Connections,
+    driver: &Rc<Driver>,
     target: &SendTarget,
     entries: &[CallEntry],
 ) -> Result<CallOutcome, CallFailure> {
     let body = encode_stage_call(entries);
-    let (status, headers, body) = exchange(connections, target, names::STAGE_CALL_PATH, body).await?;
+    let (status, headers, body) = exchange(driver, target, names::STAGE_CALL_PATH, body).await?;
     let reply = StageCallReply { status, headers: &headers, body: &body };
     Ok(decode_stage_call_reply(&reply, entries.len()))
 }
@@ -70,11 +72,12 @@
 /// Sends an idempotent request. It is sent again on a new connection if a reused one was closed before
 /// anything was written.
 async fn exchange(
-    connections: &Connections,
+    driver: &Rc<Driver>,
     target: &SendTarget,
     path: &'static str,
     body: Vec<u8>,
 ) -> Result<(StatusCode, HeaderMap, Bytes), CallFailure> {
+    let connections = &driver.connections;
     let mut may_reuse = true;
     loop {
         let opened = connections.open(target.address, may_reuse).await;
@@ -86,7 +89,10 @@
             Ok(response) => {
                 let (parts, incoming) = response.into_parts();
                 let read = connections.body_reader.read(incoming).await;
-                let body = read.map_err(|_| CallFailure::ConnectionLost)?;
+                let Ok(body) = read else {
+                    report_signals(driver, target, parts.status, &parts.headers);
+                    return Err(CallFailure::ConnectionLost);
+                };
                 close_guard.disarm();
                 connections.release(connection).await;
                 return Ok((parts.status, parts.headers, body));
@@ -98,6 +104,13 @@
     }
 }
 
+/// Reports what an endpoint states of itself in a reply that no [`CallOutcome`] carries.
+fn report_signals(driver: &Rc<Driver>, target: &SendTarget, status: StatusCode, headers: &HeaderMap) {
+    if let Some(signals) = decode_signals(status, headers) {
+        driver.dispatch(Event::EndpointStated(target.endpoint.clone(), signals));
+    }
+}
+
 /// Closes a connection when its exchange is cancelled, which drops this guard.
 struct CloseOnDrop(Option<futures::future::AbortHandle>);
 
@@ -119,8 +132,12 @@
 pub(crate) fn start_free_results(driver: &Rc<Driver>, target: SendTarget, handles: Vec<Arc<str>>) {
     let driver = driver.clone();
     task::spawn_local(async move {
-        let exchange = exchange(&driver.connections, &target, names::STAGE_FREE_PATH, encode_free_results(&handles));
-        let is_freed = matches!(timeout(FREE_TIMEOUT, exchange).await, Ok(Ok((StatusCode::OK, ..))));
+        let exchange = exchange(&driver, &target, names::STAGE_FREE_PATH, encode_free_results(&handles));
+        let reply = timeout(FREE_TIMEOUT, exchange).await;
+        if let Ok(Ok((status, headers, _))) = &reply {
+            report_signals(&driver, &target, *status, headers);
+        }
+        let is_freed = matches!(reply, Ok(Ok((StatusCode::OK, ..))));
         if !is_freed {
             let record = Record::new("results not given up, they lapse")
                 .text("endpoint", &target.endpoint)
--- a/crates/boragepass_entry/tests/over_sockets.rs
+++ b/crates/boragepass_entry/tests/over_sockets.rs
@@ -9,8 +9,8 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
-use boragepass_path::Endpoint;
-use boragepass_platform::{encode_endpoint, names};
+use boragepass_path::{Endpoint, PieceOutcome};
+use boragepass_platform::{decode_stage_call, encode_endpoint, encode_stage_results, names};
 use boragepass_soak::Store;
 use bytes::Bytes;
 use http::Request;
@@ -315,7 +315,7 @@
     get(vm.address("operators"), "/v1/status").body.unwrap_or_default()
 }
 
-fn wait_until(what: &str, is_done: impl Fn() -> bool) {
+fn wait_until(what: &str, mut is_done: impl FnMut() -> bool) {
     for _ in 0..100 {
         if is_done() {
             return;
@@ -479,6 +479,89 @@
 /// Memory that the platform gives a VM.
 const VM_MEMORY_KB: u64 = 260 * 1_024;
 
+fn leaving_reply(reply: Reply) -> Reply {
+    let mut reply = reply;
+    reply.headers.push((names::LEAVING, "1".to_owned()));
+    reply
+}
+
+/// Starts an endpoint that announces its leaving in the head of each reply and closes the connection before the body. It
+/// counts its requests.
+fn leaving_endpoint_without_bodies() -> (SocketAddr, Arc<AtomicU32>) {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("a bound address");
+    let requests = Arc::new(AtomicU32::new(0));
+    let request_counter = requests.clone();
+    std::thread::spawn(move || {
+        for connection in listener.incoming() {
+            let mut connection = connection.expect("a connection");
+            let mut request = Vec::new();
+            let mut bytes = [0; 4_096];
+            while !request.ends_with(b"body") {
+                let read = connection.read(&mut bytes).expect("a request comes");
+                request.extend_from_slice(&bytes[..read]);
+            }
+            request_counter.fetch_add(1, Ordering::Relaxed);
+            let text = String::from_utf8_lossy(&request);
+            let is_id = |line: &&str| line.to_ascii_lowercase().starts_with(names::ATTEMPT_ID.as_str());
+            let id_header = text.lines().find(is_id).expect("the request has an id");
+            let leaving = names::LEAVING;
+            let head = format!("HTTP/1.1 200 OK\r\n{id_header}\r\n{leaving}: 1\r\ncontent-length: 9\r\n\r\n");
+            connection.write_all(head.as_bytes()).expect("the VM reads");
+        }
+    });
+    (address, requests)
+}
+
+#[test]
+fn an_endpoint_that_announces_its_leaving_in_a_reply_without_its_body_gets_no_further_request() {
+    let (leaving, leaving_requests) = leaving_endpoint_without_bodies();
+    let (staying, _) = serve(|got| Some(Reply::signed(got, "sound")));
+    let vm = start_vm(&[endpoint("i-leaving", "api", leaving), endpoint("i-staying", "api", staying)]);
+    let statuses: Vec<_> = (0..12).map(|number| post(&vm, "/status/1", &format!("r-{number}")).status).collect();
+    assert_eq!(statuses, [200; 12]);
+    assert_eq!(leaving_requests.load(Ordering::Relaxed), 1);
+}
+
+#[test]
+fn a_stage_endpoint_that_announces_its_leaving_as_results_are_freed_gets_no_further_call() {
+    let rates = |is_leaving: bool| {
+        serve(move |got| {
+            if got.path.starts_with(names::STAGE_FREE_PATH) {
+                let reply = Reply::new(200, "");
+                return Some(if is_leaving { leaving_reply(reply) } else { reply });
+            }
+            let entries = decode_stage_call(&got.body).expect("a readable call");
+            let results: Vec<_> =
+                entries.iter().map(|_| PieceOutcome::Computed(format!("10.0.0.1:1/{is_leaving}").into())).collect();
+            Some(Reply::new(200, encode_stage_results(&results)))
+        })
+    };
+    let (engine, _) = serve(|got| Some(Reply::signed(got, STREAM)));
+    let ((leaving, leaving_requests), (staying, _)) = (rates(true), rates(false));
+    let vm = start_vm(&[
+        endpoint("i-leaving", "rates", leaving),
+        endpoint("i-staying", "rates", staying),
+        endpoint("i-engine", "models", engine),
+    ]);
+    let is_call = |got: &ReceivedRequest| !got.path.starts_with(names::STAGE_FREE_PATH);
+    let calls = || {
+        let requests = leaving_requests.lock().expect("the lock is not poisoned");
+        (requests.iter().filter(|got| is_call(got)).count(), requests.len())
+    };
+    let mut number = 0;
+    wait_until("the leaving endpoint is asked to free results", || {
+        number += 1;
+        post(&vm, "/reviews/7", &format!("r-{number}"));
+        let (calls, requests) = calls();
+        requests > calls
+    });
+    std::thread::sleep(Duration::from_millis(200));
+    let (calls_before, _) = calls();
+    (0..12).for_each(|number| assert_eq!(post(&vm, "/reviews/7", &format!("s-{number}")).status, 200));
+    assert_eq!(calls().0, calls_before);
+}
+
 /// Each reply is read until it is clear that it is none; the client gets an error and the endpoint's connection is closed.
 #[test]
 fn replies_without_end_are_given_up_within_the_memory_of_a_vm() {
--- a/crates/boragepass_path/src/event.rs
+++ b/crates/boragepass_path/src/event.rs
@@ -192,6 +192,8 @@
     /// The endpoint of a send exceeded the send's silence limit; carries the last event that the client received.
     /// The send is still running.
     EndpointSilent(SendNumber, Option<EventId>),
+    /// A reply that no other event reports, since its body was lost or nobody waits for it, states this of its endpoint.
+    EndpointStated(EndpointId, EndpointSignals),
     /// An endpoint refuses connections.
     EndpointDown(EndpointId),
     /// A call ended.
--- a/crates/boragepass_path/src/reducer/mod.rs
+++ b/crates/boragepass_path/src/reducer/mod.rs
@@ -133,6 +133,7 @@
             Event::SendFailed(send, failure) => self.on_send_failed(now, send, failure),
             Event::StreamProgressed(send, progress) => self.on_stream_progress(now, send, progress),
             Event::EndpointSilent(send, last_event) => self.on_endpoint_silent(now, send, last_event),
+            Event::EndpointStated(endpoint, signals) => self.on_endpoint_signals(now, &endpoint, signals),
             Event::EndpointDown(endpoint) => self.on_endpoint_down(now, &endpoint),
             Event::CallEnded(call, outcome) => self.on_call_ended(now, call, outcome),
             Event::ConfigurationReceived(configuration) => self.on_configuration(now, configuration),
