--- a/crates/boragepass_fakes/src/path_fleet/fleet/clients.rs
+++ b/crates/boragepass_fakes/src/path_fleet/fleet/clients.rs
@@ -29,8 +29,9 @@
             .filter_map(|vm| vm.request_path.as_ref())
             .flat_map(|path| path.addresses(self.now, None, None))
             .collect();
-        let serving_vms: Vec<usize> =
-            (0..self.vms.len()).filter(|vm| serving_addresses.contains(&self.vms[*vm].client_address)).collect();
+        let is_stale = self.stale_client_share > 0.0 && self.rng.random::<f64>() < self.stale_client_share;
+        let is_known = |vm: &usize| is_stale || serving_addresses.contains(&self.vms[*vm].client_address);
+        let serving_vms: Vec<usize> = (0..self.vms.len()).filter(is_known).collect();
         serving_vms.get(self.rng.random_range(0..serving_vms.len().max(1))).copied()
     }
 
@@ -65,6 +66,7 @@
         }
         let record = RequestRecord {
             kind,
+            vm,
             prompt: arrival.prompt.clone(),
             submitted_at: self.now,
             repeatability: spec.route.repeatability,
--- a/crates/boragepass_fakes/src/path_fleet/fleet/mod.rs
+++ b/crates/boragepass_fakes/src/path_fleet/fleet/mod.rs
@@ -5,6 +5,7 @@
 
 mod clients;
 mod harmful_part;
+mod partition;
 mod resumption;
 mod sends;
 mod stage_calls;
@@ -31,6 +32,8 @@
 use super::ledger::{Ending, Ledger, RequestRecord};
 use super::pause::PausingRejections;
 use super::rate_limit::StatedLimit;
+pub use partition::EndpointLinks;
+use partition::LinkOutcome;
 
 /// Processor capacity of each VM; the model charges no processor time.
 const VM_PROCESSOR: Millicores = Millicores(250);
@@ -102,6 +105,7 @@
     is_cut_from_store: bool,
     /// Whether the VM receives changes from the store rather than from peers.
     is_store_follower: bool,
+    endpoint_links: EndpointLinks,
     paused_until: TimeMs,
     /// Events that arrived during a pause.
     held_events: VecDeque<Event>,
@@ -126,6 +130,8 @@
     is_relayed: bool,
     next_event: EventId,
     has_event: bool,
+    /// Whether its connection hangs.
+    is_hung: bool,
 }
 
 /// Step of the simulation at a scheduled time.
@@ -214,6 +220,8 @@
     pub datagram_loss: f64,
     /// Whether clients take up streams that broke after an event.
     pub clients_resume_streams: bool,
+    /// Share of clients that connect to any VM, since their addresses are old.
+    pub stale_client_share: f64,
     /// Share of requests whose clients disconnect after half of the objective.
     pub abandon_share: f64,
     /// Number of log records of the VMs by their text.
@@ -248,6 +256,7 @@
                 wake_at: None,
                 is_cut_from_store: false,
                 is_store_follower: true,
+                endpoint_links: EndpointLinks::Up,
                 paused_until: TimeMs(0),
                 held_events: VecDeque::new(),
             }
@@ -277,6 +286,7 @@
             harmful_requests: None,
             datagram_loss: 0.0,
             clients_resume_streams: false,
+            stale_client_share: 0.0,
             abandon_share: 0.0,
             log_record_counts: BTreeMap::new(),
         };
@@ -513,6 +523,7 @@
             endpoint.down_until = endpoint.down_until.min(self.now);
         }
         for vm in 0..self.vms.len() {
+            self.set_endpoint_links(&[vm], EndpointLinks::Up);
             self.set_cut_from_store(vm, false);
             self.start_vm(vm);
         }
@@ -685,18 +696,36 @@
                 self.deliver(vm, 0, Event::ClientDisconnected(request));
             }
             Effect::CheckEndpoint(target) => {
-                let refuses = |endpoint: &&FakeEndpoint| endpoint.is_down(now) && !endpoint.is_unresponsive;
-                if self.endpoints.get(&target.endpoint).filter(refuses).is_some() {
+                let is_refused = match self.vms[vm].endpoint_links {
+                    EndpointLinks::Up => {
+                        let refuses = |endpoint: &FakeEndpoint| endpoint.is_down(now) && !endpoint.is_unresponsive;
+                        self.endpoints.get(&target.endpoint).is_some_and(refuses)
+                    }
+                    EndpointLinks::Hanging => false,
+                    EndpointLinks::Resetting | EndpointLinks::RefusingNew => true,
+                };
+                if is_refused {
                     let round_trip_ms = 2 * self.endpoint_delay_ms(vm, &target.endpoint);
                     self.deliver(vm, round_trip_ms, Event::EndpointDown(target.endpoint));
                 }
             }
             Effect::Call { call, target, entries, timeout_ms } => {
                 let delay_ms = self.endpoint_delay_ms(vm, &target.endpoint);
-                self.schedule(
-                    now + SpanMs(delay_ms),
-                    Action::ReceiveCall(vm, incarnation, call, target.endpoint, entries),
-                );
+                match self.link_outcome(vm, &target.endpoint) {
+                    LinkOutcome::Passes => self.schedule(
+                        now + SpanMs(delay_ms),
+                        Action::ReceiveCall(vm, incarnation, call, target.endpoint, entries),
+                    ),
+                    LinkOutcome::Hangs => {}
+                    LinkOutcome::Resets => {
+                        let outcome = CallOutcome { results: Err(CallFailure::ConnectionLost), signals: None };
+                        self.deliver(vm, 1, Event::CallEnded(call, outcome));
+                    }
+                    LinkOutcome::Fails { after_ms } => {
+                        let outcome = CallOutcome { results: Err(CallFailure::NotReached), signals: None };
+                        self.deliver(vm, after_ms, Event::CallEnded(call, outcome));
+                    }
+                }
                 let outcome = CallOutcome { results: Err(CallFailure::TimedOut), signals: None };
                 self.schedule(now + timeout_ms, Action::DeliverEvent(vm, incarnation, Event::CallEnded(call, outcome)));
             }
--- a/crates/boragepass_fakes/src/path_fleet/fleet/sends.rs
+++ b/crates/boragepass_fakes/src/path_fleet/fleet/sends.rs
@@ -36,8 +36,23 @@
         if !is_excused && endpoint.drain_started_at.is_some_and(|at| now.since(at).0 > DRAIN_GRACE_MS) {
             self.ledger.record_violation(now, &client_id, "a draining endpoint got a new request");
         }
-        if endpoint.is_down(now) {
-            let failure_delay_ms = if endpoint.is_unresponsive { CONNECT_TIMEOUT_MS } else { 2 * delay_ms };
+        let (is_down, is_unresponsive, generation) =
+            (endpoint.is_down(now), endpoint.is_unresponsive, endpoint.generation);
+        let link_outcome = self.link_outcome(vm, id);
+        match link_outcome {
+            LinkOutcome::Passes | LinkOutcome::Hangs => {}
+            LinkOutcome::Resets => {
+                self.deliver(vm, 1, Event::SendFailed(send, SendFailure::ConnectionLost));
+                return;
+            }
+            LinkOutcome::Fails { after_ms } => {
+                self.deliver(vm, after_ms, Event::SendFailed(send, SendFailure::NotSent));
+                return;
+            }
+        }
+        let is_hung = matches!(link_outcome, LinkOutcome::Hangs);
+        if is_down && !is_hung {
+            let failure_delay_ms = if is_unresponsive { CONNECT_TIMEOUT_MS } else { 2 * delay_ms };
             self.deliver(vm, failure_delay_ms, Event::SendFailed(send, SendFailure::NotSent));
             return;
         }
@@ -45,11 +60,12 @@
             client_id,
             request,
             endpoint_id: id.clone(),
-            endpoint_generation: endpoint.generation,
+            endpoint_generation: generation,
             has_reply_head: false,
             is_relayed: false,
             next_event: 0,
             has_event: false,
+            is_hung,
         };
         self.active_sends.insert(key, active_send);
         let first_event = resume_after.map_or(0, |event| event + 1);
@@ -67,7 +83,7 @@
     /// A send reaches its endpoint, which rejects it (409 for lost inputs, 503 if full) or starts a run.
     pub(super) fn receive_send(&mut self, key: SendKey, inputs: &[Arc<str>], first_event: EventId) {
         let now = self.now;
-        let Some(active_send) = self.active_sends.get_mut(&key) else {
+        let Some(active_send) = self.active_sends.get_mut(&key).filter(|active_send| !active_send.is_hung) else {
             return;
         };
         active_send.next_event = first_event;
@@ -184,7 +200,7 @@
     /// A model engine emits the reply head or the next event of a stream; events flow once the VM relays the stream.
     pub(super) fn emit_stream_event(&mut self, key: SendKey) {
         let (vm, _, send) = key;
-        let Some(active_send) = self.active_sends.get_mut(&key) else {
+        let Some(active_send) = self.active_sends.get_mut(&key).filter(|active_send| !active_send.is_hung) else {
             return;
         };
         let (id, generation, client_id) =
--- a/crates/boragepass_fakes/src/path_fleet/ledger.rs
+++ b/crates/boragepass_fakes/src/path_fleet/ledger.rs
@@ -5,6 +5,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use super::partitions::{FirstTry, Partitions, are_served_worse};
 use boragepass_path::{EventId, PromptPart, Repeatability};
 use boragepass_types::{EndpointId, Hash64, PoolId, SoftwareVersion, SpanMs, TimeMs};
 
@@ -56,6 +57,8 @@
 pub(super) struct RequestRecord {
     /// Index into the kinds of the deployment.
     pub(super) kind: usize,
+    /// VM that the client sent it to.
+    pub(super) vm: usize,
     pub(super) prompt: Vec<PromptPart>,
     pub(super) submitted_at: TimeMs,
     pub(super) repeatability: Repeatability,
@@ -110,6 +113,7 @@
 pub struct Ledger {
     pub(super) requests: BTreeMap<Arc<str>, RequestRecord>,
     pub(super) harmful_parts: BTreeMap<Hash64, HarmfulPartRecord>,
+    pub(super) partitions: Partitions,
     violations: Vec<Violation>,
     /// Attempts that take up a stream again.
     pub resumed_streams: u32,
@@ -268,6 +272,30 @@
         }
     }
 
+    /// Served and all first tries at VMs that were partitioned from all endpoints, and at the others meanwhile.
+    pub fn partition_tallies(&self) -> [(u32, u32); 2] {
+        let counted = self
+            .requests
+            .values()
+            .filter(|record| !record.is_abandoned && !record.is_excused && record.stream.is_none());
+        self.partitions.tallies(counted.map(|record| FirstTry {
+            vm: record.vm,
+            submitted_at: record.submitted_at,
+            is_served: matches!(record.ending, Some(Ending::Answered { .. })),
+        }))
+    }
+
+    /// Checks that clients of partitioned VMs were not served far worse than the others, once all requests have ended.
+    pub fn check_partitions(&mut self, now: TimeMs) {
+        if are_served_worse(self.partition_tallies()) {
+            self.record_violation(
+                now,
+                &"all".into(),
+                "clients of partitioned VMs were served far worse than the others",
+            );
+        }
+    }
+
     /// Outcomes of the requests of one kind that were submitted within a span.
     pub fn outcomes(&self, kind: usize, objective_ms: u64, from: TimeMs, to: TimeMs) -> Outcomes {
         let mut outcomes = Outcomes::default();
--- a/crates/boragepass_fakes/src/path_fleet/mod.rs
+++ b/crates/boragepass_fakes/src/path_fleet/mod.rs
@@ -8,9 +8,10 @@
 mod fleet;
 mod leaving;
 mod ledger;
+mod partitions;
 mod pause;
 mod rate_limit;
 
 pub use deployment::{Deployment, RequestKind, Site};
-pub use fleet::{EndpointFault, PathFleet};
+pub use fleet::{EndpointFault, EndpointLinks, PathFleet};
 pub use ledger::{Ending, Ledger, Outcomes, Violation};
