A VM that lost its links to all endpoints leads no pool and gets no clients

Cause: a VM took the loss of all its links for failures of single endpoints. It went on leading stage pools, whose pieces failed for everyone, and stayed in the addresses that clients get. Class: a failure near the observer is attributed to what is observed.

Change: on failures of two endpoints without a reply in between, or 700 ms of silence while a reply is due, a VM opens connections to six endpoints of different pools and failure domains. If none opens it says so in its heartbeats; it is then neither leader, nor shares rate limits, nor is in address answers, unless no VM reaches endpoints. Piece requests move away from such a leader at once.

--- a/crates/boragepass_entry/src/connections.rs
+++ b/crates/boragepass_entry/src/connections.rs
@@ -23,6 +23,8 @@
 /// Longest time to connect: a round trip between regions takes 40 ms, and a lost packet is sent again
 /// after a second.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// Longest time for a probe to connect, which is not worth a second attempt.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(600);
 /// Idle time after which an endpoint that states none is assumed to close a connection.
 const IDLE_TIMEOUT_DEFAULT: Duration = Duration::from_secs(4);
 /// Fraction of the stated or assumed idle time for which a connection is reused, since the endpoint began
@@ -161,6 +163,11 @@
         }
     }
 
+    /// Whether a connection to an address opens soon; it is closed again.
+    pub(crate) async fn opens(&self, address: SocketAddr) -> bool {
+        matches!(timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await, Ok(Ok(_)))
+    }
+
     /// Takes an idle connection if that is allowed, or else opens one.
     pub(crate) async fn open(&self, address: SocketAddr, may_reuse: bool) -> Result<Connection, ExchangeError> {
         if may_reuse && let Some(connection) = self.take_idle(address) {
--- a/crates/boragepass_entry/src/peer_wire.rs
+++ b/crates/boragepass_entry/src/peer_wire.rs
@@ -13,7 +13,7 @@
 use serde::{Deserialize, Serialize};
 
 /// Version of the format. Messages with another one are rejected.
-const FORMAT_VERSION: u8 = 7;
+const FORMAT_VERSION: u8 = 8;
 /// Largest message that is encoded or decoded.
 const MESSAGE_BYTES_MAX: usize = 16 * 1_024 * 1_024;
 
@@ -87,6 +87,7 @@
     vm: WireVm,
     configuration_version: u64,
     has_store: bool,
+    reaches_endpoints: bool,
     endpoints_version: WireStoreVersion,
     /// Pool, region, time until a new piece would start, and healthy endpoints.
     led_pools: Vec<(String, String, f32, u16)>,
@@ -237,6 +238,7 @@
             vm: (&heartbeat.vm).into(),
             configuration_version: heartbeat.configuration.0,
             has_store: heartbeat.has_store,
+            reaches_endpoints: heartbeat.reaches_endpoints,
             endpoints_version: heartbeat.endpoints_version.into(),
             led_pools: heartbeat.led_pools.iter().map(pool_load).collect(),
             endpoint_loads: heartbeat.endpoint_loads.iter().map(endpoint_load).collect(),
@@ -266,6 +268,7 @@
             vm: wire.vm.try_into()?,
             configuration: ConfigurationVersion(wire.configuration_version),
             has_store: wire.has_store,
+            reaches_endpoints: wire.reaches_endpoints,
             endpoints_version: wire.endpoints_version.into(),
             led_pools: wire.led_pools.into_iter().map(pool_load).collect::<Result<_, PeerWireError>>()?,
             endpoint_loads: wire.endpoint_loads.into_iter().map(endpoint_load).collect::<Result<_, PeerWireError>>()?,
--- a/crates/boragepass_entry/src/sends.rs
+++ b/crates/boragepass_entry/src/sends.rs
@@ -97,6 +97,15 @@
     });
 }
 
+/// Starts the task that reports whether a connection to an endpoint opens.
+pub(crate) fn start_endpoint_probe(driver: &Rc<Driver>, target: SendTarget) {
+    let driver = driver.clone();
+    task::spawn_local(async move {
+        let is_reached = driver.connections.opens(target.address).await;
+        driver.dispatch(Event::EndpointProbed(target.endpoint, is_reached));
+    });
+}
+
 /// Completes after a time, or never without one.
 async fn silence_timeout(timeout: Option<SpanMs>) {
     match timeout {
--- a/crates/boragepass_fakes/src/path_fleet/fleet/mod.rs
+++ b/crates/boragepass_fakes/src/path_fleet/fleet/mod.rs
@@ -709,6 +709,7 @@
                     self.deliver(vm, round_trip_ms, Event::EndpointDown(target.endpoint));
                 }
             }
+            Effect::ProbeEndpoint(target) => self.probe_endpoint(vm, target.endpoint),
             Effect::Call { call, target, entries, timeout_ms } => {
                 let delay_ms = self.endpoint_delay_ms(vm, &target.endpoint);
                 match self.link_outcome(vm, &target.endpoint) {
--- a/crates/boragepass_fakes/src/path_fleet/fleet/partition.rs
+++ b/crates/boragepass_fakes/src/path_fleet/fleet/partition.rs
@@ -5,6 +5,9 @@
 /// Share of sends and calls for which a VM has an open connection.
 const REUSED_CONNECTION_SHARE: f64 = 0.5;
 
+/// Time after which a probe fails.
+const PROBE_TIMEOUT_MS: u64 = 600;
+
 /// State of a VM's links to all endpoints.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, derive_more::Display)]
 pub enum EndpointLinks {
@@ -74,6 +77,18 @@
         }
     }
 
+    /// Reports to a VM whether a connection to an endpoint opens.
+    pub(super) fn probe_endpoint(&mut self, vm: usize, id: EndpointId) {
+        let now = self.now;
+        let down = self.endpoints.get(&id).filter(|endpoint| endpoint.is_down(now));
+        let (is_down, is_unresponsive) = (down.is_some(), down.is_some_and(|endpoint| endpoint.is_unresponsive));
+        let links = self.vms[vm].endpoint_links;
+        let is_reached = links == EndpointLinks::Up && !is_down;
+        let is_silent = links == EndpointLinks::Hanging || (links == EndpointLinks::Up && is_unresponsive);
+        let after_ms = if is_silent { PROBE_TIMEOUT_MS } else { 2 * self.endpoint_delay_ms(vm, &id) };
+        self.deliver(vm, after_ms, Event::EndpointProbed(id, is_reached));
+    }
+
     /// What becomes of a send or call of a VM to an endpoint.
     pub(super) fn link_outcome(&mut self, vm: usize, id: &EndpointId) -> LinkOutcome {
         let links = self.vms[vm].endpoint_links;
--- a/crates/boragepass_fakes/tests/path_peers.rs
+++ b/crates/boragepass_fakes/tests/path_peers.rs
@@ -43,6 +43,7 @@
     let heartbeat = Heartbeat {
         configuration: ConfigurationVersion(1),
         has_store: true,
+        reaches_endpoints: true,
         endpoints_version: version(1),
         led_pools: Vec::new(),
         endpoint_loads: Vec::new(),
--- a/crates/boragepass_path/src/effect.rs
+++ b/crates/boragepass_path/src/effect.rs
@@ -96,6 +96,8 @@
     DropRequest(RequestNumber),
     /// Opens a connection to an endpoint and closes it again; reports `EndpointDown` if the endpoint refuses it.
     CheckEndpoint(SendTarget),
+    /// Opens a connection to an endpoint and closes it again; always reports `EndpointProbed`.
+    ProbeEndpoint(SendTarget),
     /// Sends a call, which computes several pieces.
     Call {
         /// Number of this call.
--- a/crates/boragepass_path/src/event.rs
+++ b/crates/boragepass_path/src/event.rs
@@ -196,6 +196,8 @@
     EndpointStated(EndpointId, EndpointSignals),
     /// An endpoint refuses connections.
     EndpointDown(EndpointId),
+    /// A probe of an endpoint ended: whether a connection opened.
+    EndpointProbed(EndpointId, bool),
     /// A call ended.
     CallEnded(CallNumber, CallOutcome),
     /// A configuration arrived, from the store or another VM.
--- a/crates/boragepass_path/src/fleet/addresses.rs
+++ b/crates/boragepass_path/src/fleet/addresses.rs
@@ -7,14 +7,14 @@
 use super::Fleet;
 
 impl Fleet {
-    /// Client addresses of the serving VMs in a failure domain; of its region if there are none, else of all.
+    /// Client addresses of the serving VMs in a failure domain that reach endpoints; of its region if there are none, else of all.
     pub(crate) fn client_addresses(
         &self,
         now: TimeMs,
         region: Option<&Region>,
         domain: Option<&FailureDomain>,
     ) -> Vec<SocketAddr> {
-        let serving: Vec<_> = self.serving(now).collect();
+        let serving = self.serving_with_endpoints(now);
         let in_domain = serving.iter().filter(|record| Some(&record.failure_domain) == domain);
         let in_domain: Vec<_> = in_domain.map(|record| record.client_address).collect();
         if !in_domain.is_empty() {
--- a/crates/boragepass_path/src/fleet/limit_sharing.rs
+++ b/crates/boragepass_path/src/fleet/limit_sharing.rs
@@ -17,7 +17,8 @@
     let closeness =
         |domain: &FailureDomain, region: &Region| (*domain == endpoint.failure_domain, region == endpoint_region);
     let mut ranked: Vec<_> = fleet
-        .serving(now)
+        .serving_with_endpoints(now)
+        .into_iter()
         .map(|record| {
             let weight = rendezvous_weight(endpoint.id.as_str(), record.vm.as_str());
             (closeness(&record.failure_domain, &record.region), weight, &record.vm)
--- a/crates/boragepass_path/src/fleet/members.rs
+++ b/crates/boragepass_path/src/fleet/members.rs
@@ -58,12 +58,21 @@
     pub state: VmState,
 }
 
+/// What a VM reaches.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Reach {
+    /// Whether it reaches the store.
+    pub(crate) store: bool,
+    /// Whether it reaches endpoints.
+    pub(crate) endpoints: bool,
+}
+
 #[derive(Debug, Clone)]
 struct Member {
     record: VmRecord,
     last_heartbeat_at: Option<TimeMs>,
     last_named_at: TimeMs,
-    can_reach_store: bool,
+    reach: Reach,
     configuration: ConfigurationVersion,
 }
 
@@ -78,6 +87,8 @@
     sample_offset: usize,
     /// Whether this VM reaches the store.
     pub(crate) can_reach_store: bool,
+    /// Whether this VM reaches endpoints.
+    pub(crate) reaches_endpoints: bool,
 }
 
 /// What a heartbeat changed about its sender.
@@ -105,7 +116,14 @@
             processor: settings.processor,
             state: VmState::Starting,
         };
-        Self { local_record, members: BTreeMap::new(), seeds: Vec::new(), sample_offset: 0, can_reach_store: true }
+        Self {
+            local_record,
+            members: BTreeMap::new(),
+            seeds: Vec::new(),
+            sample_offset: 0,
+            can_reach_store: true,
+            reaches_endpoints: true,
+        }
     }
 
     /// Adds the address of a VM whose name is not known.
@@ -129,7 +147,7 @@
                     record,
                     last_heartbeat_at: None,
                     last_named_at: now,
-                    can_reach_store: false,
+                    reach: Reach { store: false, endpoints: true },
                     configuration: ConfigurationVersion(0),
                 },
             );
@@ -141,7 +159,7 @@
         &mut self,
         now: TimeMs,
         record: VmRecord,
-        can_reach_store: bool,
+        reach: Reach,
         configuration: ConfigurationVersion,
     ) -> MembershipChange {
         if record.vm == self.local_record.vm {
@@ -160,8 +178,7 @@
             }
             Some(_) | None => MembershipChange::Joined,
         };
-        let member =
-            Member { record, last_heartbeat_at: Some(now), last_named_at: now, can_reach_store, configuration };
+        let member = Member { record, last_heartbeat_at: Some(now), last_named_at: now, reach, configuration };
         self.members.insert(member.record.vm.clone(), member);
         change
     }
@@ -195,6 +212,21 @@
         std::iter::once(&self.local_record).chain(others).filter(|record| record.state == VmState::Serving)
     }
 
+    /// Whether a VM reaches endpoints, as far as is known.
+    pub(crate) fn does_reach_endpoints(&self, vm: &VmId) -> bool {
+        if *vm == self.local_record.vm {
+            return self.reaches_endpoints;
+        }
+        self.members.get(vm).is_none_or(|member| member.reach.endpoints)
+    }
+
+    /// Live VMs that accept requests and reach endpoints; all that accept requests if none of them does.
+    pub(crate) fn serving_with_endpoints(&self, now: TimeMs) -> Vec<&VmRecord> {
+        let serving: Vec<_> = self.serving(now).collect();
+        let reaching: Vec<_> = serving.iter().copied().filter(|record| self.does_reach_endpoints(&record.vm)).collect();
+        if reaching.is_empty() { serving } else { reaching }
+    }
+
     /// Live VMs of a failure domain with whether they reach the store; this one included if it is there.
     pub(crate) fn live_vms_in_domain<'a>(
         &'a self,
@@ -202,7 +234,7 @@
         domain: &'a FailureDomain,
     ) -> impl Iterator<Item = (&'a VmRecord, bool)> {
         let others = self.members.values().filter(move |member| self.is_live(now, &member.record.vm));
-        let others = others.map(|member| (&member.record, member.can_reach_store));
+        let others = others.map(|member| (&member.record, member.reach.store));
         std::iter::once((&self.local_record, self.can_reach_store))
             .chain(others)
             .filter(move |(record, _)| record.failure_domain == *domain)
--- a/crates/boragepass_path/src/fleet/mod.rs
+++ b/crates/boragepass_path/src/fleet/mod.rs
@@ -11,6 +11,6 @@
 pub(crate) use followers::is_store_follower;
 pub(crate) use leader::pool_leader;
 pub(crate) use limit_sharing::limit_sharing_vms;
-pub(crate) use members::{Fleet, MembershipChange};
+pub(crate) use members::{Fleet, MembershipChange, Reach};
 pub use members::{VmRecord, VmState};
 pub(crate) use stream_holders::stream_holders;
--- a/crates/boragepass_path/src/message.rs
+++ b/crates/boragepass_path/src/message.rs
@@ -140,6 +140,8 @@
     pub configuration: ConfigurationVersion,
     /// Whether the store answers the VM.
     pub has_store: bool,
+    /// Whether the VM reaches endpoints; false if it lost its links to all of them.
+    pub reaches_endpoints: bool,
     /// Version of the endpoint list that it knows.
     pub endpoints_version: StoreVersion,
     /// Backlogs of the pools that it leads.
--- a/crates/boragepass_path/src/placement/mod.rs
+++ b/crates/boragepass_path/src/placement/mod.rs
@@ -1,6 +1,7 @@
 //! Known endpoints with their load and health, the choice of an endpoint for a request, and the choice
 //! of a region for the pieces of a stage.
 
+mod endpoint_reach;
 mod endpoint_table;
 mod engine_choice;
 mod prompt_cache;
@@ -8,6 +9,7 @@
 mod region_choice;
 mod statements;
 
+pub(crate) use endpoint_reach::{EndpointReach, PROBED_ENDPOINTS, RoundResult};
 pub use endpoint_table::{Endpoint, EndpointUpdate, StoreVersion};
 pub(crate) use endpoint_table::{EndpointTable, KnownEndpoint};
 pub(crate) use engine_choice::{
--- a/crates/boragepass_path/src/reducer/crashes.rs
+++ b/crates/boragepass_path/src/reducer/crashes.rs
@@ -96,7 +96,8 @@
     /// Whether this VM is the one that tries a harmful content again.
     pub(super) fn tries_content(&self, now: TimeMs, content: Hash64) -> bool {
         let key = content.to_string();
-        let trying = self.fleet.serving(now).max_by_key(|record| rendezvous_weight(&key, record.vm.as_str()));
+        let serving = self.fleet.serving_with_endpoints(now);
+        let trying = serving.into_iter().max_by_key(|record| rendezvous_weight(&key, record.vm.as_str()));
         trying.is_some_and(|record| record.vm == self.settings.vm)
     }
 
--- a/crates/boragepass_path/src/reducer/leading.rs
+++ b/crates/boragepass_path/src/reducer/leading.rs
@@ -172,6 +172,7 @@
                 .text("endpoint", &endpoint)
                 .number("pieces", pieces),
         );
+        self.on_link_failure(now, &endpoint);
         self.endpoint_table.on_failure(now, &endpoint, false);
         self.run_pool(now, &pool_key);
     }
@@ -209,8 +210,15 @@
             self.endpoint_table.on_success(now, endpoint, SpanMs((slowness * SLOWNESS_SCALE_MS) as u64));
         }
         let Some(failure) = failure else {
+            self.endpoint_reach.on_contact(now);
             return;
         };
+        match failure {
+            CallFailure::EndpointFull => self.endpoint_reach.on_contact(now),
+            CallFailure::NotReached | CallFailure::ConnectionLost | CallFailure::TimedOut => {
+                self.on_link_failure(now, endpoint);
+            }
+        }
         self.log(
             Record::new("call failed").text("pool", &pool_key.0).text("endpoint", endpoint).text("reason", failure),
         );
--- a/crates/boragepass_path/src/reducer/mod.rs
+++ b/crates/boragepass_path/src/reducer/mod.rs
@@ -3,14 +3,15 @@
 //! This file holds the state, readiness, and the drain of a stopping process. The submodules hold the flows:
 //! arrival and admission (`arrivals`), stages of this VM's requests (`stage_flow`), pools that this VM leads
 //! (`leading`), sends to endpoints (`sends`), contents that crash them (`crashes`), software versions that begin
-//! streams (`stream_versions`), what endpoints state in replies (`signals`), ends of requests (`endings`), and other
-//! VMs (`peers`).
+//! streams (`stream_versions`), what endpoints state in replies (`signals`), the loss of all links to endpoints
+//! (`reach`), ends of requests (`endings`), and other VMs (`peers`).
 
 mod arrivals;
 mod crashes;
 mod endings;
 mod leading;
 mod peers;
+mod reach;
 mod sends;
 mod signals;
 mod stage_flow;
@@ -30,7 +31,7 @@
 use crate::event::Event;
 use crate::fleet::{Fleet, VmState};
 use crate::message::PieceRequestId;
-use crate::placement::{Endpoint, EndpointTable, EndpointUpdate, PoolBacklogs, StoreVersion};
+use crate::placement::{Endpoint, EndpointReach, EndpointTable, EndpointUpdate, PoolBacklogs, StoreVersion};
 use crate::record::Record;
 use crate::request::{CallNumber, RequestNumber, RequestState, SendNumber, StreamVersions};
 use crate::retry::{CrashTracker, RetryBudget};
@@ -60,6 +61,7 @@
     configuration: Option<Arc<Configuration>>,
     fleet: Fleet,
     endpoint_table: EndpointTable,
+    endpoint_reach: EndpointReach,
     pool_backlogs: PoolBacklogs,
     led_pools: BTreeMap<PoolKey, Pool>,
     retry_budget: RetryBudget,
@@ -98,6 +100,7 @@
             configuration: None,
             fleet: Fleet::new(&settings),
             endpoint_table: EndpointTable::new(settings.time_of_day),
+            endpoint_reach: EndpointReach::default(),
             pool_backlogs: PoolBacklogs::default(),
             led_pools: BTreeMap::new(),
             retry_budget: RetryBudget::new(settings.retries),
@@ -135,6 +138,7 @@
             Event::EndpointSilent(send, last_event) => self.on_endpoint_silent(now, send, last_event),
             Event::EndpointStated(endpoint, signals) => self.on_endpoint_signals(now, &endpoint, signals),
             Event::EndpointDown(endpoint) => self.on_endpoint_down(now, &endpoint),
+            Event::EndpointProbed(endpoint, is_reached) => self.on_endpoint_probed(now, &endpoint, is_reached),
             Event::CallEnded(call, outcome) => self.on_call_ended(now, call, outcome),
             Event::ConfigurationReceived(configuration) => self.on_configuration(now, configuration),
             Event::EndpointsUpdated(update) => self.on_endpoints_updated(now, update),
@@ -203,6 +207,7 @@
             Timer::Heartbeat => {
                 self.update_store_following(now);
                 self.update_limit_shares(now);
+                self.probe_endpoints_if_due(now);
                 self.send_heartbeats(now);
                 let interval = self.fleet.heartbeat_interval();
                 self.timers.set(now + interval, Timer::Heartbeat);
--- a/crates/boragepass_path/src/reducer/peers.rs
+++ b/crates/boragepass_path/src/reducer/peers.rs
@@ -4,7 +4,7 @@
 
 use super::RequestPath;
 use crate::effect::Effect;
-use crate::fleet::{MembershipChange, is_store_follower};
+use crate::fleet::{MembershipChange, Reach, is_store_follower};
 use crate::message::{Heartbeat, PeerMessage};
 use crate::record::Record;
 use crate::timers::Timer;
@@ -42,7 +42,9 @@
     fn on_heartbeat(&mut self, now: TimeMs, heartbeat: Heartbeat) {
         let vm = heartbeat.vm.vm.clone();
         let (state, incarnation) = (heartbeat.vm.state, heartbeat.vm.incarnation);
-        match self.fleet.on_heartbeat(now, heartbeat.vm, heartbeat.has_store, heartbeat.configuration) {
+        let reached_endpoints = self.fleet.does_reach_endpoints(&vm);
+        let reach = Reach { store: heartbeat.has_store, endpoints: heartbeat.reaches_endpoints };
+        match self.fleet.on_heartbeat(now, heartbeat.vm, reach, heartbeat.configuration) {
             MembershipChange::Stale => return,
             MembershipChange::Joined | MembershipChange::StateChanged => {
                 self.log(
@@ -52,6 +54,11 @@
             MembershipChange::Unchanged => {}
         }
         self.fleet.add_known_vms(heartbeat.known_vms);
+        if reached_endpoints != reach.endpoints {
+            self.log(Record::new("VM reaches endpoints").text("vm", &vm).text("reaches", reach.endpoints));
+            self.update_limit_shares(now);
+            self.move_piece_requests_from(now, &vm);
+        }
         self.endpoint_table.on_peer_loads(now, &vm, heartbeat.endpoint_loads);
         if self.endpoint_table.on_limit_reports(now, heartbeat.endpoint_limits) {
             self.update_limit_shares(now);
@@ -136,6 +143,7 @@
             vm: self.fleet.local_record.clone(),
             configuration: self.configuration.as_ref().map(|configuration| configuration.version).unwrap_or_default(),
             has_store: self.fleet.can_reach_store,
+            reaches_endpoints: self.fleet.reaches_endpoints,
             endpoints_version: self.endpoint_table.version,
             led_pools: self.led_pool_loads(now),
             endpoint_loads: self.endpoint_table.own_loads(),
--- a/crates/boragepass_path/src/reducer/sends.rs
+++ b/crates/boragepass_path/src/reducer/sends.rs
@@ -274,6 +274,7 @@
         let Some(active_send) = state.active_send().cloned() else {
             return;
         };
+        self.endpoint_reach.on_contact(now);
         if let Some(signals) = head.signals {
             self.on_endpoint_signals(now, &active_send.endpoint, signals);
         }
@@ -466,6 +467,9 @@
         failure: SendFailure,
     ) {
         let endpoint = &active_send.endpoint;
+        if matches!(failure, SendFailure::NotSent | SendFailure::ConnectionLost) {
+            self.on_link_failure(now, endpoint);
+        }
         let is_refused = failure == SendFailure::NotSent;
         let ejected_for = self.endpoint_table.on_failure(now, endpoint, is_refused);
         self.log_ejection(endpoint, ejected_for);
@@ -485,6 +489,9 @@
         let Some(request) = self.sends.get(&send).copied() else {
             return;
         };
+        if !matches!(progress, Progress::Broken(..)) {
+            self.endpoint_reach.on_contact(now);
+        }
         match progress {
             Progress::FirstEvent => self.on_first_event(now, request, send),
             Progress::Ended => {
--- a/crates/boragepass_path/src/reducer/stage_flow.rs
+++ b/crates/boragepass_path/src/reducer/stage_flow.rs
@@ -191,14 +191,19 @@
         let is_unresponsive = sent_piece_request
             .heard_at
             .is_none_or(|at| now.since(at) > PIECE_REQUEST_CHECK_INTERVAL + PIECE_REQUEST_CHECK_INTERVAL);
-        if sent_piece_request.leader != self.settings.vm
-            && (is_unresponsive || !self.fleet.is_live(now, &sent_piece_request.leader))
-        {
+        let leader = &sent_piece_request.leader;
+        // If no VM reaches endpoints, the leader is the same as before.
+        let is_unable = !self.fleet.does_reach_endpoints(leader)
+            && pool_leader(&self.fleet, now, &state.stages.spec(stage).pool, &sent_piece_request.region).as_ref()
+                != Some(leader);
+        let is_lost = *leader != self.settings.vm && (is_unresponsive || !self.fleet.is_live(now, leader));
+        if is_lost || is_unable {
             self.log(
                 Record::new("lead does not answer")
                     .text("request", &state.arrival.client_id)
                     .number("stage", stage)
-                    .text("lead", &sent_piece_request.leader)
+                    .text("lead", leader)
+                    .text("reaches_endpoints", !is_unable)
                     .number("since_ms", now.since(sent_piece_request.heard_at.unwrap_or(sent_piece_request.sent_at)).0),
             );
             self.release_piece_request(now, &sent_piece_request);
