Count no crash against contents while a VM's own links are in doubt

An endpoint that is found down now counts once a reply or a probe shows that the links of this VM work, and the connections that were lost are forgotten if no endpoint is reached.

--- a/crates/boragepass_path/src/placement/endpoint_reach.rs
+++ b/crates/boragepass_path/src/placement/endpoint_reach.rs
@@ -48,6 +48,11 @@
 }
 
 impl EndpointReach {
+    /// Whether failures of endpoints may be those of this VM's own links.
+    pub(crate) fn is_in_doubt(&self) -> bool {
+        self.is_partitioned || !self.pending.is_empty() || self.failed.len() >= FAILED_ENDPOINTS
+    }
+
     /// Records a reply of any endpoint.
     pub(crate) fn on_contact(&mut self, now: TimeMs) {
         self.last_contact_at = now;
--- a/crates/boragepass_path/src/reducer/crashes.rs
+++ b/crates/boragepass_path/src/reducer/crashes.rs
@@ -47,8 +47,12 @@
         }
     }
 
-    /// Attributes the crash of an endpoint that was found down.
+    /// Attributes the crash of an endpoint that was found down, once it is clear that not this VM's links failed.
     pub(super) fn on_endpoint_down(&mut self, now: TimeMs, endpoint: &EndpointId) {
+        if self.endpoint_reach.is_in_doubt() {
+            self.doubted_down_endpoints.push(endpoint.clone());
+            return;
+        }
         let contents = self.crash_tracker.on_endpoint_down(now, endpoint);
         if contents.is_empty() {
             return;
@@ -64,6 +68,26 @@
         self.send_heartbeats(now);
     }
 
+    /// Attributes the crashes of endpoints that were found down while this VM's links were in doubt.
+    pub(super) fn confirm_doubted_crashes(&mut self, now: TimeMs) {
+        if self.endpoint_reach.is_in_doubt() {
+            return;
+        }
+        for endpoint in std::mem::take(&mut self.doubted_down_endpoints) {
+            self.on_endpoint_down(now, &endpoint);
+        }
+    }
+
+    /// Drops what connections that were lost with this VM's links would count against contents.
+    pub(super) fn drop_doubted_crashes(&mut self) {
+        let endpoints = std::mem::take(&mut self.doubted_down_endpoints).len();
+        let sends = self.crash_tracker.drop_lost_sends();
+        if endpoints + sends > 0 {
+            let record = Record::new("lost connections count against no content");
+            self.log(record.number("endpoints", endpoints).number("sends", sends));
+        }
+    }
+
     /// Finds contents that have become harmful and ends the requests that have them, unless they are being answered.
     pub(super) fn end_harmful_requests(&mut self, now: TimeMs) {
         let newly_harmful = self.crash_tracker.judge();
--- a/crates/boragepass_path/src/reducer/leading.rs
+++ b/crates/boragepass_path/src/reducer/leading.rs
@@ -210,11 +210,11 @@
             self.endpoint_table.on_success(now, endpoint, SpanMs((slowness * SLOWNESS_SCALE_MS) as u64));
         }
         let Some(failure) = failure else {
-            self.endpoint_reach.on_contact(now);
+            self.on_endpoint_contact(now);
             return;
         };
         match failure {
-            CallFailure::EndpointFull => self.endpoint_reach.on_contact(now),
+            CallFailure::EndpointFull => self.on_endpoint_contact(now),
             CallFailure::NotReached | CallFailure::ConnectionLost | CallFailure::TimedOut => {
                 self.on_link_failure(now, endpoint);
             }
@@ -228,7 +228,7 @@
             self.log_ejection(endpoint, ejected_for);
         }
         if is_refused {
-            self.crash_tracker.on_endpoint_down(now, endpoint);
+            self.on_endpoint_down(now, endpoint);
         }
     }
 
--- a/crates/boragepass_path/src/reducer/mod.rs
+++ b/crates/boragepass_path/src/reducer/mod.rs
@@ -21,7 +21,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use boragepass_types::{FailureDomain, PoolId, Region, SpanMs, TimeMs, VmId};
+use boragepass_types::{EndpointId, FailureDomain, PoolId, Region, SpanMs, TimeMs, VmId};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
@@ -66,6 +66,8 @@
     led_pools: BTreeMap<PoolKey, Pool>,
     retry_budget: RetryBudget,
     crash_tracker: CrashTracker,
+    /// Endpoints that were found down while this VM's own links were in doubt.
+    doubted_down_endpoints: Vec<EndpointId>,
     stream_versions: StreamVersions,
     requests: HashMap<RequestNumber, RequestState>,
     /// Requests by the number of their send in progress.
@@ -105,6 +107,7 @@
             led_pools: BTreeMap::new(),
             retry_budget: RetryBudget::new(settings.retries),
             crash_tracker: CrashTracker::default(),
+            doubted_down_endpoints: Vec::new(),
             stream_versions: StreamVersions::default(),
             requests: HashMap::new(),
             sends: HashMap::new(),
--- a/crates/boragepass_path/src/reducer/reach.rs
+++ b/crates/boragepass_path/src/reducer/reach.rs
@@ -23,6 +23,12 @@
         self.effects.extend(probed.into_iter().map(Effect::ProbeEndpoint));
     }
 
+    /// Records a reply of any endpoint.
+    pub(super) fn on_endpoint_contact(&mut self, now: TimeMs) {
+        self.endpoint_reach.on_contact(now);
+        self.confirm_doubted_crashes(now);
+    }
+
     /// Records that a connection to an endpoint failed or that its reply is overdue.
     pub(super) fn on_link_failure(&mut self, now: TimeMs, endpoint: &EndpointId) {
         self.endpoint_reach.on_failure(endpoint);
@@ -61,14 +67,18 @@
 
     pub(super) fn on_endpoint_probed(&mut self, now: TimeMs, endpoint: &EndpointId, is_reached: bool) {
         match self.endpoint_reach.on_probed(now, endpoint, is_reached) {
-            None | Some(RoundResult::Reached | RoundResult::StillLost) => {}
+            None => {}
+            Some(RoundResult::Reached) => self.confirm_doubted_crashes(now),
+            Some(RoundResult::StillLost) => self.drop_doubted_crashes(),
             Some(RoundResult::Regained) => {
                 self.log(Record::new("endpoints reached again").text("endpoint", endpoint));
+                self.drop_doubted_crashes();
                 self.announce_reach(now, true);
             }
             Some(RoundResult::Lost) => {
                 let record = Record::new("no endpoint reached").number("requests", self.requests.len());
                 self.log(record.number("led_pools", self.led_pools.len()));
+                self.drop_doubted_crashes();
                 self.announce_reach(now, false);
                 self.move_piece_requests_from(now, &self.settings.vm.clone());
             }
--- a/crates/boragepass_path/src/reducer/sends.rs
+++ b/crates/boragepass_path/src/reducer/sends.rs
@@ -274,7 +274,7 @@
         let Some(active_send) = state.active_send().cloned() else {
             return;
         };
-        self.endpoint_reach.on_contact(now);
+        self.on_endpoint_contact(now);
         if let Some(signals) = head.signals {
             self.on_endpoint_signals(now, &active_send.endpoint, signals);
         }
@@ -490,7 +490,7 @@
             return;
         };
         if !matches!(progress, Progress::Broken(..)) {
-            self.endpoint_reach.on_contact(now);
+            self.on_endpoint_contact(now);
         }
         match progress {
             Progress::FirstEvent => self.on_first_event(now, request, send),
--- a/crates/boragepass_path/src/retry/crash_tracker.rs
+++ b/crates/boragepass_path/src/retry/crash_tracker.rs
@@ -100,6 +100,11 @@
         self.lost_sends.push(lost_send);
     }
 
+    /// Drops the connections that were lost and not confirmed as crashes; returns their number.
+    pub(crate) fn drop_lost_sends(&mut self) -> usize {
+        std::mem::take(&mut self.lost_sends).len()
+    }
+
     /// Counts the crash of an endpoint that was found down against the contents of the requests that it ran; returns the
     /// contents for which that is new.
     pub(crate) fn on_endpoint_down(&mut self, now: TimeMs, endpoint: &EndpointId) -> Vec<Hash64> {
