--- a/crates/boragepass_entry/src/client_server.rs
+++ b/crates/boragepass_entry/src/client_server.rs
@@ -10,7 +10,7 @@
 use async_std::net::{TcpListener, TcpStream};
 use async_std::stream::StreamExt;
 use async_std::task;
-use boragepass_path::{Answer, Event, HttpLimits, Record};
+use boragepass_path::{Answer, Arrival, Event, HttpLimits, Record};
 use boragepass_platform::{DecodeError, decode_arrival};
 use boragepass_types::SpanMs;
 use bytes::Bytes;
@@ -55,14 +55,23 @@
     driver.with_path(|path, _| path.configuration().map_or(LIMITS_DEFAULT, |configuration| configuration.limits))
 }
 
-/// Accepts clients' connections until the process ends.
-pub(crate) async fn serve(driver: Rc<Driver>, listener: TcpListener) {
+/// Who connects to a listener.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum RequestSource {
+    /// Clients.
+    Client,
+    /// Other VMs, which relay requests of their clients.
+    OtherVm,
+}
+
+/// Accepts connections until the process ends.
+pub(crate) async fn serve(driver: Rc<Driver>, listener: TcpListener, source: RequestSource) {
     let mut incoming = listener.incoming();
     while let Some(stream) = incoming.next().await {
         match stream {
             Ok(stream) => {
                 let driver = driver.clone();
-                task::spawn_local(async move { serve_connection(driver, stream).await });
+                task::spawn_local(async move { serve_connection(driver, stream, source).await });
             }
             Err(error) => {
                 driver.record(&Record::new("connection not accepted").text("error", error));
@@ -85,7 +94,7 @@
     }
 }
 
-async fn serve_connection(driver: Rc<Driver>, stream: TcpStream) {
+async fn serve_connection(driver: Rc<Driver>, stream: TcpStream, source: RequestSource) {
     let peer = stream.peer_addr().ok();
     let Ok(io) = HttpIo::new(stream) else {
         return;
@@ -96,7 +105,7 @@
         let (driver, activity) = (driver.clone(), activity.clone());
         async move {
             activity.requests_in_progress.set(activity.requests_in_progress.get() + 1);
-            let response = handle_request(&driver, request, peer).await;
+            let response = handle_request(&driver, request, peer, source).await;
             activity.requests_in_progress.set(activity.requests_in_progress.get().saturating_sub(1));
             activity.last_ended_at.set(Instant::now());
             response
@@ -133,6 +142,7 @@
     driver: &Rc<Driver>,
     request: Request<Incoming>,
     peer: Option<SocketAddr>,
+    source: RequestSource,
 ) -> Result<Response<AnswerBody>, ConnectionClosed> {
     let (request_head, request_body) = request.into_parts();
     let request_body = match read_body(driver, request_body).await {
@@ -141,7 +151,7 @@
     };
     let request_number = driver.next_request_number();
     let arrival = match decode_arrival(request_number, &request_head, &request_body) {
-        Ok(arrival) => arrival,
+        Ok(arrival) => Arrival { is_relayed: source == RequestSource::OtherVm, ..arrival },
         Err(error) => return Ok(malformed_request_response(driver, &error, peer)),
     };
     let (response_sender, response_receiver) = oneshot::channel();
@@ -157,12 +167,12 @@
     driver.exchanges.borrow_mut().insert(request_number, exchange);
     let mut guard = DeliveryGuard::new(driver.clone(), request_number);
     driver.dispatch(Event::RequestArrived(Box::new(arrival)));
-    let Ok(source) = response_receiver.await else {
+    let Ok(response) = response_receiver.await else {
         return Err(ConnectionClosed);
     };
     guard.disarm();
     let guard = DeliveryGuard::new(driver.clone(), request_number);
-    Ok(match source {
+    Ok(match response {
         ResponseSource::Local(answer) => local_response(answer, guard),
         ResponseSource::Endpoint(Reply::Whole { head, body }) => {
             to_response(head, AnswerBody::whole(body, Some(guard)))
--- a/crates/boragepass_entry/src/driver.rs
+++ b/crates/boragepass_entry/src/driver.rs
@@ -202,7 +202,7 @@
 
     fn apply_effect(self: &Rc<Self>, effect: Effect) {
         match effect {
-            Effect::Send { .. } => sends::start_send(self, effect),
+            Effect::Send { .. } | Effect::Relay { .. } => sends::start_send(self, &effect),
             Effect::CancelSend(send) => self.cancel_send(send),
             Effect::RelayReply(request, send) => self.relay_reply(request, send),
             Effect::Respond(request, answer) => self.respond_locally(request, answer),
--- a/crates/boragepass_entry/src/peer_wire.rs
+++ b/crates/boragepass_entry/src/peer_wire.rs
@@ -117,6 +117,7 @@
     failure_domain: String,
     client_address: SocketAddr,
     peer_address: SocketAddr,
+    relay_address: SocketAddr,
     millicores: u32,
     state: WireVmState,
 }
@@ -183,6 +184,7 @@
             failure_domain: record.failure_domain.to_string(),
             client_address: record.client_address,
             peer_address: record.peer_address,
+            relay_address: record.relay_address,
             millicores: record.processor.0,
             state: match record.state {
                 VmState::Starting => WireVmState::Starting,
@@ -204,6 +206,7 @@
             failure_domain: parse_field(&wire.failure_domain)?,
             client_address: wire.client_address,
             peer_address: wire.peer_address,
+            relay_address: wire.relay_address,
             processor: Millicores(wire.millicores),
             state: match wire.state {
                 WireVmState::Starting => VmState::Starting,
--- a/crates/boragepass_entry/src/process.rs
+++ b/crates/boragepass_entry/src/process.rs
@@ -15,6 +15,7 @@
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 
+use crate::client_server::RequestSource;
 use crate::driver::Driver;
 use crate::json_log::JsonLog;
 use crate::metrics::Metrics;
@@ -77,6 +78,7 @@
         failure_domain: local_record.failure_domain.clone(),
         client_address: local_record.client_address,
         peer_address: local_record.peer_address,
+        relay_address: local_record.relay_address,
         processor: local_record.processor,
         regions: settings.domain_regions.clone(),
         retries: RetryLimits {
@@ -101,6 +103,7 @@
     let (operator_listener, operator_address) = bind_listener(settings.operator_address).await?;
     let (metrics_listener, metrics_address) = bind_listener(settings.metrics_address).await?;
     let (peer_listener, peer_address) = bind_listener(settings.peer_address).await?;
+    let (relay_listener, relay_address) = bind_listener(settings.relay_address).await?;
     let datagrams =
         UdpSocket::bind(peer_address).await.map_err(|source| StartError::Listen { address: peer_address, source })?;
     let datagrams = Rc::new(datagrams);
@@ -112,6 +115,7 @@
         failure_domain: settings.failure_domain.clone(),
         client_address,
         peer_address,
+        relay_address,
         processor: settings.processor,
         state: VmState::Starting,
     };
@@ -130,7 +134,8 @@
         .text("addresses", resolver_address)
         .text("operators", operator_address)
         .text("metrics", metrics_address)
-        .text("peers", peer_address);
+        .text("peers", peer_address)
+        .text("relays", relay_address);
     driver.record(&started);
     peers::start(&driver, sockets, settings.peer_key.clone(), tasks.clone());
     store_feed::start(&driver, settings.store_address, settings.store_recovery_ms, local_record, incarnation.0);
@@ -139,7 +144,8 @@
     task::spawn_local(page_server::serve(resolver_listener, pages::addresses(driver.clone())));
     task::spawn_local(page_server::serve(operator_listener, pages::status(driver.clone())));
     task::spawn_local(page_server::serve(metrics_listener, pages::metrics(driver.clone())));
-    task::spawn_local(client_server::serve(driver.clone(), client_listener));
+    task::spawn_local(client_server::serve(driver.clone(), client_listener, RequestSource::Client));
+    task::spawn_local(client_server::serve(driver.clone(), relay_listener, RequestSource::OtherVm));
     task::spawn_local(driver.clone().run_timers());
     task::spawn_local(sweep_idle_connections(driver.clone()));
     task::spawn_local(flush_log(driver.clone()));
--- a/crates/boragepass_entry/src/sends.rs
+++ b/crates/boragepass_entry/src/sends.rs
@@ -1,7 +1,8 @@
-//! Sends of clients' requests to endpoints, and the relay of streamed replies.
+//! Sends of clients' requests to endpoints or to other VMs, and the relay of streamed replies.
 //!
 //! Which endpoint gets a request, and whether its reply is relayed, is decided by the request path.
 
+use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -11,8 +12,9 @@
 use boragepass_path::{Effect, Event, EventId, Progress, SendFailure, SendNumber, SendTarget};
 use boragepass_platform::{
     AddedHeaders, ForwardedReplyHead, decode_reply_head, forwarded_reply_head, forwarded_request_headers,
+    relayed_request_headers,
 };
-use boragepass_types::SpanMs;
+use boragepass_types::{EndpointId, SpanMs};
 use bytes::{Bytes, BytesMut};
 use futures::future::{Either, abortable, select};
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
@@ -22,7 +24,7 @@
 
 use crate::answer_body::BodyChunk;
 use crate::connections::{Connection, ExchangeError};
-use crate::driver::{Driver, RunningSend};
+use crate::driver::{ClientExchange, Driver, RunningSend};
 use crate::reply_body::BodyError;
 
 /// Largest event of a stream, which is buffered until it is complete.
@@ -47,26 +49,43 @@
     Stream { head: ForwardedReplyHead, stream: Option<Box<OpenStream>>, chunks: Option<Receiver<BodyChunk>> },
 }
 
-/// Starts the task of a send.
-pub(crate) fn start_send(driver: &Rc<Driver>, effect: Effect) {
-    let Effect::Send { send, .. } = &effect else {
+/// Request on its way to an endpoint, or to the VM that it is relayed to.
+struct Outgoing {
+    send: SendNumber,
+    address: SocketAddr,
+    /// Endpoint that it goes to; `None` if it is relayed.
+    endpoint: Option<EndpointId>,
+    request: Request<Full<Bytes>>,
+    client_id: Rc<str>,
+    may_reuse_connection: bool,
+    is_stream: bool,
+    silence_ms: Option<SpanMs>,
+    resume_after: Option<EventId>,
+}
+
+/// Starts the task of a send or relay.
+pub(crate) fn start_send(driver: &Rc<Driver>, effect: &Effect) {
+    let (Effect::Send { send, request, .. } | Effect::Relay { send, request, .. }) = effect else {
         return;
     };
     let send = *send;
-    let (job, task_abort) = abortable(run_send(driver.clone(), effect));
+    let outgoing = driver.exchanges.borrow().get(request).and_then(|exchange| outgoing_request(exchange, effect));
+    let (job, task_abort) = abortable(run_send(driver.clone(), send, outgoing));
     driver.sends.borrow_mut().insert(send, RunningSend { task_abort, connection_abort: None, pending_reply: None });
     task::spawn_local(async move {
         let _aborted = job.await;
     });
 }
 
-async fn run_send(driver: Rc<Driver>, effect: Effect) {
-    let Effect::Send { send, silence_ms, .. } = &effect else {
-        return;
-    };
-    let send = *send;
-    let exchange = pin!(exchange_with_endpoint(&driver, &effect));
-    let outcome = match select(exchange, pin!(silence_timeout(*silence_ms))).await {
+async fn run_send(driver: Rc<Driver>, send: SendNumber, outgoing: Option<Outgoing>) {
+    let silence_ms = outgoing.as_ref().and_then(|outgoing| outgoing.silence_ms);
+    let exchange = pin!(async {
+        match outgoing {
+            Some(outgoing) => exchange_with_target(&driver, outgoing).await,
+            None => Err(SendFailure::NotSent),
+        }
+    });
+    let outcome = match select(exchange, pin!(silence_timeout(silence_ms))).await {
         Either::Left((outcome, _)) => outcome,
         Either::Right(((), exchange)) => {
             // If the request path then sends the request to another endpoint, it aborts this task.
@@ -114,42 +133,78 @@
     }
 }
 
-fn build_request(driver: &Driver, effect: &Effect) -> Option<(Request<Full<Bytes>>, Rc<str>)> {
-    let Effect::Send { request, target, deadline_ms, inputs, workspace, priority, resume_after, .. } = effect else {
-        return None;
-    };
-    let exchanges = driver.exchanges.borrow();
-    let exchange = exchanges.get(request)?;
-    let added_headers = AddedHeaders {
-        endpoint: &target.endpoint,
-        remaining_ms: *deadline_ms,
-        workspace: workspace.as_ref(),
-        priority: *priority,
-        input_handles: inputs.as_deref(),
-        resume_after: *resume_after,
-    };
-    let path = exchange.request_head.uri.path_and_query().map_or("/", |path| path.as_str());
-    let mut forwarded = Request::new(Full::new(exchange.request_body.clone()));
-    *forwarded.method_mut() = exchange.request_head.method.clone();
-    *forwarded.uri_mut() = path.parse::<Uri>().ok()?;
-    *forwarded.headers_mut() = forwarded_request_headers(&exchange.request_head.headers, &added_headers);
-    Some((forwarded, exchange.client_id.clone()))
+/// Builds the request of a send or relay from that of the client.
+fn outgoing_request(exchange: &ClientExchange, effect: &Effect) -> Option<Outgoing> {
+    let client_head = &exchange.request_head;
+    let path = client_head.uri.path_and_query().map_or("/", |path| path.as_str());
+    let mut request = Request::new(Full::new(exchange.request_body.clone()));
+    *request.method_mut() = client_head.method.clone();
+    *request.uri_mut() = path.parse::<Uri>().ok()?;
+    let client_id = exchange.client_id.clone();
+    match effect {
+        Effect::Send {
+            send,
+            target,
+            deadline_ms,
+            silence_ms,
+            may_reuse_connection,
+            is_stream,
+            inputs,
+            workspace,
+            priority,
+            resume_after,
+            ..
+        } => {
+            let added_headers = AddedHeaders {
+                endpoint: &target.endpoint,
+                remaining_ms: *deadline_ms,
+                workspace: workspace.as_ref(),
+                priority: *priority,
+                input_handles: inputs.as_deref(),
+                resume_after: *resume_after,
+            };
+            *request.headers_mut() = forwarded_request_headers(&client_head.headers, &added_headers);
+            Some(Outgoing {
+                send: *send,
+                address: target.address,
+                endpoint: Some(target.endpoint.clone()),
+                request,
+                client_id,
+                may_reuse_connection: *may_reuse_connection,
+                is_stream: *is_stream,
+                silence_ms: *silence_ms,
+                resume_after: *resume_after,
+            })
+        }
+        Effect::Relay { send, target, deadline_ms, is_stream, resume_after, .. } => {
+            *request.headers_mut() = relayed_request_headers(&client_head.headers, *deadline_ms);
+            Some(Outgoing {
+                send: *send,
+                address: target.address,
+                endpoint: None,
+                request,
+                client_id,
+                may_reuse_connection: true,
+                is_stream: *is_stream,
+                silence_ms: None,
+                resume_after: *resume_after,
+            })
+        }
+        _ => None,
+    }
 }
 
-async fn exchange_with_endpoint(driver: &Rc<Driver>, effect: &Effect) -> Result<Event, SendFailure> {
-    let Effect::Send { send, target, silence_ms, may_reuse_connection, is_stream, resume_after, .. } = effect else {
-        return Err(SendFailure::NotSent);
-    };
-    let mut may_reuse = *may_reuse_connection;
-    let (connection, response, client_id) = loop {
-        let (request, client_id) = build_request(driver, effect).ok_or(SendFailure::NotSent)?;
-        let opened = driver.connections.open(target.address, may_reuse).await;
+async fn exchange_with_target(driver: &Rc<Driver>, outgoing: Outgoing) -> Result<Event, SendFailure> {
+    let Outgoing { send, is_stream, silence_ms, resume_after, .. } = outgoing;
+    let mut may_reuse = outgoing.may_reuse_connection;
+    let (connection, response) = loop {
+        let opened = driver.connections.open(outgoing.address, may_reuse).await;
         let mut connection = opened.map_err(|_| SendFailure::NotSent)?;
-        if let Some(running) = driver.sends.borrow_mut().get_mut(send) {
+        if let Some(running) = driver.sends.borrow_mut().get_mut(&send) {
             running.connection_abort = Some(connection.abort_handle());
         }
-        match driver.connections.exchange(&mut connection, request).await {
-            Ok(response) => break (connection, response, client_id),
+        match driver.connections.exchange(&mut connection, outgoing.request.clone()).await {
+            Ok(response) => break (connection, response),
             // The endpoint closed the reused connection before anything was written; a new connection shows
             // whether it can be reached.
             Err(ExchangeError::NotSent(_)) if may_reuse => may_reuse = false,
@@ -159,26 +214,26 @@
         }
     };
     let client_head = forwarded_reply_head(&response);
-    let reply_head = decode_reply_head(response.status(), response.headers(), &client_id);
-    if *is_stream && reply_head.is_success() {
+    let reply_head = decode_reply_head(response.status(), response.headers(), &outgoing.client_id);
+    if is_stream && reply_head.is_success() {
         let is_framed = [CONTENT_LENGTH, TRANSFER_ENCODING].iter().any(|name| response.headers().contains_key(name));
         // The end of the connection alone does not show that nothing was to come.
         let may_be_empty = is_framed || resume_after.is_some();
         let stream = OpenStream {
             body: response.into_body(),
             connection,
-            silence_timeout: *silence_ms,
-            resume_after: *resume_after,
+            silence_timeout: silence_ms,
+            resume_after,
             may_be_empty,
         };
-        store_reply(driver, *send, Reply::Stream { head: client_head, stream: Some(Box::new(stream)), chunks: None });
-        return Ok(Event::ReplyHeadArrived(*send, reply_head));
+        store_reply(driver, send, Reply::Stream { head: client_head, stream: Some(Box::new(stream)), chunks: None });
+        return Ok(Event::ReplyHeadArrived(send, reply_head));
     }
     let body = match driver.connections.body_reader.read(response.into_body()).await {
         Ok(body) => body,
         Err(error) => {
-            if let Some(signals) = reply_head.signals {
-                driver.dispatch(Event::EndpointStated(target.endpoint.clone(), signals));
+            if let (Some(endpoint), Some(signals)) = (outgoing.endpoint, reply_head.signals) {
+                driver.dispatch(Event::EndpointStated(endpoint, signals));
             }
             return Err(match error {
                 BodyError::ConnectionLost => SendFailure::ConnectionLost,
@@ -191,13 +246,13 @@
         connection.abort_handle().abort();
     } else {
         let connections = driver.connections.clone();
-        if let Some(running) = driver.sends.borrow_mut().get_mut(send) {
+        if let Some(running) = driver.sends.borrow_mut().get_mut(&send) {
             running.connection_abort = None;
         }
         task::spawn_local(async move { connections.release(connection).await });
     }
-    store_reply(driver, *send, Reply::Whole { head: client_head, body });
-    Ok(Event::ReplyHeadArrived(*send, reply_head))
+    store_reply(driver, send, Reply::Whole { head: client_head, body });
+    Ok(Event::ReplyHeadArrived(send, reply_head))
 }
 
 fn store_reply(driver: &Driver, send: SendNumber, reply: Reply) {
--- a/crates/boragepass_entry/src/store_feed.rs
+++ b/crates/boragepass_entry/src/store_feed.rs
@@ -278,6 +278,7 @@
     failure_domain: String,
     client_address: SocketAddr,
     peer_address: SocketAddr,
+    relay_address: SocketAddr,
     #[serde(default)]
     millicores: u32,
 }
@@ -290,6 +291,7 @@
             failure_domain: record.failure_domain.to_string(),
             client_address: record.client_address,
             peer_address: record.peer_address,
+            relay_address: record.relay_address,
             millicores: record.processor.0,
         }
     }
@@ -304,6 +306,7 @@
         failure_domain: vm_row.failure_domain.parse().ok()?,
         client_address: vm_row.client_address,
         peer_address: vm_row.peer_address,
+        relay_address: vm_row.relay_address,
         processor: Millicores(vm_row.millicores),
         state: VmState::Starting,
     })
--- a/crates/boragepass_entry/tests/over_sockets.rs
+++ b/crates/boragepass_entry/tests/over_sockets.rs
@@ -479,6 +479,59 @@
 /// Memory that the platform gives a VM.
 const VM_MEMORY_KB: u64 = 260 * 1_024;
 
+/// The two VMs have stores of their own, and the first one's names addresses where nothing listens.
+#[test]
+fn a_vm_without_links_to_endpoints_relays_requests_to_another_one() {
+    let (api, api_requests) = serve(|got| {
+        let is_lookup = got.path.starts_with("/status/");
+        Some(if is_lookup { Reply::signed(got, "sound") } else { Reply { status: 409, ..Reply::signed(got, "taken") } })
+    });
+    let (engine, _) = serve(|got| Some(Reply::signed(got, STREAM)));
+    let (stage_address, _) = stage_endpoint();
+    let names_and_pools = [("i-api", "api"), ("i-engine", "models"), ("i-rates", "rates")];
+    let live = [api, engine, stage_address];
+    let endpoints_at = |addresses: [SocketAddr; 3]| -> Vec<Endpoint> {
+        names_and_pools.iter().zip(addresses).map(|((id, pool), address)| endpoint(id, pool, address)).collect()
+    };
+    let dead = [(); 3].map(|()| SocketAddr::from(([127, 0, 0, 1], free_port())));
+    let peer_port = free_port();
+    let lines = |vm: &str, ip: &str| {
+        [
+            ("peers = 127.0.0.1:0", format!("peers = {ip}:{peer_port}")),
+            ("vm = entry-1", format!("vm = {vm}")),
+            ("seeds =", "seeds = 127.0.0.1:1".to_owned()),
+        ]
+    };
+    let sound_vm = EntryVm::start_with(store(CONFIGURATION, &endpoints_at(live)), &lines("entry-1", "127.0.0.1"));
+    let cut_vm = EntryVm::start_with(store(CONFIGURATION, &endpoints_at(dead)), &lines("entry-2", "127.0.0.2"));
+    sound_vm.wait_ready();
+    cut_vm.wait_ready();
+    wait_until("the VMs hear each other", || status_of(&cut_vm).contains("entry-1"));
+    wait_until("the VM finds that it reaches no endpoint", || {
+        post(&cut_vm, "/status/1", "early");
+        post(&cut_vm, "/reviews/7", "early");
+        !cut_vm.lines_of("no endpoint reached").is_empty()
+    });
+    let lookup = post(&cut_vm, "/status/1", "lookup");
+    assert_eq!((lookup.status, lookup.body), (200, Ok("sound".to_owned())));
+    assert!(lookup.headers.contains_key(names::SIGNATURE));
+    assert_eq!(post(&cut_vm, "/reviews/7", "review").body, Ok(STREAM.to_owned()));
+    let deposit = post(&cut_vm, "/deposits/1", "deposit");
+    assert_eq!((deposit.status, deposit.body), (409, Ok("taken".to_owned())));
+    let keyless = Request::post("/status/1").header("host", "gigs.example").header(names::ATTEMPT_ID, "keyless");
+    let keyless = keyless.body(Full::new(Bytes::from("body"))).expect("a valid request");
+    assert_eq!(send_request(cut_vm.address("clients"), keyless).status, 401);
+    let forwarded = api_requests.lock().expect("the lock is not poisoned");
+    assert!(forwarded.iter().all(|got| got.header(&names::WORKSPACE).is_some()));
+    let addresses = |vm: &EntryVm| {
+        let path = format!("{}?region=lagos&zone=lagos-a", names::ADDRESSES_PATH);
+        get(vm.address("addresses"), &path).body.unwrap_or_default()
+    };
+    for vm in [&sound_vm, &cut_vm] {
+        assert!(!addresses(vm).contains(&cut_vm.address("clients").to_string()), "{}", addresses(vm));
+    }
+}
+
 fn leaving_reply(reply: Reply) -> Reply {
     let mut reply = reply;
     reply.headers.push((names::LEAVING, "1".to_owned()));
--- a/crates/boragepass_fakes/src/path_fleet/fleet/clients.rs
+++ b/crates/boragepass_fakes/src/path_fleet/fleet/clients.rs
@@ -84,6 +84,7 @@
         self.ledger.requests.insert(client_id.clone(), record);
         let incarnation = self.vms[vm].incarnation;
         self.client_ids.insert((vm, incarnation, number), client_id.clone());
+        self.relays.on_submitted(&arrival);
         if self.vms[vm].request_path.is_none() || self.vms[vm].paused_until > self.now {
             self.excuse_request(&client_id);
         }
@@ -126,6 +127,7 @@
         Arrival {
             request,
             client_id: client_id.clone(),
+            is_relayed: false,
             host: spec.route.host.clone(),
             path: format!("/{}/x", spec.name).into(),
             key: Some(boragepass_path::ApiKey(Arc::from(CLIENT_KEY))),
@@ -163,7 +165,11 @@
 
     /// Ends a request at its VM and records the ending that the client observed.
     pub(super) fn end_request(&mut self, vm: usize, incarnation: u64, request: RequestNumber, ending: Ending) {
+        if self.end_relayed_request((vm, incarnation, request), ending) {
+            return;
+        }
         if let Some(client_id) = self.client_ids.remove(&(vm, incarnation, request)) {
+            self.relays.on_ended(&client_id);
             let is_abandoned = self.ledger.requests.get(&client_id).is_some_and(|record| record.is_abandoned);
             if !is_abandoned {
                 self.ledger.on_end(self.now, &client_id, ending);
--- a/crates/boragepass_fakes/src/path_fleet/fleet/mod.rs
+++ b/crates/boragepass_fakes/src/path_fleet/fleet/mod.rs
@@ -6,6 +6,7 @@
 mod clients;
 mod harmful_part;
 mod partition;
+mod relays;
 mod resumption;
 mod sends;
 mod stage_calls;
@@ -96,6 +97,7 @@
     domain: FailureDomain,
     client_address: SocketAddr,
     peer_address: SocketAddr,
+    relay_address: SocketAddr,
     /// Reducer of the running process; `None` while the VM is down.
     request_path: Option<RequestPath>,
     incarnation: u64,
@@ -216,6 +218,7 @@
     /// Whether the submission of requests has been scheduled.
     is_submitting: bool,
     harmful_requests: Option<harmful_part::HarmfulRequests>,
+    relays: relays::Relays,
     /// Share of datagrams between VMs that are lost.
     pub datagram_loss: f64,
     /// Whether clients take up streams that broke after an event.
@@ -250,6 +253,7 @@
                 domain,
                 client_address: SocketAddr::from(([10, domain_index as u8 + 1, 0, index as u8 + 1], 8_000)),
                 peer_address: SocketAddr::from(([10, domain_index as u8 + 1, 0, index as u8 + 1], 7_000)),
+                relay_address: SocketAddr::from(([10, domain_index as u8 + 1, 0, index as u8 + 1], 7_001)),
                 request_path: None,
                 incarnation: 0,
                 started_at: START_TIME,
@@ -284,6 +288,7 @@
             load_factor: 1.0,
             is_submitting: false,
             harmful_requests: None,
+            relays: relays::Relays::default(),
             datagram_loss: 0.0,
             clients_resume_streams: false,
             stale_client_share: 0.0,
@@ -367,6 +372,7 @@
             failure_domain: vm.domain.clone(),
             client_address: vm.client_address,
             peer_address: vm.peer_address,
+            relay_address: vm.relay_address,
             processor: VM_PROCESSOR,
             regions,
             retries: RetryLimits { ratio: 0.2, slack: 56.0, window_ms: SpanMs(10_000) },
@@ -386,6 +392,7 @@
             failure_domain: vm.domain.clone(),
             client_address: vm.client_address,
             peer_address: vm.peer_address,
+            relay_address: vm.relay_address,
             processor: VM_PROCESSOR,
             state: VmState::Starting,
         };
@@ -403,6 +410,7 @@
             return;
         }
         let incarnation = self.vms[vm].incarnation;
+        self.break_relays(vm);
         let open_requests = self
             .client_ids
             .iter()
@@ -684,7 +692,13 @@
                     self.schedule(now + silence_ms, Action::CheckSilence(key));
                 }
             }
-            Effect::CancelSend(send) => self.cancel_send((vm, incarnation, send)),
+            Effect::Relay { send, request, target, .. } => {
+                self.start_relay((vm, incarnation, send), request, target.address);
+            }
+            Effect::CancelSend(send) => {
+                self.cancel_send((vm, incarnation, send));
+                self.cancel_relay((vm, incarnation, send));
+            }
             Effect::RelayReply(request, send) => self.relay_reply((vm, incarnation, send), request),
             Effect::Respond(request, answer) => {
                 let ending = if matches!(answer.status, 429 | 503) { Ending::Refused } else { Ending::Failed };
--- a/crates/boragepass_fakes/src/path_fleet/fleet/resumption.rs
+++ b/crates/boragepass_fakes/src/path_fleet/fleet/resumption.rs
@@ -63,6 +63,7 @@
         let mut arrival = self.register_request(vm, kind, None, None);
         arrival.resume_after = Some(last_event_id);
         arrival.resumed_stream = Some(stream.clone());
+        self.relays.on_submitted(&arrival);
         self.ledger.on_resumption(stream, &arrival.client_id);
         self.deliver(vm, CLIENT_DELAY_MS, Event::RequestArrived(Box::new(arrival)));
     }
--- a/crates/boragepass_fakes/src/path_fleet/fleet/sends.rs
+++ b/crates/boragepass_fakes/src/path_fleet/fleet/sends.rs
@@ -279,6 +279,11 @@
     /// Relays a reply to the client: a stream from here on, a plain reply at once.
     pub(super) fn relay_reply(&mut self, key: SendKey, request: RequestNumber) {
         let (vm, incarnation, _) = key;
+        if let Some(ending) = self.relays.take_ending(&key) {
+            self.end_request(vm, incarnation, request, ending);
+            self.deliver(vm, 1, Event::AnswerDelivered(request));
+            return;
+        }
         let Some(client_id) = self.client_ids.get(&(vm, incarnation, request)).cloned() else {
             return;
         };
@@ -290,6 +295,7 @@
             if let Some(active_send) = self.active_sends.get_mut(&key) {
                 active_send.is_relayed = true;
             }
+            self.begin_relayed_stream((vm, incarnation, request));
             return;
         }
         let first_byte_ms = self.now.since(record.submitted_at).0 + CLIENT_DELAY_MS;
--- a/crates/boragepass_fakes/tests/path_faults.rs
+++ b/crates/boragepass_fakes/tests/path_faults.rs
@@ -1,13 +1,13 @@
 //! Property test: the guarantees of the request path hold under any sequence of faults.
 //!
 //! Several VMs serve a site in virtual time while endpoints crash, restart, stop responding, slow down, lose
-//! answers, drain and announce their leaving, VMs are killed, stopped, paused and cut off from the store, and the store
-//! loses entries and is restored from a copy. The oracle is
+//! answers, drain and announce their leaving, VMs are killed, stopped, paused and cut off from the store or from all
+//! endpoints, and the store loses entries and is restored from a copy. The oracle is
 //! the model's ledger of what clients and endpoints saw; it knows no decisions of the VMs.
 
 #![allow(clippy::unwrap_used, reason = "a test fails where it panics")]
 
-use boragepass_fakes::path_fleet::{Deployment, EndpointFault, PathFleet, Site};
+use boragepass_fakes::path_fleet::{Deployment, EndpointFault, EndpointLinks, PathFleet, Site};
 use boragepass_types::{EndpointId, RequestRate};
 use proptest::prelude::{BoxedStrategy, Just, Strategy, prop_oneof};
 use proptest::test_runner::{Config, RngSeed};
@@ -42,6 +42,8 @@
     RestartEndpoint { endpoint: usize, down_ms: u64 },
     LapseEntry { endpoint: usize, ms: u64 },
     KeepStoreCopy,
+    PartitionVms { first: usize, count: usize, links: EndpointLinks },
+    HealVms,
     RestoreStore,
     Advance { ms: u64 },
 }
@@ -66,6 +68,10 @@
     ]
 }
 
+fn endpoint_links() -> impl Strategy<Value = EndpointLinks> {
+    prop_oneof![Just(EndpointLinks::Hanging), Just(EndpointLinks::Resetting), Just(EndpointLinks::RefusingNew)]
+}
+
 impl ReferenceStateMachine for AnySteps {
     type State = ();
     type Transition = Step;
@@ -95,6 +101,9 @@
                 .prop_map(|(endpoint, down_ms)| Step::RestartEndpoint { endpoint, down_ms }),
             2 => (0..ENDPOINTS, 50_u64..4_000).prop_map(|(endpoint, ms)| Step::LapseEntry { endpoint, ms }),
             1 => Just(Step::KeepStoreCopy),
+            2 => (0..VMS, 1..VMS, endpoint_links())
+                .prop_map(|(first, count, links)| Step::PartitionVms { first, count, links }),
+            2 => Just(Step::HealVms),
             1 => Just(Step::RestoreStore),
             6 => (10_u64..2_500).prop_map(|ms| Step::Advance { ms }),
         ]
@@ -167,6 +176,11 @@
                 fleet.lapse_entry(&ids[endpoint % ids.len()], ms);
             }
             Step::KeepStoreCopy => fleet.keep_store_copy(),
+            Step::PartitionVms { first, count, links } => {
+                let vms: Vec<_> = (first..first + count).map(|vm| vm % VMS).collect();
+                fleet.set_endpoint_links(&vms, links);
+            }
+            Step::HealVms => fleet.set_endpoint_links(&(0..VMS).collect::<Vec<_>>(), EndpointLinks::Up),
             Step::RestoreStore => fleet.restore_store(),
             Step::Advance { ms } => fleet.run_for(ms),
         }
--- a/crates/boragepass_fakes/tests/path_peers.rs
+++ b/crates/boragepass_fakes/tests/path_peers.rs
@@ -26,6 +26,7 @@
         failure_domain: "a-1".parse().expect("a valid name"),
         client_address: address(8_000 + number),
         peer_address: address(7_000 + number),
+        relay_address: address(7_500 + number),
         processor: Millicores(millicores),
         state: VmState::Serving,
     }
@@ -62,6 +63,7 @@
     Event::RequestArrived(Box::new(Arrival {
         request: RequestNumber(number),
         client_id: client_id.clone(),
+        is_relayed: false,
         host: "site.example".into(),
         path: "/summary/x".into(),
         key: Some(ApiKey("client-key".into())),
@@ -91,6 +93,7 @@
         failure_domain: local_record.failure_domain,
         client_address: local_record.client_address,
         peer_address: local_record.peer_address,
+        relay_address: local_record.relay_address,
         processor: local_record.processor,
         regions: deployment.domains.clone(),
         retries: RetryLimits { ratio: 0.2, slack: 56.0, window_ms: SpanMs(10_000) },
--- a/crates/boragepass_path/src/effect.rs
+++ b/crates/boragepass_path/src/effect.rs
@@ -44,6 +44,15 @@
     pub address: SocketAddr,
 }
 
+/// VM to which a request is relayed, and where.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RelayTarget {
+    /// VM.
+    pub vm: VmId,
+    /// Address at which it takes relayed requests.
+    pub address: SocketAddr,
+}
+
 /// Final answer that this VM generates itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Answer {
@@ -84,6 +93,21 @@
         /// Event after which the stream resumes.
         resume_after: Option<EventId>,
     },
+    /// Relays a request to another VM, which serves it; its answer is reported as the reply of a send.
+    Relay {
+        /// Number of this send.
+        send: SendNumber,
+        /// Request whose headers and body are relayed.
+        request: RequestNumber,
+        /// VM that receives the request.
+        target: RelayTarget,
+        /// Time that the VM has for the answer, counted from now.
+        deadline_ms: SpanMs,
+        /// Whether the answer is streamed to the client as it arrives.
+        is_stream: bool,
+        /// Event after which the client takes up the stream.
+        resume_after: Option<EventId>,
+    },
     /// Closes the connection of a send.
     CancelSend(SendNumber),
     /// Relays the reply of a send to the client, as the answer or as the continuation of a stream.
--- a/crates/boragepass_path/src/event.rs
+++ b/crates/boragepass_path/src/event.rs
@@ -30,6 +30,8 @@
     pub request: RequestNumber,
     /// Id that the client gave to this attempt.
     pub client_id: Arc<str>,
+    /// Whether another VM relays it, which reaches no endpoint itself.
+    pub is_relayed: bool,
     /// Requested host.
     pub host: Arc<str>,
     /// Requested path, without the query.
--- a/crates/boragepass_path/src/fleet/members.rs
+++ b/crates/boragepass_path/src/fleet/members.rs
@@ -52,6 +52,8 @@
     pub client_address: SocketAddr,
     /// Address for other VMs.
     pub peer_address: SocketAddr,
+    /// Address for requests that other VMs relay.
+    pub relay_address: SocketAddr,
     /// Processor capacity.
     pub processor: Millicores,
     /// What it does with new requests.
@@ -113,6 +115,7 @@
             failure_domain: settings.failure_domain.clone(),
             client_address: settings.client_address,
             peer_address: settings.peer_address,
+            relay_address: settings.relay_address,
             processor: settings.processor,
             state: VmState::Starting,
         };
--- a/crates/boragepass_path/src/fleet/mod.rs
+++ b/crates/boragepass_path/src/fleet/mod.rs
@@ -6,6 +6,7 @@
 mod leader;
 mod limit_sharing;
 mod members;
+mod relays;
 mod stream_holders;
 
 pub(crate) use followers::is_store_follower;
@@ -13,4 +14,5 @@
 pub(crate) use limit_sharing::limit_sharing_vms;
 pub(crate) use members::{Fleet, MembershipChange, Reach};
 pub use members::{VmRecord, VmState};
+pub(crate) use relays::relay_vm;
 pub(crate) use stream_holders::stream_holders;
--- a/crates/boragepass_path/src/lib.rs
+++ b/crates/boragepass_path/src/lib.rs
@@ -35,7 +35,7 @@
     ApiKey, Configuration, ConfigurationVersion, HttpLimits, ModelPool, Repeatability, Route, RouteError, Service,
     ServiceKind, StagePool, StageSpec, Workspace,
 };
-pub use effect::{Answer, CallEntry, Effect, PieceInputs, SendTarget};
+pub use effect::{Answer, CallEntry, Effect, PieceInputs, RelayTarget, SendTarget};
 pub use event::{
     Arrival, CallFailure, CallOutcome, EndpointSignals, Event, EventId, PieceOutcome, Progress, PromptPart, ReplyHead,
     ReportedLoad, SendFailure,
--- a/crates/boragepass_path/src/placement/endpoint_reach.rs
+++ b/crates/boragepass_path/src/placement/endpoint_reach.rs
@@ -48,6 +48,10 @@
 }
 
 impl EndpointReach {
+    pub(crate) fn is_partitioned(&self) -> bool {
+        self.is_partitioned
+    }
+
     /// Whether failures of endpoints may be those of this VM's own links.
     pub(crate) fn is_in_doubt(&self) -> bool {
         self.is_partitioned || !self.pending.is_empty() || self.failed.len() >= FAILED_ENDPOINTS
--- a/crates/boragepass_path/src/placement/region_choice.rs
+++ b/crates/boragepass_path/src/placement/region_choice.rs
@@ -65,6 +65,11 @@
         self.reports.insert((load.pool, load.region), report);
     }
 
+    /// Drops reports of regions without a healthy endpoint, after it turned out that a leader had lost its links.
+    pub(crate) fn forget_unserved(&mut self) {
+        self.reports.retain(|_, report| report.endpoints > 0);
+    }
+
     /// Expected wait of a piece that is requested now; zero where no leader reported lately.
     pub(crate) fn wait_ms(&self, now: TimeMs, pool: &PoolId, region: &Region) -> f64 {
         match self.reports.get(&(pool.clone(), region.clone())) {
--- a/crates/boragepass_path/src/reducer/arrivals.rs
+++ b/crates/boragepass_path/src/reducer/arrivals.rs
@@ -72,7 +72,8 @@
             .number("left_ms", state.deadline_at.since(state.arrived_at).0)
             .number("tokens", arrival.prompt_tokens)
             .text("prompt_parts", prompt_part_ids(&arrival.prompt))
-            .text("content", arrival.digest);
+            .text("content", arrival.digest)
+            .text("is_relayed", arrival.is_relayed);
         if let Some(stream) = &arrival.resumed_stream {
             record = record.text("resumed_stream", stream);
         }
@@ -99,16 +100,18 @@
         let stages = StageProgress::new(&route.stages, &arrival.pieces);
         let time_left = arrival.deadline_ms.unwrap_or(route.timeout_ms).min(route.timeout_ms);
         let forecast = self.forecast(now, &configuration, &pool, &stages, arrival);
-        if forecast.misses_deadline(time_left) {
+        // The VM that a partitioned one relays to makes the forecast.
+        if !self.is_to_be_relayed(now, arrival) && forecast.misses_deadline(time_left) {
             let retry_after_ms = crate::admission::retry_after(forecast.excess_ms(time_left), &mut self.rng);
             return Err((RefusalReason::Overload, Some(retry_after_ms)));
         }
         if let Some(content) = trial {
             self.crash_tracker.on_trial(now, content);
         }
-        self.retry_budget.on_request(now, &pool);
-        for stage in &route.stages {
-            self.retry_budget.on_request(now, &stage.pool);
+        // The VM that a partitioned one relays to counts the request.
+        if !self.endpoint_reach.is_partitioned() {
+            self.retry_budget.on_request(now, &pool);
+            route.stages.iter().for_each(|stage| self.retry_budget.on_request(now, &stage.pool));
         }
         Ok(RequestState {
             arrival: Box::new(arrival.clone()),
@@ -124,6 +127,7 @@
             phase: Phase::InStages,
             tried_endpoints: Vec::new(),
             unreachable_count: 0,
+            relay_vms: Vec::new(),
             possible_runs: 0,
             stage_restarts: 0,
             is_trial: trial.is_some(),
@@ -179,6 +183,12 @@
         if !matches!(state.phase, Phase::InStages) {
             return;
         }
+        if self.relay_if_partitioned(now, request) {
+            return;
+        }
+        let Some(state) = self.requests.get(&request) else {
+            return;
+        };
         if state.stages.is_done() {
             self.send_request(now, request);
         } else {
--- a/crates/boragepass_path/src/reducer/crashes.rs
+++ b/crates/boragepass_path/src/reducer/crashes.rs
@@ -111,6 +111,7 @@
             let is_open = match &state.phase {
                 Phase::InStages => true,
                 Phase::Sent(active_send) => active_send.progress != SendProgress::Streaming,
+                Phase::Relayed(relayed) => !relayed.has_begun,
                 Phase::Answered => false,
             };
             is_open && !state.is_trial && self.crash_tracker.verdict(now, &state.arrival) != ContentVerdict::Allowed
--- a/crates/boragepass_path/src/reducer/endings.rs
+++ b/crates/boragepass_path/src/reducer/endings.rs
@@ -26,7 +26,7 @@
             return;
         }
         // The endpoint of a send in progress may run the request, whatever ends it here.
-        let runs = state.possible_runs + u32::from(matches!(state.phase, Phase::Sent(_)));
+        let runs = state.possible_runs + u32::from(matches!(state.phase, Phase::Sent(_) | Phase::Relayed(_)));
         // 503 promises that the request did not run.
         let reason = match reason.status() {
             503 if runs > 0 => RefusalReason::EndpointLost,
@@ -113,7 +113,7 @@
         let reason = match &state.phase {
             Phase::Answered => return,
             Phase::InStages => RefusalReason::TimeoutNotSent,
-            Phase::Sent(_) => {
+            Phase::Sent(_) | Phase::Relayed(_) => {
                 state.possible_runs += 1;
                 RefusalReason::TimeoutAtEndpoint
             }
--- a/crates/boragepass_path/src/reducer/mod.rs
+++ b/crates/boragepass_path/src/reducer/mod.rs
@@ -4,7 +4,7 @@
 //! arrival and admission (`arrivals`), stages of this VM's requests (`stage_flow`), pools that this VM leads
 //! (`leading`), sends to endpoints (`sends`), contents that crash them (`crashes`), software versions that begin
 //! streams (`stream_versions`), what endpoints state in replies (`signals`), the loss of all links to endpoints
-//! (`reach`), ends of requests (`endings`), and other VMs (`peers`).
+//! (`reach`), requests relayed to other VMs (`relays`), ends of requests (`endings`), and other VMs (`peers`).
 
 mod arrivals;
 mod crashes;
@@ -12,6 +12,7 @@
 mod leading;
 mod peers;
 mod reach;
+mod relays;
 mod sends;
 mod signals;
 mod stage_flow;
@@ -72,6 +73,8 @@
     requests: HashMap<RequestNumber, RequestState>,
     /// Requests by the number of their send in progress.
     sends: HashMap<SendNumber, RequestNumber>,
+    /// Requests by the number of their relay in progress.
+    relays: HashMap<SendNumber, RequestNumber>,
     /// Led pools by the numbers of their calls in progress.
     calls: HashMap<CallNumber, PoolKey>,
     /// This VM's own piece requests in progress, with the request that each belongs to.
@@ -111,6 +114,7 @@
             stream_versions: StreamVersions::default(),
             requests: HashMap::new(),
             sends: HashMap::new(),
+            relays: HashMap::new(),
             calls: HashMap::new(),
             piece_requests: HashMap::new(),
             average_first_byte_ms: HashMap::new(),
@@ -135,8 +139,17 @@
             Event::RequestArrived(arrival) => self.on_request_arrived(now, arrival),
             Event::ClientDisconnected(request) => self.on_client_disconnected(now, request),
             Event::AnswerDelivered(request) => self.on_answer_delivered(request),
+            Event::ReplyHeadArrived(send, head) if self.relays.contains_key(&send) => {
+                self.on_relayed_head(now, send, head);
+            }
             Event::ReplyHeadArrived(send, head) => self.on_reply_head(now, send, head),
+            Event::SendFailed(send, failure) if self.relays.contains_key(&send) => {
+                self.on_relay_failed(now, send, failure);
+            }
             Event::SendFailed(send, failure) => self.on_send_failed(now, send, failure),
+            Event::StreamProgressed(send, progress) if self.relays.contains_key(&send) => {
+                self.on_relayed_progress(now, send, progress);
+            }
             Event::StreamProgressed(send, progress) => self.on_stream_progress(now, send, progress),
             Event::EndpointSilent(send, last_event) => self.on_endpoint_silent(now, send, last_event),
             Event::EndpointStated(endpoint, signals) => self.on_endpoint_signals(now, &endpoint, signals),
--- a/crates/boragepass_path/src/reducer/peers.rs
+++ b/crates/boragepass_path/src/reducer/peers.rs
@@ -57,6 +57,7 @@
         if reached_endpoints != reach.endpoints {
             self.log(Record::new("VM reaches endpoints").text("vm", &vm).text("reaches", reach.endpoints));
             self.update_limit_shares(now);
+            self.pool_backlogs.forget_unserved();
             self.move_piece_requests_from(now, &vm);
         }
         self.endpoint_table.on_peer_loads(now, &vm, heartbeat.endpoint_loads);
@@ -66,7 +67,8 @@
         if self.crash_tracker.on_peer_reports(now, &heartbeat.content_crashes, &heartbeat.cleared_contents) {
             self.end_harmful_requests(now);
         }
-        for load in heartbeat.led_pools {
+        // A VM without links knows nothing of the endpoints of its pools.
+        for load in heartbeat.led_pools.into_iter().filter(|_| reach.endpoints) {
             self.pool_backlogs.on_report(now, load);
         }
         let configuration = self.configuration.as_ref().map(|configuration| configuration.version).unwrap_or_default();
@@ -145,7 +147,7 @@
             has_store: self.fleet.can_reach_store,
             reaches_endpoints: self.fleet.reaches_endpoints,
             endpoints_version: self.endpoint_table.version,
-            led_pools: self.led_pool_loads(now),
+            led_pools: if self.fleet.reaches_endpoints { self.led_pool_loads(now) } else { Vec::new() },
             endpoint_loads: self.endpoint_table.own_loads(),
             endpoint_limits: self.endpoint_table.own_limit_reports(now),
             content_crashes: self.crash_tracker.reports(now),
--- a/crates/boragepass_path/src/reducer/reach.rs
+++ b/crates/boragepass_path/src/reducer/reach.rs
@@ -1,5 +1,5 @@
 //! Probes of endpoints on the suspicion that this VM has lost its links to all of them, and what follows if it has: the
-//! other VMs learn of it, lead the stage pools and take the clients.
+//! other VMs learn of it, lead the stage pools, take the clients, and serve the requests that still come here.
 
 use std::collections::BTreeMap;
 
@@ -80,6 +80,7 @@
                 self.log(record.number("led_pools", self.led_pools.len()));
                 self.drop_doubted_crashes();
                 self.announce_reach(now, false);
+                self.relay_waiting_requests(now);
                 self.move_piece_requests_from(now, &self.settings.vm.clone());
             }
         }
@@ -87,6 +88,7 @@
 
     fn announce_reach(&mut self, now: TimeMs, reaches_endpoints: bool) {
         self.fleet.reaches_endpoints = reaches_endpoints;
+        self.pool_backlogs.forget_unserved();
         self.send_heartbeats(now);
     }
 
--- a/crates/boragepass_path/src/reducer/sends.rs
+++ b/crates/boragepass_path/src/reducer/sends.rs
@@ -48,6 +48,9 @@
             self.fail_request(now, request, RefusalReason::CrashesEndpoints);
             return;
         }
+        if self.relay_if_partitioned(now, request) {
+            return;
+        }
         let Some(state) = self.requests.get(&request).filter(|state| !matches!(state.phase, Phase::Answered)) else {
             return;
         };
@@ -254,14 +257,17 @@
         Some((request, active_send))
     }
 
-    /// Cancels the send of a request, if one is in progress.
+    /// Cancels the send or relay of a request, if one is in progress.
     pub(super) fn cancel_send(&mut self, request: RequestNumber) {
-        let send =
-            self.requests.get(&request).and_then(|state| state.active_send()).map(|active_send| active_send.send);
-        if let Some(send) = send {
+        let send = match self.requests.get(&request).map(|state| &state.phase) {
+            Some(Phase::Sent(active_send)) => active_send.send,
+            Some(Phase::Relayed(relayed)) => relayed.send,
+            Some(Phase::InStages | Phase::Answered) | None => return,
+        };
+        if self.relays.remove(&send).is_none() {
             self.end_send(send);
-            self.effects.push(Effect::CancelSend(send));
         }
+        self.effects.push(Effect::CancelSend(send));
     }
 
     pub(super) fn on_reply_head(&mut self, now: TimeMs, send: SendNumber, head: ReplyHead) {
--- a/crates/boragepass_path/src/request/mod.rs
+++ b/crates/boragepass_path/src/request/mod.rs
@@ -5,5 +5,5 @@
 mod stream_versions;
 
 pub use numbers::{CallNumber, RequestNumber, SendNumber};
-pub(crate) use state::{ActiveSend, Phase, RequestState, SendProgress};
+pub(crate) use state::{ActiveSend, Phase, RelayedSend, RequestState, SendProgress};
 pub(crate) use stream_versions::{BeginningVersion, StreamVersion, StreamVersions};
--- a/crates/boragepass_path/src/request/state.rs
+++ b/crates/boragepass_path/src/request/state.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use boragepass_types::{EndpointId, PoolId, SpanMs, TimeMs, WorkspaceId};
+use boragepass_types::{EndpointId, PoolId, SpanMs, TimeMs, VmId, WorkspaceId};
 
 use super::{BeginningVersion, SendNumber, StreamVersion};
 use crate::configuration::{Configuration, Route};
@@ -40,6 +40,15 @@
     pub(crate) software_version: BeginningVersion,
 }
 
+/// Relay of a request to another VM that is in progress.
+#[derive(Debug, Clone)]
+pub(crate) struct RelayedSend {
+    pub(crate) send: SendNumber,
+    pub(crate) vm: VmId,
+    /// Whether its answer has begun.
+    pub(crate) has_begun: bool,
+}
+
 /// Phase of a request.
 #[derive(Debug, Clone)]
 pub(crate) enum Phase {
@@ -47,6 +56,8 @@
     InStages,
     /// It was sent to an endpoint, and the send is in progress.
     Sent(ActiveSend),
+    /// It was relayed to another VM, which has not answered it in full.
+    Relayed(RelayedSend),
     /// Its final answer is being delivered to the client.
     Answered,
 }
@@ -69,6 +80,8 @@
     pub(crate) tried_endpoints: Vec<EndpointId>,
     /// How many of the tried endpoints could not be reached.
     pub(crate) unreachable_count: usize,
+    /// VMs to which it was relayed.
+    pub(crate) relay_vms: Vec<VmId>,
     /// Sends that an endpoint may have run.
     pub(crate) possible_runs: u32,
     /// How often a stage was restarted because a result was lost.
@@ -94,6 +107,12 @@
             && self.unreachable_count < UNREACHABLE_MAX
     }
 
+    /// Whether another VM may serve it in place of this one: it came from its client, waits here, and no endpoint can
+    /// have run it, since the other VM uses up all runs that its route allows.
+    pub(crate) fn may_be_relayed(&self) -> bool {
+        matches!(self.phase, Phase::InStages) && !self.arrival.is_relayed && self.possible_runs == 0
+    }
+
     /// Whether another endpoint may run it.
     pub(crate) fn may_run_again(&self) -> bool {
         self.possible_runs == 0
@@ -103,7 +122,7 @@
     pub(crate) fn active_send(&self) -> Option<&ActiveSend> {
         match &self.phase {
             Phase::Sent(active_send) => Some(active_send),
-            Phase::InStages | Phase::Answered => None,
+            Phase::InStages | Phase::Relayed(_) | Phase::Answered => None,
         }
     }
 }
--- a/crates/boragepass_path/src/settings.rs
+++ b/crates/boragepass_path/src/settings.rs
@@ -59,6 +59,8 @@
     pub client_address: SocketAddr,
     /// Address at which other VMs connect.
     pub peer_address: SocketAddr,
+    /// Address at which other VMs relay requests.
+    pub relay_address: SocketAddr,
     /// Processor capacity of this VM.
     pub processor: Millicores,
     /// Region of each failure domain.
--- a/crates/boragepass_settings/src/entry.rs
+++ b/crates/boragepass_settings/src/entry.rs
@@ -40,6 +40,8 @@
     pub metrics_address: SocketAddr,
     /// Address on which other VMs connect over TCP and send datagrams over UDP.
     pub peer_address: SocketAddr,
+    /// Address on which other VMs relay requests of clients when they reach no endpoint.
+    pub relay_address: SocketAddr,
     /// Address of the platform's store.
     pub store_address: SocketAddr,
     /// Time after a disruption of the store within which its newest state has to be known.
@@ -158,12 +160,12 @@
     let mut node = SectionReader::new(raw, "node", &["vm", "region", "failure_domain", "cores"], &mut findings);
     let (vm, region, failure_domain) = (node.required("vm"), node.required("region"), node.required("failure_domain"));
     let cores: Option<Cores> = node.optional("cores");
-    let listen_keys = ["clients", "readiness", "addresses", "operators", "metrics", "peers"];
+    let listen_keys = ["clients", "readiness", "addresses", "operators", "metrics", "peers", "relays"];
     let mut listen = SectionReader::new(raw, "listen", &listen_keys, &mut findings);
     let (client_address, readiness_address, resolver_address) =
         (listen.required("clients"), listen.required("readiness"), listen.required("addresses"));
-    let (operator_address, metrics_address, peer_address) =
-        (listen.required("operators"), listen.required("metrics"), listen.required("peers"));
+    let (operator_address, metrics_address) = (listen.required("operators"), listen.required("metrics"));
+    let (peer_address, relay_address) = (listen.required("peers"), listen.required("relays"));
     let mut store = SectionReader::new(raw, "store", &["address", "recovery_ms"], &mut findings);
     let store_address = store.required("address");
     let store_recovery: Option<RecoveryTime> = store.optional("recovery_ms");
@@ -186,6 +188,7 @@
             operator_address: operator_address?,
             metrics_address: metrics_address?,
             peer_address: peer_address?,
+            relay_address: relay_address?,
             store_address: store_address?,
             store_recovery_ms: store_recovery.map_or(DEFAULT_STORE_RECOVERY, |recovery| recovery.0),
             peer_key: peer_key?,
--- a/crates/boragepass_soak/src/site.rs
+++ b/crates/boragepass_soak/src/site.rs
@@ -43,6 +43,7 @@
     pub(crate) operators: SocketAddr,
     pub(crate) metrics: SocketAddr,
     pub(crate) peers: SocketAddr,
+    pub(crate) relays: SocketAddr,
 }
 
 /// Text of a VM's settings file.
@@ -54,11 +55,11 @@
 ) -> String {
     let domain = DOMAINS[vm_number % DOMAINS.len()];
     let seeds: Vec<String> = seeds.iter().map(ToString::to_string).collect();
-    let ListenAddresses { clients, readiness, addresses, operators, metrics, peers } = listen;
+    let ListenAddresses { clients, readiness, addresses, operators, metrics, peers, relays } = listen;
     format!(
         "[node]\nvm = entry-{vm_number}\nregion = lagos\nfailure_domain = {domain}\ncores = 0.25\n\n[listen]\nclients = \
          {clients}\nreadiness = {readiness}\naddresses = {addresses}\noperators = {operators}\nmetrics = \
-         {metrics}\npeers = {peers}\n\n[store]\naddress = {store}\n\n[peers]\nkey = between-entry-vms\nseeds = \
+         {metrics}\npeers = {peers}\nrelays = {relays}\n\n[store]\naddress = {store}\n\n[peers]\nkey = between-entry-vms\nseeds = \
          {}\n\n[failure_domains]\nlagos-a = lagos\nlagos-b = lagos\n\n[retries]\nratio = 0.2\nslack = 56\nwindow_s = \
          10\n\n[stop]\ngrace_s = {GRACE_S}\n",
         seeds.join(",")
--- a/crates/boragepass_soak/src/vm.rs
+++ b/crates/boragepass_soak/src/vm.rs
@@ -56,6 +56,7 @@
         operators: port(8_003),
         metrics: port(8_004),
         peers: port(8_005),
+        relays: port(8_006),
     }
 }
 
