Failing test: brittle endpoints fall over in a burst that fits into their slots

The model's endpoints state that they fall over when they reject more than a number of requests in a second, let none wait from 4 s later, and fall over.

--- a/crates/boragepass_fakes/src/path_fleet/endpoint.rs
+++ b/crates/boragepass_fakes/src/path_fleet/endpoint.rs
@@ -8,6 +8,7 @@
 use boragepass_path::{CallEntry, Endpoint, PieceInputs, PieceOutcome, PromptPart, StagePool};
 use boragepass_types::{Hash64, TimeMs};
 
+use super::brittle::Brittleness;
 use super::leaving::LeavingAnnouncement;
 use super::pause::PausingRejections;
 use super::rate_limit::StatedLimit;
@@ -45,6 +46,7 @@
     pub(super) drain_started_at: Option<TimeMs>,
     pub(super) stated_limit: Option<StatedLimit>,
     pub(super) leaving: Option<LeavingAnnouncement>,
+    pub(super) brittleness: Option<Brittleness>,
     pub(super) rejections: Option<PausingRejections>,
     /// Time at which the engine has prefilled all prompts so far; prompts are prefilled one after the other.
     prefill_free_at_ms: f64,
@@ -106,6 +108,7 @@
             drain_started_at: None,
             stated_limit: None,
             leaving: None,
+            brittleness: None,
             rejections: None,
             prefill_free_at_ms: 0.0,
             prompt_cache: HashMap::new(),
@@ -123,6 +126,19 @@
         now < self.down_until
     }
 
+    /// Requests that it takes at once.
+    pub(super) fn capacity(&self, now: TimeMs) -> usize {
+        let slots = self.endpoint.slots as usize;
+        let is_brittle = self.brittleness.as_ref().is_some_and(|brittleness| brittleness.is_in_force(now));
+        if is_brittle { slots } else { slots * 2 }
+    }
+
+    /// Whether a stage endpoint takes another call.
+    pub(super) fn accepts_call(&self, now: TimeMs) -> bool {
+        let is_brittle = self.brittleness.as_ref().is_some_and(|brittleness| brittleness.is_in_force(now));
+        self.stage.as_ref().is_some_and(|stage| if is_brittle { !stage.is_busy } else { stage.accepts_call() })
+    }
+
     /// Loses all state; the endpoint comes back empty.
     pub(super) fn crash(&mut self, until: TimeMs, is_unresponsive: bool) {
         self.down_until = until;
@@ -157,7 +173,7 @@
 }
 
 impl StageState {
-    pub(super) fn accepts_call(&self) -> bool {
+    fn accepts_call(&self) -> bool {
         !self.is_busy || self.queued_calls.len() < QUEUED_CALLS_MAX
     }
 
--- a/crates/boragepass_fakes/src/path_fleet/fleet/mod.rs
+++ b/crates/boragepass_fakes/src/path_fleet/fleet/mod.rs
@@ -28,6 +28,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
+use super::brittle::{Brittleness, FALL_MS};
 use super::deployment::{CLIENT_KEY, Deployment, RequestKind};
 use super::endpoint::{FakeEndpoint, QueuedCall, StageRun};
 use super::ledger::{Ending, Ledger, RequestRecord};
@@ -89,6 +90,10 @@
     LimitRate(RequestRate),
     /// No longer states a limit.
     LiftRateLimit,
+    /// States that it falls over if it has to reject more than this number of requests in a second, and soon lets none wait.
+    BecomeBrittle(u32),
+    /// No longer states that.
+    EndBrittleness,
 }
 
 /// Entry VM with the state of its process and its links.
@@ -478,6 +483,11 @@
                 endpoint.rejections = Some(PausingRejections::new(SpanMs(pause_ms), now + SpanMs(duration_ms)));
             }
             EndpointFault::LiftRateLimit => endpoint.stated_limit = None,
+            EndpointFault::BecomeBrittle(rejections_max) => {
+                endpoint.brittleness = Some(Brittleness::new(rejections_max, now));
+                self.ledger.on_brittleness(&endpoint.endpoint.pool);
+            }
+            EndpointFault::EndBrittleness => endpoint.brittleness = None,
             EndpointFault::Drain => {
                 endpoint.endpoint.is_draining = true;
                 self.write_entry(id);
@@ -528,6 +538,7 @@
             endpoint.error_answer_share = 0.0;
             endpoint.stated_limit = None;
             endpoint.rejections = None;
+            endpoint.brittleness = None;
             endpoint.down_until = endpoint.down_until.min(self.now);
         }
         for vm in 0..self.vms.len() {
@@ -816,6 +827,20 @@
         Some(EndpointSignals { rate_limit, is_leaving, ..EndpointSignals::default() })
     }
 
+    /// Counts a rejection for want of room; a brittle endpoint falls over at too many of them.
+    fn on_full_rejection(&mut self, id: &EndpointId) {
+        let now = self.now;
+        let Some(endpoint) = self.endpoints.get_mut(id) else {
+            return;
+        };
+        if endpoint.brittleness.as_mut().is_some_and(|brittleness| brittleness.on_rejection(now)) {
+            let pool = endpoint.endpoint.pool.clone();
+            self.ledger.on_fall(now, &pool);
+            self.inject_fault(id, EndpointFault::Crash { duration_ms: FALL_MS, is_unresponsive: false });
+            self.schedule(now + SpanMs(FALL_MS), Action::ReturnEngine(id.clone()));
+        }
+    }
+
     /// What an endpoint states in a rejection that reaches a VM after `delay_ms`, if it rejects all work now.
     fn rejection_signals(&mut self, vm: usize, id: &EndpointId, delay_ms: u64) -> Option<EndpointSignals> {
         let (now, incarnation) = (self.now, self.vms[vm].incarnation);
--- a/crates/boragepass_fakes/src/path_fleet/fleet/sends.rs
+++ b/crates/boragepass_fakes/src/path_fleet/fleet/sends.rs
@@ -120,8 +120,9 @@
         let Some(endpoint) = self.endpoints.get_mut(&id) else {
             return;
         };
-        if endpoint.running_requests >= endpoint.endpoint.slots as usize * 2 {
+        if endpoint.running_requests >= endpoint.capacity(now) {
             self.active_sends.remove(&key);
+            self.on_full_rejection(&id);
             self.deliver_reply_head(key, &id, 503, true);
             return;
         }
--- a/crates/boragepass_fakes/src/path_fleet/fleet/stage_calls.rs
+++ b/crates/boragepass_fakes/src/path_fleet/fleet/stage_calls.rs
@@ -35,13 +35,16 @@
             self.deliver(vm, failure_delay_ms, failure_event(CallFailure::NotReached));
             return;
         }
+        if !endpoint.accepts_call(now) {
+            self.on_full_rejection(id);
+            let signals = self.endpoint_signals(vm, id, reply_delay_ms);
+            let outcome = CallOutcome { results: Err(CallFailure::EndpointFull), signals };
+            self.deliver(vm, reply_delay_ms, Event::CallEnded(call, outcome));
+            return;
+        }
         let Some(stage) = endpoint.stage.as_mut() else {
             return;
         };
-        if !stage.accepts_call() {
-            self.deliver(vm, reply_delay_ms, failure_event(CallFailure::EndpointFull));
-            return;
-        }
         self.last_call_tag += 1;
         let tag = (Hash64::of(id.as_str().as_bytes()).0 >> 32 << 32) | (self.last_call_tag & 0xffff_ffff);
         self.calls_by_tag.insert(tag, (vm, incarnation, call));
--- a/crates/boragepass_fakes/src/path_fleet/ledger.rs
+++ b/crates/boragepass_fakes/src/path_fleet/ledger.rs
@@ -99,6 +99,10 @@
 /// Later arrivals of requests with the part at engines that are allowed.
 const LATE_HARMFUL_ARRIVALS_MAX: u32 = 3;
 
+/// Falls of a pool's brittle endpoints that are allowed, beside [`FALLS_SHARE`] for each of them.
+const FALLS_BASE: f64 = 2.0;
+const FALLS_SHARE: f64 = 0.1;
+
 /// What a harmful prompt part has done.
 #[derive(Debug, Default)]
 pub(super) struct HarmfulPartRecord {
@@ -114,6 +118,8 @@
     pub(super) requests: BTreeMap<Arc<str>, RequestRecord>,
     pub(super) harmful_parts: BTreeMap<Hash64, HarmfulPartRecord>,
     pub(super) partitions: Partitions,
+    /// Brittle endpoints and how often they fell over, by pool.
+    pub(super) falls: BTreeMap<PoolId, (u32, u32)>,
     violations: Vec<Violation>,
     /// Attempts that take up a stream again.
     pub resumed_streams: u32,
@@ -186,6 +192,20 @@
         }
     }
 
+    /// Records that one more endpoint of a pool is brittle.
+    pub(super) fn on_brittleness(&mut self, pool: &PoolId) {
+        self.falls.entry(pool.clone()).or_default().0 += 1;
+    }
+
+    /// Records that a brittle endpoint fell over, and checks how often its pool has done so.
+    pub(super) fn on_fall(&mut self, now: TimeMs, pool: &PoolId) {
+        let (endpoints, falls) = self.falls.entry(pool.clone()).or_default();
+        *falls += 1;
+        if f64::from(*falls) > FALLS_BASE + FALLS_SHARE * f64::from(*endpoints) {
+            self.record_violation(now, &pool.as_str().into(), "brittle endpoints of a pool fell over too often");
+        }
+    }
+
     /// Attempt that brought the first event of a request's stream.
     pub(super) fn stream_of(&self, client_id: &Arc<str>) -> Arc<str> {
         let stream = self.requests.get(client_id).and_then(|record| record.stream.clone());
--- a/crates/boragepass_fakes/src/path_fleet/mod.rs
+++ b/crates/boragepass_fakes/src/path_fleet/mod.rs
@@ -3,6 +3,7 @@
 //! Load tools measure policies on it. Tests inject faults and check the guarantees of the request path
 //! against a ledger of what clients and endpoints observed. All random choices come from one seed.
 
+mod brittle;
 mod deployment;
 mod endpoint;
 mod fleet;
--- a/crates/boragepass_fakes/tests/path_statements.rs
+++ b/crates/boragepass_fakes/tests/path_statements.rs
@@ -108,6 +108,22 @@
     }
 }
 
+/// Bursts of this load fit into the pools, but VMs that look at their own requests only meet at full endpoints.
+#[test]
+fn brittle_endpoints_do_not_fall_over_in_a_burst_that_fits_into_their_slots() {
+    for site in SITES {
+        for seed in [9, 10] {
+            let (mut fleet, _) = loaded_fleet(site, seed);
+            let all = fleet.endpoint_ids();
+            inject(&mut fleet, &all, EndpointFault::BecomeBrittle(4));
+            fleet.run_for(5_000);
+            fleet.set_load(2.2);
+            fleet.run_for(12_000);
+            assert_no_violation(&fleet, site);
+        }
+    }
+}
+
 #[test]
 fn an_endpoint_that_restarts_after_its_leaving_is_used_again() {
     for site in [Site::Lampu, Site::Gigdesk] {
