Give a silent peer three seconds before its connection is closed

The user timeout of 2 s also decides when keep-alive probes give up, whatever their count: after a second without traffic, an endpoint that is silent for a little over a second lost its connections, and with them requests that may run only once. Now 3 s and three probes. No test shows it, since the kernel acknowledges probes for a stopped process on loopback.

--- a/crates/boragepass_entry/src/http_io.rs
+++ b/crates/boragepass_entry/src/http_io.rs
@@ -12,11 +12,14 @@
 const READ_CHUNK_BYTES: usize = 8 * 1_024;
 /// Time after which unacknowledged bytes close a connection. A network partition or a
 /// peer that went silent shows no other sign.
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2_000);
+///
+/// It also ends a connection at the first unanswered keep-alive probe that finds the peer silent for so long, whatever
+/// number of probes is allowed. A sound peer may be silent for a second or so, after a second without traffic.
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(3_000);
 /// Idle time before the first TCP keep-alive probe, and between probes.
 const KEEPALIVE_PROBE_INTERVAL: Duration = Duration::from_secs(1);
 /// Number of unanswered probes that closes a connection.
-const KEEPALIVE_PROBES_MAX: u32 = 2;
+const KEEPALIVE_PROBES_MAX: u32 = 3;
 
 /// TCP socket of async-std with the traits of hyper.
 #[derive(Debug)]
