A VM that relays an answer learns what its endpoint states of itself

A relayed answer may announce that its endpoint is leaving. The VM that passed it on to the client did not look at that, since it did not know whose answer it was, and would send requests there once it reaches endpoints again. The serving VM now names the endpoint in a header of its own, which clients never get.

The test over sockets failed before (0 lines 'endpoint announces its leaving' at the relaying VM) and passes.

--- a/crates/boragepass_entry/src/client_server.rs
+++ b/crates/boragepass_entry/src/client_server.rs
@@ -27,7 +27,7 @@
 use crate::answer_body::{AnswerBody, DeliveryGuard};
 use crate::driver::{ClientExchange, Driver, ResponseSource};
 use crate::http_io::HttpIo;
-use crate::sends::Reply;
+use crate::sends::{RELAYED_ENDPOINT_HEADER, Reply};
 
 /// Limits until a configuration is known; the configurations of both sites state the same.
 const LIMITS_DEFAULT: HttpLimits = HttpLimits {
@@ -175,10 +175,10 @@
     Ok(match response {
         ResponseSource::Local(answer) => local_response(answer, guard),
         ResponseSource::Endpoint(Reply::Whole { head, body }) => {
-            to_response(head, AnswerBody::whole(body, Some(guard)))
+            to_response(head, AnswerBody::whole(body, Some(guard)), source)
         }
         ResponseSource::Endpoint(Reply::Stream { head, chunks: Some(chunks), .. }) => {
-            to_response(head, AnswerBody::stream(chunks, guard))
+            to_response(head, AnswerBody::stream(chunks, guard), source)
         }
         ResponseSource::Endpoint(Reply::Stream { .. }) => return Err(ConnectionClosed),
     })
@@ -194,7 +194,14 @@
     }
 }
 
-fn to_response(head: boragepass_platform::ForwardedReplyHead, body: AnswerBody) -> Response<AnswerBody> {
+fn to_response(
+    mut head: boragepass_platform::ForwardedReplyHead,
+    body: AnswerBody,
+    source: RequestSource,
+) -> Response<AnswerBody> {
+    if source == RequestSource::Client {
+        head.headers.remove(RELAYED_ENDPOINT_HEADER);
+    }
     let mut response = Response::new(body);
     *response.status_mut() = head.status;
     *response.headers_mut() = head.headers;
--- a/crates/boragepass_entry/src/sends.rs
+++ b/crates/boragepass_entry/src/sends.rs
@@ -11,14 +11,14 @@
 use async_std::task;
 use boragepass_path::{Effect, Event, EventId, Progress, SendFailure, SendNumber, SendTarget};
 use boragepass_platform::{
-    AddedHeaders, ForwardedReplyHead, decode_reply_head, forwarded_reply_head, forwarded_request_headers,
-    relayed_request_headers,
+    AddedHeaders, ForwardedReplyHead, decode_reply_head, decode_signals, forwarded_reply_head,
+    forwarded_request_headers, relayed_request_headers,
 };
 use boragepass_types::{EndpointId, SpanMs};
 use bytes::{Bytes, BytesMut};
 use futures::future::{Either, abortable, select};
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
-use http::{Request, Uri};
+use http::{HeaderName, HeaderValue, Request, Uri};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 
@@ -27,6 +27,8 @@
 use crate::driver::{ClientExchange, Driver, RunningSend};
 use crate::reply_body::BodyError;
 
+/// Header in which a VM names the endpoint of an answer to the VM that relayed the request. Clients do not get it.
+pub(crate) const RELAYED_ENDPOINT_HEADER: HeaderName = HeaderName::from_static("relayed-endpoint");
 /// Largest event of a stream, which is buffered until it is complete.
 const EVENT_BYTES_MAX: usize = 1_024 * 1_024;
 
@@ -213,8 +215,12 @@
             Err(ExchangeError::ConnectionLost(_)) => return Err(SendFailure::ConnectionLost),
         }
     };
-    let client_head = forwarded_reply_head(&response);
+    let mut client_head = forwarded_reply_head(&response);
     let reply_head = decode_reply_head(response.status(), response.headers(), &outgoing.client_id);
+    match &outgoing.endpoint {
+        Some(endpoint) => name_endpoint(&mut client_head, endpoint),
+        None => report_relayed_signals(driver, &mut client_head),
+    }
     if is_stream && reply_head.is_success() {
         let is_framed = [CONTENT_LENGTH, TRANSFER_ENCODING].iter().any(|name| response.headers().contains_key(name));
         // The end of the connection alone does not show that nothing was to come.
@@ -255,6 +261,23 @@
     Ok(Event::ReplyHeadArrived(send, reply_head))
 }
 
+/// Names the endpoint of a reply, for a VM that relayed the request.
+fn name_endpoint(head: &mut ForwardedReplyHead, endpoint: &EndpointId) {
+    // Ids that are no valid header value name no endpoint of a VM's list.
+    if let Ok(value) = HeaderValue::from_str(endpoint.as_str()) {
+        head.headers.insert(RELAYED_ENDPOINT_HEADER, value);
+    }
+}
+
+/// Reports what the endpoint of a relayed answer states of itself: what this VM passes on binds it as well.
+fn report_relayed_signals(driver: &Rc<Driver>, head: &mut ForwardedReplyHead) {
+    let endpoint = head.headers.remove(RELAYED_ENDPOINT_HEADER);
+    let endpoint = endpoint.and_then(|id| id.to_str().ok()?.parse().ok());
+    if let (Some(endpoint), Some(signals)) = (endpoint, decode_signals(head.status, &head.headers)) {
+        driver.dispatch(Event::EndpointStated(endpoint, signals));
+    }
+}
+
 fn store_reply(driver: &Driver, send: SendNumber, reply: Reply) {
     if let Some(running) = driver.sends.borrow_mut().get_mut(&send) {
         running.pending_reply = Some(reply);
--- a/crates/boragepass_entry/tests/over_sockets.rs
+++ b/crates/boragepass_entry/tests/over_sockets.rs
@@ -483,6 +483,9 @@
 #[test]
 fn a_vm_without_links_to_endpoints_relays_requests_to_another_one() {
     let (api, api_requests) = serve(|got| {
+        if got.path.ends_with("/leave") {
+            return Some(leaving_reply(Reply::signed(got, "gone soon")));
+        }
         let is_lookup = got.path.starts_with("/status/");
         Some(if is_lookup { Reply::signed(got, "sound") } else { Reply { status: 409, ..Reply::signed(got, "taken") } })
     });
@@ -521,12 +524,16 @@
     let keyless = Request::post("/status/1").header("host", "gigs.example").header(names::ATTEMPT_ID, "keyless");
     let keyless = keyless.body(Full::new(Bytes::from("body"))).expect("a valid request");
     assert_eq!(send_request(cut_vm.address("clients"), keyless).status, 401);
-    let forwarded = api_requests.lock().expect("the lock is not poisoned");
-    assert!(forwarded.iter().all(|got| got.header(&names::WORKSPACE).is_some()));
+    let is_workspace_stated = |got: &ReceivedRequest| got.header(&names::WORKSPACE).is_some();
+    assert!(api_requests.lock().expect("the lock is not poisoned").iter().all(is_workspace_stated));
     let addresses = |vm: &EntryVm| {
         let path = format!("{}?region=lagos&zone=lagos-a", names::ADDRESSES_PATH);
         get(vm.address("addresses"), &path).body.unwrap_or_default()
     };
+    let leave = post(&cut_vm, "/status/leave", "leave");
+    assert_eq!(leave.body, Ok("gone soon".to_owned()));
+    assert!(!format!("{:?}", leave.headers).contains("i-api"), "{:?}", leave.headers);
+    assert!(!cut_vm.lines_of("endpoint announces its leaving").is_empty(), "the VM relayed the announcement");
     for vm in [&sound_vm, &cut_vm] {
         assert!(!addresses(vm).contains(&cut_vm.address("clients").to_string()), "{}", addresses(vm));
     }
--- a/crates/boragepass_path/src/fleet/addresses.rs
+++ b/crates/boragepass_path/src/fleet/addresses.rs
@@ -7,7 +7,8 @@
 use super::Fleet;
 
 impl Fleet {
-    /// Client addresses of the serving VMs in a failure domain that reach endpoints; of its region if there are none, else of all.
+    /// Client addresses of the serving VMs in a failure domain that reach endpoints; of its region if there are none,
+    /// else of all.
     pub(crate) fn client_addresses(
         &self,
         now: TimeMs,
--- a/crates/boragepass_path/src/fleet/leader.rs
+++ b/crates/boragepass_path/src/fleet/leader.rs
@@ -1,8 +1,8 @@
 //! Chooses the leader of a stage pool within a region.
 //!
-//! Serving VMs that reach endpoints are candidates. Those of the endpoints' region come first, then those with the most processor capacity, since
-//! a leader composes the calls of a whole region; a rendezvous hash breaks ties. VMs that know different
-//! members may disagree for a moment; at worst the pool has two queues for that time.
+//! Serving VMs that reach endpoints are candidates. Those of the endpoints' region come first, then those with the
+//! most processor capacity, since a leader composes the calls of a whole region; a rendezvous hash breaks ties. VMs
+//! that know different members may disagree for a moment; at worst the pool has two queues for that time.
 
 use boragepass_types::{PoolId, Region, TimeMs, VmId, rendezvous_weight};
 
--- a/crates/boragepass_path/src/placement/endpoint_table.rs
+++ b/crates/boragepass_path/src/placement/endpoint_table.rs
@@ -4,8 +4,8 @@
 //! the store is unreachable are kept until it has been back for [`EXPIRY_GRACE`], since live endpoints
 //! renew theirs within that time.
 //!
-//! What this VM knows of an endpoint outlives its entry for [`DEPARTED_RETENTION`]: an endpoint whose entry is removed may serve
-//! on, and its entry may return.
+//! What this VM knows of an endpoint outlives its entry for [`DEPARTED_RETENTION`]: an endpoint whose entry is removed
+//! may serve on, and its entry may return.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
--- a/crates/boragepass_path/src/reducer/relays.rs
+++ b/crates/boragepass_path/src/reducer/relays.rs
@@ -1,8 +1,8 @@
 //! Requests that this VM relays to another one, since it reaches no endpoint itself.
 //!
 //! The other VM serves a relayed request as one of its own and never relays it again. What it answers goes to the client
-//! unchanged, refusals too: its 503 states that the request did not run. A request is relayed only before any endpoint can have
-//! run it, and not again once it has reached a VM, which may have used up the runs that its route allows.
+//! unchanged, refusals too: its 503 states that the request did not run. A request is relayed only before any endpoint
+//! can have run it, and not again once it has reached a VM, which may have used up the runs that its route allows.
 
 use boragepass_types::{TimeMs, VmId};
 
