--- a/crates/boragepass_fakes/src/path_fleet/fleet/relays.rs
+++ b/crates/boragepass_fakes/src/path_fleet/fleet/relays.rs
@@ -112,7 +112,16 @@
     pub(super) fn break_relays(&mut self, vm: usize) {
         let mut sent: Vec<SendKey> = self.relays.serving.keys().filter(|key| key.0 == vm).copied().collect();
         sent.sort_by_key(|(_, _, send)| send.0);
-        sent.into_iter().for_each(|key| self.cancel_relay(key));
+        for key in sent {
+            // Events that the serving VM still gets reach no client.
+            if let Some((serving_key, _)) = self.relays.serving.get(&key).copied() {
+                let is_served = |(send_key, send): &(&SendKey, &mut ActiveSend)| {
+                    (send_key.0, send_key.1, send.request) == serving_key
+                };
+                self.active_sends.iter_mut().filter(is_served).for_each(|(_, send)| send.is_hung = true);
+            }
+            self.cancel_relay(key);
+        }
         let mut keys: Vec<RequestKey> = self.relays.sent_by.keys().filter(|key| key.0 == vm).copied().collect();
         keys.sort_by_key(|(_, _, request)| *request);
         for key in keys {
