Tests over sockets: bind VMs at ports that Linux assigns to nobody else

Cause: free_port() bound port 0, read the port and closed the listener. Until the VM bound that port, Linux could assign it to any listener at port 0 or connection of the tests that run beside it. The test's VMs are not at fault.

Change: free_port() counts through 10,000 to 29,999, below the range from which Linux assigns ports, and takes the first port that binds.

--- a/crates/boragepass_entry/tests/over_sockets.rs
+++ b/crates/boragepass_entry/tests/over_sockets.rs
@@ -15,7 +15,7 @@
 use bytes::Bytes;
 use http::Request;
 use http_body_util::Full;
-use support::{ClientAnswer, EntryVm, ReceivedRequest, Reply, get, send_request, serve, stage_endpoint, store};
+use support::{ClientAnswer, EntryVm, ReceivedRequest, Reply, free_port, get, send_request, serve, stage_endpoint, store};
 
 const CONFIGURATION: &str = include_str!("../../../platform/tests/fixtures/site.json");
 const STREAM: &str = "id: 0\ndata: a\n\nid: 1\ndata: b\n\n";
@@ -661,12 +661,6 @@
     }
 }
 
-/// A port that nothing listens on.
-fn free_port() -> u16 {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("a bound address").port()
-}
-
 /// Status and metrics reflect a request that was served, and the addresses name the VM itself.
 #[test]
 fn operators_and_clients_read_status_metrics_and_addresses() {
--- a/crates/boragepass_entry/tests/support/mod.rs
+++ b/crates/boragepass_entry/tests/support/mod.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader};
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
@@ -153,6 +153,20 @@
     }
 }
 
+/// Returns a port that nothing listens on. It is below the range from which Linux assigns ports (from 32768 by
+/// default), so that no other test's listener or connection gets it before it is bound.
+pub(crate) fn free_port() -> u16 {
+    static RETURNED_PORTS: AtomicU64 = AtomicU64::new(0);
+    let first_port = u64::from(std::process::id());
+    loop {
+        let number = first_port + RETURNED_PORTS.fetch_add(1, Ordering::Relaxed);
+        let port = 10_000 + u16::try_from(number % 20_000).expect("below 20,000");
+        if TcpListener::bind((Ipv4Addr::UNSPECIFIED, port)).is_ok() {
+            return port;
+        }
+    }
+}
+
 /// Response that a client received.
 #[derive(Debug)]
 pub(crate) struct ClientAnswer {
