Failing tests: clocks that differ, and a restart within a pause

The VM takes the announcement to be of the process before, since it compares the start with its own time of day.

--- a/crates/boragepass_fakes/src/path_fleet/fleet/harmful_part.rs
+++ b/crates/boragepass_fakes/src/path_fleet/fleet/harmful_part.rs
@@ -89,11 +89,12 @@
 
     /// Publishes the new start of a crashed engine.
     pub(super) fn return_engine(&mut self, id: &EndpointId) {
+        let started_at_unix_ms = self.now.0.saturating_add_signed(self.endpoint_clock_error_ms);
         let Some(endpoint) = self.endpoints.get_mut(id) else {
             return;
         };
         // A new process knows nothing of what the old one announced.
-        endpoint.endpoint.started_at_unix_ms = self.now.0;
+        endpoint.endpoint.started_at_unix_ms = started_at_unix_ms;
         endpoint.leaving = None;
         self.write_entry(id);
     }
--- a/crates/boragepass_fakes/src/path_fleet/fleet/mod.rs
+++ b/crates/boragepass_fakes/src/path_fleet/fleet/mod.rs
@@ -232,6 +232,8 @@
     pub stale_client_share: f64,
     /// Share of requests whose clients disconnect after half of the objective.
     pub abandon_share: f64,
+    /// Error of the clocks of endpoints in milliseconds.
+    pub endpoint_clock_error_ms: i64,
     /// Number of log records of the VMs by their text.
     pub log_record_counts: BTreeMap<&'static str, u32>,
 }
@@ -298,6 +300,7 @@
             clients_resume_streams: false,
             stale_client_share: 0.0,
             abandon_share: 0.0,
+            endpoint_clock_error_ms: 0,
             log_record_counts: BTreeMap::new(),
         };
         for vm in 0..fleet.vms.len() {
--- a/crates/boragepass_fakes/tests/path_statements.rs
+++ b/crates/boragepass_fakes/tests/path_statements.rs
@@ -92,6 +92,22 @@
     }
 }
 
+#[test]
+fn an_endpoint_whose_clock_is_ahead_gets_no_request_after_it_announced_its_leaving() {
+    for site in SITES {
+        let (mut fleet, leaving) = loaded_fleet(site, 4);
+        fleet.endpoint_clock_error_ms = 5_000;
+        (0..fleet.vm_count()).for_each(|vm| fleet.set_cut_from_store(vm, true));
+        leaving.iter().for_each(|id| fleet.restart_endpoint(id, 300));
+        fleet.run_for(1_000);
+        inject(&mut fleet, &leaving, EndpointFault::AnnounceLeaving);
+        fleet.run_for(ANNOUNCEMENT_MS);
+        (0..fleet.vm_count()).for_each(|vm| fleet.set_cut_from_store(vm, false));
+        fleet.run_for(WATCHED_MS);
+        assert_no_violation(&fleet, site);
+    }
+}
+
 /// The copy lists the start before the last one, until the endpoints write their entries again.
 #[test]
 fn an_endpoint_that_announced_its_leaving_gets_no_request_when_a_copy_lists_an_earlier_start() {
@@ -162,6 +178,33 @@
     }
 }
 
+#[test]
+fn an_endpoint_whose_clock_is_behind_is_used_again_after_it_left_and_restarted() {
+    for site in [Site::Lampu, Site::Gigdesk] {
+        let (mut fleet, leaving) = loaded_fleet(site, 6);
+        fleet.endpoint_clock_error_ms = -5_000;
+        inject(&mut fleet, &leaving, EndpointFault::AnnounceLeaving);
+        fleet.run_for(ANNOUNCEMENT_MS);
+        leaving.iter().for_each(|id| fleet.restart_endpoint(id, 300));
+        fleet.run_for(WATCHED_MS);
+        assert_no_violation(&fleet, site);
+        let unused: Vec<_> = leaving.iter().filter(|id| fleet.work_since_restart(id) == 0).collect();
+        assert!(unused.is_empty(), "{site}: {unused:?}");
+    }
+}
+
+#[test]
+fn a_pause_that_an_endpoint_asked_for_holds_when_it_restarts_under_its_id() {
+    for site in SITES {
+        let (mut fleet, endpoints) = loaded_fleet(site, 11);
+        inject(&mut fleet, &endpoints, EndpointFault::RejectWithPause { duration_ms: 1_500, pause_ms: 4_000 });
+        fleet.run_for(1_000);
+        endpoints.iter().for_each(|id| fleet.restart_endpoint(id, 100));
+        fleet.run_for(WATCHED_MS);
+        assert_no_violation(&fleet, site);
+    }
+}
+
 #[test]
 fn a_pause_that_an_endpoint_asked_for_holds_when_its_entry_lapses_and_returns() {
     for site in SITES {
