Keep what endpoints state of themselves across a restart, and ask whether they are still leaving

Callers saw nothing of it; endpoints that leave (DRAIN) and pauses (BUDGET) did: requests reached them that they had declined.

Cause: at a later start in the endpoint list, a statement was dropped if it arrived before that start by the VM's time of day. Clocks may be seconds off, and a VM that was suspended reads too late a time for a start. A pause was dropped although its rule names no restart of the endpoint as an excuse.

Ruled out: the start in the reply; replies do not carry it. Keeping a leaving for a fixed time after a restart; a process that announces its leaving until it ends and starts again under its id would get nothing for that time.

Change: no clock is read. Statements stay in force when the list shows a later start. A pause ends by itself, limits are stated again in each reply. TimeOfDay is gone from the settings.

New test over sockets: two restarts under one id, of which only the second ends the leaving.

Conclusion: a statement whose maker is unknown is resolved by asking, not by comparing clocks.

--- a/crates/boragepass_entry/src/driver.rs
+++ b/crates/boragepass_entry/src/driver.rs
@@ -211,6 +211,7 @@
                 self.exchanges.borrow_mut().remove(&request);
             }
             Effect::CheckEndpoint(target) => sends::start_endpoint_check(self, target),
+            Effect::QueryStatements(target, path) => stage_calls::start_statements_query(self, target, &path),
             Effect::ProbeEndpoint(target) => sends::start_endpoint_probe(self, target),
             Effect::Call { call, target, entries, timeout_ms } => {
                 stage_calls::start_call(self, call, target, entries, timeout_ms);
--- a/crates/boragepass_entry/src/process.rs
+++ b/crates/boragepass_entry/src/process.rs
@@ -9,8 +9,8 @@
 use async_std::channel::{Receiver, bounded};
 use async_std::net::{TcpListener, UdpSocket};
 use async_std::task;
-use boragepass_path::{Batching, Event, PathSettings, Record, RequestPath, RetryLimits, TimeOfDay, VmRecord, VmState};
-use boragepass_server::{Clock, Identity, Tasks, new_incarnation, unix_time};
+use boragepass_path::{Batching, Event, PathSettings, Record, RequestPath, RetryLimits, VmRecord, VmState};
+use boragepass_server::{Clock, Identity, Tasks, new_incarnation};
 use boragepass_settings::{EntrySettings, parse_entry_settings};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
@@ -70,7 +70,7 @@
     Ok(receiver)
 }
 
-fn path_settings(settings: &EntrySettings, local_record: &VmRecord, time_of_day: TimeOfDay) -> PathSettings {
+fn path_settings(settings: &EntrySettings, local_record: &VmRecord) -> PathSettings {
     PathSettings {
         vm: local_record.vm.clone(),
         incarnation: local_record.incarnation,
@@ -88,7 +88,6 @@
         },
         stop_grace_ms: settings.stop_grace_ms,
         batching: Batching::Led,
-        time_of_day,
         seed: local_record.incarnation.0,
     }
 }
@@ -122,8 +121,7 @@
     let tasks = Tasks::default();
     let identity = Identity { vm: settings.vm.clone(), incarnation, key: settings.peer_key.clone() };
     let clock = Clock::start();
-    let time_of_day = TimeOfDay { reading: clock.now(), unix_ms: unix_time().as_millis() as u64 };
-    let path = RequestPath::new(clock.now(), path_settings(&settings, &local_record, time_of_day));
+    let path = RequestPath::new(clock.now(), path_settings(&settings, &local_record));
     let log = JsonLog::new(settings.vm.to_string(), settings.log_lines_per_s);
     let metrics = Metrics::new().map_err(StartError::Metrics)?;
     let driver = Driver::new(clock, path, log, metrics, Peers::new(identity, tasks.clone(), datagrams));
--- a/crates/boragepass_entry/src/stage_calls.rs
+++ b/crates/boragepass_entry/src/stage_calls.rs
@@ -1,4 +1,5 @@
-//! Calls to stage endpoints: those that compute pieces, and those that free results no longer needed.
+//! Requests that this VM sends to endpoints on its own: calls that compute pieces, calls that free results no longer
+//! needed, and queries of what an endpoint states of itself.
 
 use std::rc::Rc;
 use std::sync::Arc;
@@ -21,13 +22,20 @@
 
 /// Longest time of a call that frees results; endpoints drop results by themselves after seconds.
 const FREE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Longest time of a query of an endpoint's statements, as long as a sound endpoint may be silent.
+const QUERY_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 fn post_request(path: &'static str, target: &SendTarget, body: Vec<u8>) -> Request<Full<Bytes>> {
-    let mut request = Request::new(Full::new(Bytes::from(body)));
+    let mut request = request_to(target, Uri::from_static(path), body);
     *request.method_mut() = Method::POST;
-    *request.uri_mut() = Uri::from_static(path);
+    request.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    request
+}
+
+fn request_to(target: &SendTarget, uri: Uri, body: Vec<u8>) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(Bytes::from(body)));
+    *request.uri_mut() = uri;
     let headers = request.headers_mut();
-    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
     if let Ok(host) = HeaderValue::from_str(&target.address.to_string()) {
         headers.insert(HOST, host);
     }
@@ -64,7 +72,8 @@
     entries: &[CallEntry],
 ) -> Result<CallOutcome, CallFailure> {
     let body = encode_stage_call(entries);
-    let (status, headers, body) = exchange(driver, target, names::STAGE_CALL_PATH, body).await?;
+    let request = || post_request(names::STAGE_CALL_PATH, target, body.clone());
+    let (status, headers, body) = exchange(driver, target, request).await?;
     let reply = StageCallReply { status, headers: &headers, body: &body };
     Ok(decode_stage_call_reply(&reply, entries.len()))
 }
@@ -74,8 +83,7 @@
 async fn exchange(
     driver: &Rc<Driver>,
     target: &SendTarget,
-    path: &'static str,
-    body: Vec<u8>,
+    new_request: impl Fn() -> Request<Full<Bytes>>,
 ) -> Result<(StatusCode, HeaderMap, Bytes), CallFailure> {
     let connections = &driver.connections;
     let mut may_reuse = true;
@@ -84,8 +92,7 @@
         let mut connection = opened.map_err(|_| CallFailure::NotReached)?;
         let abort_handle = connection.abort_handle();
         let close_guard = CloseOnDrop(Some(abort_handle));
-        let request = post_request(path, target, body.clone());
-        match connections.exchange(&mut connection, request).await {
+        match connections.exchange(&mut connection, new_request()).await {
             Ok(response) => {
                 let (parts, incoming) = response.into_parts();
                 let read = connections.body_reader.read(incoming).await;
@@ -132,8 +139,9 @@
 pub(crate) fn start_free_results(driver: &Rc<Driver>, target: SendTarget, handles: Vec<Arc<str>>) {
     let driver = driver.clone();
     task::spawn_local(async move {
-        let exchange = exchange(&driver, &target, names::STAGE_FREE_PATH, encode_free_results(&handles));
-        let reply = timeout(FREE_TIMEOUT, exchange).await;
+        let body = encode_free_results(&handles);
+        let request = || post_request(names::STAGE_FREE_PATH, &target, body.clone());
+        let reply = timeout(FREE_TIMEOUT, exchange(&driver, &target, request)).await;
         if let Ok(Ok((status, headers, _))) = &reply {
             report_signals(&driver, &target, *status, headers);
         }
@@ -146,3 +154,23 @@
         }
     });
 }
+
+/// Starts the task of a health check that shows what an endpoint states of itself.
+pub(crate) fn start_statements_query(driver: &Rc<Driver>, target: SendTarget, path: &str) {
+    let uri = path.parse::<Uri>();
+    let driver = driver.clone();
+    task::spawn_local(async move {
+        let signals = match uri {
+            Ok(uri) => {
+                let request = || request_to(&target, uri.clone(), Vec::new());
+                let reply = timeout(QUERY_TIMEOUT, exchange(&driver, &target, request)).await;
+                reply.ok().and_then(Result::ok).and_then(|(status, headers, _)| decode_signals(status, &headers))
+            }
+            Err(error) => {
+                driver.record(&Record::new("health check path is invalid").text("error", error));
+                None
+            }
+        };
+        driver.dispatch(Event::StatementsQueried(target.endpoint, signals));
+    });
+}
--- a/crates/boragepass_entry/tests/over_sockets.rs
+++ b/crates/boragepass_entry/tests/over_sockets.rs
@@ -6,7 +6,7 @@
 use std::io::{Read, Write};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::time::Duration;
 
 use boragepass_path::{Endpoint, PieceOutcome};
@@ -15,7 +15,9 @@
 use bytes::Bytes;
 use http::Request;
 use http_body_util::Full;
-use support::{ClientAnswer, EntryVm, ReceivedRequest, Reply, free_port, get, send_request, serve, stage_endpoint, store};
+use support::{
+    ClientAnswer, EntryVm, ReceivedRequest, Reply, free_port, get, send_request, serve, stage_endpoint, store,
+};
 
 const CONFIGURATION: &str = include_str!("../../../platform/tests/fixtures/site.json");
 const STREAM: &str = "id: 0\ndata: a\n\nid: 1\ndata: b\n\n";
@@ -583,6 +585,51 @@
     assert_eq!(leaving_requests.load(Ordering::Relaxed), 1);
 }
 
+/// The first restart does not end the leaving, the second does.
+#[test]
+fn an_endpoint_that_left_is_used_after_a_restart_once_it_no_longer_announces_its_leaving() {
+    let is_leaving = Arc::new(AtomicBool::new(true));
+    let (endpoint_is_leaving, store) = (is_leaving.clone(), Store::start());
+    let (address, received) = serve(move |got| {
+        let reply = Reply::signed(got, "sound");
+        Some(if endpoint_is_leaving.load(Ordering::Relaxed) { leaving_reply(reply) } else { reply })
+    });
+    let (staying, _) = serve(|got| Some(Reply::signed(got, "sound")));
+    let restart = |started_at_unix_ms: u64| {
+        let entry = Endpoint { started_at_unix_ms, ..endpoint("i-leaving", "api", address) };
+        store.put_row(names::ENDPOINT_TABLE, "i-leaving", encode_endpoint(&entry));
+    };
+    let received_count = |is_query: bool| {
+        let received = received.lock().expect("the lock is not poisoned");
+        received.iter().filter(|got| got.path.starts_with("/healthz") == is_query).count()
+    };
+    store.put_row(names::ENDPOINT_TABLE, "i-staying", encode_endpoint(&endpoint("i-staying", "api", staying)));
+    restart(1);
+    store.put_row(names::CONFIGURATION_TABLE, names::CONFIGURATION_KEY, CONFIGURATION.into());
+    let vm = EntryVm::start(store.address);
+    vm.wait_ready();
+    let mut number = 0;
+    let mut send = || {
+        number += 1;
+        assert_eq!(post(&vm, "/status/1", &format!("r-{number}")).status, 200);
+    };
+    wait_until("the endpoint announces its leaving", || {
+        send();
+        received_count(false) == 1
+    });
+    restart(2);
+    wait_until("the restarted endpoint is asked", || received_count(true) == 1);
+    (0..12).for_each(|_| send());
+    assert_eq!(received_count(false), 1);
+    is_leaving.store(false, Ordering::Relaxed);
+    restart(3);
+    wait_until("the restarted endpoint is used", || {
+        send();
+        received_count(false) > 1
+    });
+    assert_eq!(received_count(true), 2);
+}
+
 #[test]
 fn a_stage_endpoint_that_announces_its_leaving_as_results_are_freed_gets_no_further_call() {
     let rates = |is_leaving: bool| {
--- a/crates/boragepass_fakes/src/path_fleet/fleet/mod.rs
+++ b/crates/boragepass_fakes/src/path_fleet/fleet/mod.rs
@@ -20,7 +20,7 @@
 use boragepass_path::{
     Arrival, Batching, CallFailure, CallNumber, CallOutcome, Effect, Endpoint, EndpointSignals, EndpointUpdate, Event,
     EventId, PathSettings, PeerMessage, PieceOutcome, Progress, PromptPart, Repeatability, ReplyHead, RequestNumber,
-    RequestPath, RetryLimits, SendFailure, SendNumber, StoreVersion, TimeOfDay, VmRecord, VmState,
+    RequestPath, RetryLimits, SendFailure, SendNumber, StoreVersion, VmRecord, VmState,
 };
 use boragepass_types::{
     EndpointId, FailureDomain, Hash64, Incarnation, Millicores, RequestRate, SpanMs, StoreEra, TimeMs, VmId,
@@ -386,8 +386,6 @@
             retries: RetryLimits { ratio: 0.2, slack: 56.0, window_ms: SpanMs(10_000) },
             stop_grace_ms: SpanMs(8_000),
             batching: self.batching,
-            // The time of day of the model is that of its clock.
-            time_of_day: TimeOfDay { reading: START_TIME, unix_ms: START_TIME.0 },
             seed: vm.incarnation,
         }
     }
@@ -738,6 +736,7 @@
                 }
             }
             Effect::ProbeEndpoint(target) => self.probe_endpoint(vm, target.endpoint),
+            Effect::QueryStatements(target, _) => self.query_statements(vm, target.endpoint),
             Effect::Call { call, target, entries, timeout_ms } => {
                 let delay_ms = self.endpoint_delay_ms(vm, &target.endpoint);
                 match self.link_outcome(vm, &target.endpoint) {
@@ -831,6 +830,16 @@
         Some(EndpointSignals { rate_limit, rejections_max, is_leaving, ..EndpointSignals::default() })
     }
 
+    /// Lets an endpoint answer a VM that asks what it states of itself.
+    fn query_statements(&mut self, vm: usize, id: EndpointId) {
+        let now = self.now;
+        let delay_ms = self.endpoint_delay_ms(vm, &id);
+        let is_up = self.endpoints.get(&id).is_some_and(|endpoint| !endpoint.is_down(now));
+        let is_reached = self.vms[vm].endpoint_links == EndpointLinks::Up && is_up;
+        let signals = if is_reached { self.endpoint_signals(vm, &id, 2 * delay_ms) } else { None };
+        self.deliver(vm, 2 * delay_ms, Event::StatementsQueried(id, signals));
+    }
+
     /// Counts a rejection for want of room; a brittle endpoint falls over at too many of them.
     fn on_full_rejection(&mut self, id: &EndpointId) {
         let now = self.now;
--- a/crates/boragepass_fakes/tests/path_peers.rs
+++ b/crates/boragepass_fakes/tests/path_peers.rs
@@ -8,7 +8,7 @@
 use boragepass_path::{
     ApiKey, Arrival, Batching, ConfigurationVersion, ContentCrashes, Effect, Endpoint, EndpointSignals, EndpointUpdate,
     Event, Heartbeat, PathSettings, PeerMessage, Progress, PromptPart, ReplyHead, RequestNumber, RequestPath,
-    RetryLimits, SendFailure, StoreVersion, TimeOfDay, VmRecord, VmState,
+    RetryLimits, SendFailure, StoreVersion, VmRecord, VmState,
 };
 use boragepass_types::{EndpointId, Hash64, Incarnation, Millicores, Region, SpanMs, StoreEra, TimeMs, VmId};
 
@@ -99,7 +99,6 @@
         retries: RetryLimits { ratio: 0.2, slack: 56.0, window_ms: SpanMs(10_000) },
         stop_grace_ms: SpanMs(8_000),
         batching: Batching::Led,
-        time_of_day: TimeOfDay { reading: NOW, unix_ms: NOW.0 },
         seed: 1,
     };
     let mut path = RequestPath::new(NOW, settings);
--- a/crates/boragepass_path/src/effect.rs
+++ b/crates/boragepass_path/src/effect.rs
@@ -122,6 +122,9 @@
     CheckEndpoint(SendTarget),
     /// Opens a connection to an endpoint and closes it again; always reports `EndpointProbed`.
     ProbeEndpoint(SendTarget),
+    /// Sends a health check at a path, whose reply shows what the endpoint states of itself; always reports
+    /// `StatementsQueried`.
+    QueryStatements(SendTarget, Arc<str>),
     /// Sends a call, which computes several pieces.
     Call {
         /// Number of this call.
--- a/crates/boragepass_path/src/event.rs
+++ b/crates/boragepass_path/src/event.rs
@@ -198,6 +198,8 @@
     EndpointSilent(SendNumber, Option<EventId>),
     /// A reply that no other event reports, since its body was lost or nobody waits for it, states this of its endpoint.
     EndpointStated(EndpointId, EndpointSignals),
+    /// A query of what an endpoint states of itself ended; no value if it did not reply.
+    StatementsQueried(EndpointId, Option<EndpointSignals>),
     /// An endpoint refuses connections.
     EndpointDown(EndpointId),
     /// A probe of an endpoint ended: whether a connection opened.
--- a/crates/boragepass_path/src/lib.rs
+++ b/crates/boragepass_path/src/lib.rs
@@ -49,6 +49,6 @@
 pub use record::{Record, RecordValue};
 pub use reducer::RequestPath;
 pub use request::{CallNumber, RequestNumber, SendNumber};
-pub use settings::{Batching, PathSettings, RetryLimits, TimeOfDay};
+pub use settings::{Batching, PathSettings, RetryLimits};
 pub use stages::{AvailableEndpoint, CallEnd, PieceRank, PieceTask, Pool, PoolCall};
 pub use store_poll::StorePoll;
--- a/crates/boragepass_path/src/placement/endpoint_table.rs
+++ b/crates/boragepass_path/src/placement/endpoint_table.rs
@@ -20,7 +20,6 @@
 use crate::event::{PromptPart, ReportedLoad};
 use crate::message::{EndpointLimitReport, EndpointLoad};
 use crate::request::{BeginningVersion, StreamVersion};
-use crate::settings::TimeOfDay;
 
 /// Time in which live endpoints renew expired entries after the store is back, as the platform documents.
 const EXPIRY_GRACE: SpanMs = SpanMs(2_000);
@@ -211,7 +210,6 @@
 /// All endpoints on the list, and the average service time of each pool.
 #[derive(Debug)]
 pub(crate) struct EndpointTable {
-    clock: TimeOfDay,
     by_id: BTreeMap<EndpointId, KnownEndpoint>,
     pub(crate) version: StoreVersion,
     is_store_unreachable: bool,
@@ -222,9 +220,8 @@
 }
 
 impl EndpointTable {
-    pub(crate) fn new(clock: TimeOfDay) -> Self {
+    pub(crate) fn new() -> Self {
         Self {
-            clock,
             by_id: BTreeMap::new(),
             version: StoreVersion::default(),
             is_store_unreachable: false,
@@ -309,6 +306,11 @@
         self.by_id.iter().filter(|(_, known)| known.statements.is_leaving()).map(|(id, _)| id)
     }
 
+    /// Listed endpoints that accept a request and have to be asked whether they are still leaving.
+    pub(crate) fn leaving_to_be_asked(&mut self, now: TimeMs) -> impl Iterator<Item = &mut KnownEndpoint> {
+        self.by_id.values_mut().filter(move |known| known.statements.is_leaving_to_be_asked() && known.accepts(now))
+    }
+
     fn missing_from(&self, endpoints: &[Endpoint]) -> Vec<EndpointId> {
         let listed: BTreeSet<_> = endpoints.iter().map(|endpoint| &endpoint.id).collect();
         self.by_id.keys().filter(|id| !listed.contains(id)).cloned().collect()
@@ -344,10 +346,9 @@
                 known.is_expired = false;
                 known
             }
-            Some(earlier) => {
-                let start = self.clock.reading_at(endpoint.started_at_unix_ms);
-                let statements = earlier.statements.of_process_since(start);
-                KnownEndpoint { statements, ..KnownEndpoint::new(endpoint) }
+            Some(mut earlier) => {
+                earlier.statements.on_restart();
+                KnownEndpoint { statements: earlier.statements, ..KnownEndpoint::new(endpoint) }
             }
             None => KnownEndpoint::new(endpoint),
         };
--- a/crates/boragepass_path/src/placement/rate_limit.rs
+++ b/crates/boragepass_path/src/placement/rate_limit.rs
@@ -29,11 +29,6 @@
 }
 
 impl RateLimiter {
-    /// The limit as a process stated it that started at `start`.
-    pub(crate) fn stated_since(&self, start: TimeMs) -> Self {
-        Self { statement: self.statement.stated_since(start), ..*self }
-    }
-
     /// Limit in force.
     pub(crate) fn limit(&self) -> Option<RequestRate> {
         self.statement.value()
--- a/crates/boragepass_path/src/placement/rejection_limit.rs
+++ b/crates/boragepass_path/src/placement/rejection_limit.rs
@@ -29,11 +29,6 @@
 }
 
 impl RejectionLimiter {
-    /// The limit as a process stated it that started at `start`.
-    pub(crate) fn stated_since(&self, start: TimeMs) -> Self {
-        Self { statement: self.statement.stated_since(start), ..*self }
-    }
-
     /// Sets this VM's part of the slots: that of one of `sharing_vms`, or none.
     pub(crate) fn set_sharing_vms(&mut self, slots: u32, sharing_vms: Option<usize>) {
         self.own_slots = sharing_vms.map_or(0, |sharing_vms| (slots / sharing_vms.max(1) as u32).max(1));
--- a/crates/boragepass_path/src/placement/shared_statement.rs
+++ b/crates/boragepass_path/src/placement/shared_statement.rs
@@ -27,12 +27,6 @@
 }
 
 impl<T: Copy + PartialEq> SharedStatement<T> {
-    /// The statement as a process made it that started at `start`: none if all statements are older.
-    pub(crate) fn stated_since(&self, start: TimeMs) -> Self {
-        let is_recent = |statement: &Statement<T>| statement.stated_at >= start;
-        Self { newest: self.newest.filter(is_recent), own: self.own.filter(is_recent) }
-    }
-
     /// Value in force.
     pub(crate) fn value(&self) -> Option<T> {
         self.newest?.value
--- a/crates/boragepass_path/src/reducer/mod.rs
+++ b/crates/boragepass_path/src/reducer/mod.rs
@@ -104,7 +104,7 @@
         Self {
             configuration: None,
             fleet: Fleet::new(&settings),
-            endpoint_table: EndpointTable::new(settings.time_of_day),
+            endpoint_table: EndpointTable::new(),
             endpoint_reach: EndpointReach::default(),
             pool_backlogs: PoolBacklogs::default(),
             led_pools: BTreeMap::new(),
@@ -153,6 +153,7 @@
             Event::StreamProgressed(send, progress) => self.on_stream_progress(now, send, progress),
             Event::EndpointSilent(send, last_event) => self.on_endpoint_silent(now, send, last_event),
             Event::EndpointStated(endpoint, signals) => self.on_endpoint_signals(now, &endpoint, signals),
+            Event::StatementsQueried(endpoint, signals) => self.on_statements_queried(now, &endpoint, signals),
             Event::EndpointDown(endpoint) => self.on_endpoint_down(now, &endpoint),
             Event::EndpointProbed(endpoint, is_reached) => self.on_endpoint_probed(now, &endpoint, is_reached),
             Event::CallEnded(call, outcome) => self.on_call_ended(now, call, outcome),
@@ -242,6 +243,7 @@
                     // The list's version stays the same, so other VMs would not ask for the change.
                     self.schedule_state_share(now);
                 }
+                self.query_doubted_statements(now);
                 self.crash_tracker.sweep(now);
                 self.stream_versions.sweep(now);
                 self.release_orphaned_piece_requests(now);
@@ -267,6 +269,7 @@
                 self.log(record.text("endpoint", &endpoint).text("version", version));
             }
         }
+        self.query_doubted_statements(now);
         self.schedule_state_share(now);
         self.update_readiness(now);
         self.run_all_pools(now);
--- a/crates/boragepass_path/src/reducer/signals.rs
+++ b/crates/boragepass_path/src/reducer/signals.rs
@@ -4,6 +4,7 @@
 use boragepass_types::{EndpointId, TimeMs};
 
 use super::RequestPath;
+use crate::effect::{Effect, SendTarget};
 use crate::event::EndpointSignals;
 use crate::fleet::{limit_sharing_vms, pool_leader};
 use crate::placement::{Statement, brittle_sharing_vms_max, sharing_vms_max};
@@ -24,7 +25,7 @@
         if let Some(pause) = signals.pause_ms {
             known_endpoint.statements.on_pause(now, pause);
         }
-        let is_newly_leaving = signals.is_leaving && known_endpoint.statements.on_leaving(now);
+        let is_newly_leaving = signals.is_leaving && known_endpoint.statements.on_leaving();
         let limit = Statement { value: signals.rate_limit, stated_at: now };
         let has_new_limit = known_endpoint.statements.rate_limiter.statement.on_own(limit);
         let rejections = Statement { value: signals.rejections_max, stated_at: now };
@@ -48,6 +49,41 @@
         }
     }
 
+    /// Asks endpoints that stated their leaving and restarted since, or may have, whether they are still leaving.
+    pub(super) fn query_doubted_statements(&mut self, now: TimeMs) {
+        let Some(configuration) = self.configuration.clone() else {
+            return;
+        };
+        for known_endpoint in self.endpoint_table.leaving_to_be_asked(now) {
+            let endpoint = &known_endpoint.endpoint;
+            let Some(service) = configuration.service(&endpoint.pool) else {
+                continue;
+            };
+            let target = SendTarget { endpoint: endpoint.id.clone(), address: endpoint.address };
+            known_endpoint.statements.on_leaving_asked();
+            self.effects.push(Effect::QueryStatements(target, service.health_path.clone()));
+        }
+    }
+
+    pub(super) fn on_statements_queried(
+        &mut self,
+        now: TimeMs,
+        endpoint: &EndpointId,
+        signals: Option<EndpointSignals>,
+    ) {
+        let has_replied = signals.is_some();
+        if let Some(signals) = signals {
+            self.on_endpoint_signals(now, endpoint, signals);
+        }
+        let Some(known_endpoint) = self.endpoint_table.get_mut(endpoint) else {
+            return;
+        };
+        known_endpoint.statements.on_leaving_answered(has_replied);
+        let is_leaving = known_endpoint.statements.is_leaving();
+        let record = Record::new("endpoint asked if it is leaving after a restart").text("endpoint", endpoint);
+        self.log(record.text("has_replied", has_replied).text("is_leaving", is_leaving));
+    }
+
     /// Updates this VM's part of each rate limit and of the slots of brittle endpoints: for a stage pool that of its
     /// leader, else an equal one of a few VMs.
     pub(super) fn update_limit_shares(&mut self, now: TimeMs) {
--- a/crates/boragepass_path/src/settings.rs
+++ b/crates/boragepass_path/src/settings.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use boragepass_types::{FailureDomain, Incarnation, Millicores, Region, SpanMs, TimeMs, VmId};
+use boragepass_types::{FailureDomain, Incarnation, Millicores, Region, SpanMs, VmId};
 
 /// Limits on retries, which all VMs share.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -27,23 +27,6 @@
     Alone,
 }
 
-/// Relation of the request path's clock to the time of day, as of the start of the process. Later steps of the time of
-/// day do not affect it.
-#[derive(Debug, Clone, Copy)]
-pub struct TimeOfDay {
-    /// Reading of the clock.
-    pub reading: TimeMs,
-    /// Unix time at that reading.
-    pub unix_ms: u64,
-}
-
-impl TimeOfDay {
-    /// Reading of the clock at a Unix time; the clock's zero for earlier times.
-    pub fn reading_at(self, unix_ms: u64) -> TimeMs {
-        TimeMs((self.reading.0 + unix_ms).saturating_sub(self.unix_ms))
-    }
-}
-
 /// Settings of one VM's request path.
 #[derive(Debug, Clone)]
 pub struct PathSettings {
@@ -71,8 +54,6 @@
     pub stop_grace_ms: SpanMs,
     /// Who composes the calls of a stage pool.
     pub batching: Batching,
-    /// Time of day at the start of the process; entries state starts of endpoints in Unix time.
-    pub time_of_day: TimeOfDay,
     /// Seed of the random number generator.
     pub seed: u64,
 }
