Distrust the software version of an endpoint that was found down since its entry

Cause: a VM knows a version only from the entry that it read last, also when it has found the endpoint down since.

No stream goes on there, and one that begins there goes on nowhere else.

What is missing is that VMs tell each other of endpoints that they found down.

--- a/crates/boragepass_path/src/placement/endpoint_table.rs
+++ b/crates/boragepass_path/src/placement/endpoint_table.rs
@@ -32,6 +32,8 @@
 const REPORT_AGE_MAX: SpanMs = SpanMs(1_000);
 /// Age at which the load that another VM reported is ignored.
 const PEER_LOAD_AGE_MAX: SpanMs = SpanMs(2_500);
+/// Time in which an endpoint that restarted writes its new entry, while the store is reachable.
+const RESTART_ENTRY_TIME: SpanMs = SpanMs(5_000);
 /// Weight of a new sample in the moving average of the service time.
 const SERVICE_TIME_EMA_WEIGHT: f64 = 0.1;
 
@@ -117,6 +119,8 @@
     /// Whether the store lost its entry and it is kept only for the grace period.
     is_expired: bool,
     full_until: TimeMs,
+    /// When this VM last found it down; another process than that of its entry may run there since.
+    found_down_at: Option<TimeMs>,
     pub(crate) statements: EndpointStatements,
 }
 
@@ -133,6 +137,7 @@
             prompt_cache: PromptCache::default(),
             is_expired: false,
             full_until: TimeMs(0),
+            found_down_at: None,
             statements: EndpointStatements::default(),
         }
     }
@@ -201,6 +206,11 @@
         self.health.is_ejected(now)
     }
 
+    /// Software version that its entry states; no value if it may have restarted since with another one.
+    pub(crate) fn software_version(&self) -> Option<&BeginningVersion> {
+        self.found_down_at.is_none().then_some(&self.endpoint.software_version)
+    }
+
     /// Whether it rejected a request a moment ago because it is full.
     pub(crate) fn is_full(&self, now: TimeMs) -> bool {
         now < self.full_until
@@ -263,6 +273,7 @@
     pub(crate) fn on_store_reachability(&mut self, now: TimeMs, is_reachable: bool) {
         if is_reachable && self.is_store_unreachable {
             self.store_returned_at = Some(now);
+            self.by_id.values_mut().filter_map(|known| known.found_down_at.as_mut()).for_each(|at| *at = now);
         }
         self.is_store_unreachable = !is_reachable;
     }
@@ -374,6 +385,12 @@
     /// Drops entries that were not renewed after the store came back; returns whether there were any.
     pub(crate) fn sweep(&mut self, now: TimeMs) -> bool {
         self.departed.retain(|_, departure| now.since(departure.departed_at) < DEPARTED_RETENTION);
+        if !self.is_store_unreachable {
+            let is_overdue = |at: &TimeMs| now.since(*at) >= RESTART_ENTRY_TIME;
+            self.by_id
+                .values_mut()
+                .for_each(|known| known.found_down_at = known.found_down_at.filter(|at| !is_overdue(at)));
+        }
         if self.keeps_expired(now) {
             return false;
         }
@@ -391,6 +408,13 @@
         self.drop_departed(now, id);
     }
 
+    /// Records that an endpoint was found down.
+    pub(crate) fn on_down(&mut self, now: TimeMs, id: &EndpointId) {
+        if let Some(known) = self.by_id.get_mut(id) {
+            known.found_down_at = Some(now);
+        }
+    }
+
     /// Records the load that an endpoint reported in a reply.
     pub(crate) fn on_report(&mut self, now: TimeMs, id: &EndpointId, load: ReportedLoad) {
         if let Some(known) = self.by_id.get_mut(id) {
@@ -412,23 +436,24 @@
         excluded: &[EndpointId],
         stream_version: &StreamVersion,
     ) -> Option<SpanMs> {
-        let candidates = self.serving(pool).filter(|known| {
-            !excluded.contains(&known.endpoint.id) && stream_version.allows(&known.endpoint.software_version)
-        });
+        let candidates = self
+            .serving(pool)
+            .filter(|known| !excluded.contains(&known.endpoint.id) && stream_version.allows(known.software_version()));
         candidates.filter_map(|known| known.accepts_in(now)).min()
     }
 
     /// Whether an endpoint of a pool with this software version serves, whatever its health.
     pub(crate) fn serves_software_version(&self, pool: &PoolId, version: &BeginningVersion) -> bool {
-        self.serving(pool).any(|known| known.endpoint.software_version == *version)
+        self.serving(pool).any(|known| known.software_version() == Some(version))
     }
 
-    /// Software version of all endpoints of a pool, draining ones too; `None` if they differ or there are none.
+    /// Software version of all endpoints of a pool, draining ones too; `None` if they differ, one is not known, or there are
+    /// none.
     pub(crate) fn only_software_version(&self, pool: &PoolId) -> Option<&BeginningVersion> {
         let in_pool = self.by_id.values().filter(|known| known.endpoint.pool == *pool);
-        let mut versions = in_pool.map(|known| &known.endpoint.software_version);
-        let first = versions.next()?;
-        versions.all(|version| version == first).then_some(first)
+        let mut versions = in_pool.map(KnownEndpoint::software_version);
+        let first = versions.next()??;
+        versions.all(|version| version == Some(first)).then_some(first)
     }
 
     /// Statements about rate limits that this VM got, for its heartbeat.
--- a/crates/boragepass_path/src/placement/engine_choice.rs
+++ b/crates/boragepass_path/src/placement/engine_choice.rs
@@ -141,7 +141,7 @@
     let candidates = table
         .serving(requirements.pool)
         .filter(|known| !requirements.excluded.contains(&known.endpoint.id) && known.accepts(now))
-        .filter(|known| requirements.stream_version.allows(&known.endpoint.software_version));
+        .filter(|known| requirements.stream_version.allows(known.software_version()));
     let priced = candidates.map(|known| {
         let uncached_tokens = uncached_tokens(requirements, &preferred, known);
         let active_requests = known.active_requests(now);
--- a/crates/boragepass_path/src/reducer/crashes.rs
+++ b/crates/boragepass_path/src/reducer/crashes.rs
@@ -53,6 +53,7 @@
             self.doubted_down_endpoints.push(endpoint.clone());
             return;
         }
+        self.endpoint_table.on_down(now, endpoint);
         let contents = self.crash_tracker.on_endpoint_down(now, endpoint);
         if contents.is_empty() {
             return;
--- a/crates/boragepass_path/src/reducer/sends.rs
+++ b/crates/boragepass_path/src/reducer/sends.rs
@@ -76,10 +76,12 @@
 
     /// Why no endpoint of its pool can take a request.
     fn unsent_reason(&self, now: TimeMs, state: &RequestState) -> RefusalReason {
-        if let StreamVersion::Begun(version) = &state.stream_version
-            && !self.endpoint_table.serves_software_version(&state.pool, version)
-        {
-            return RefusalReason::NoEndpointOfVersion;
+        match &state.stream_version {
+            StreamVersion::Begun(version) if !self.endpoint_table.serves_software_version(&state.pool, version) => {
+                return RefusalReason::NoEndpointOfVersion;
+            }
+            StreamVersion::BegunUnknown => return RefusalReason::StreamVersionUnknown,
+            StreamVersion::Begun(_) | StreamVersion::NotBegun | StreamVersion::Asked(_) => {}
         }
         let mut serving = self.endpoint_table.serving(&state.pool);
         if serving.any(|known| known.limits_requests(now) || known.is_brittle()) {
@@ -129,7 +131,7 @@
         let target = SendTarget { endpoint: choice.endpoint.clone(), address: known_endpoint.endpoint.address };
         known_endpoint.statements.rate_limiter.take(now);
         let rate_limit = known_endpoint.statements.rate_limiter.limit();
-        let software_version = known_endpoint.endpoint.software_version.clone();
+        let software_version = known_endpoint.software_version().cloned();
         let may_reuse = state.route.repeatability.is_repeatable() || known_endpoint.avoid_connection_reuse_until <= now;
         let service = state.configuration.service(&state.pool);
         let kv_cache_tokens = match service.map(|service| service.kind) {
@@ -148,7 +150,7 @@
         if let Some(rate_limit) = rate_limit {
             record = record.text("endpoint_limit", rate_limit);
         }
-        if let Some(version) = &software_version {
+        if let Some(Some(version)) = &software_version {
             record = record.text("software_version", version);
         }
         if let Some(event) = state.last_event {
@@ -229,7 +231,7 @@
         let stream_version = &state.stream_version;
         let has_alternative = self.endpoint_table.serving(&state.pool).any(|known_endpoint| {
             !tried_endpoints.contains(&known_endpoint.endpoint.id)
-                && stream_version.allows(&known_endpoint.endpoint.software_version)
+                && stream_version.allows(known_endpoint.software_version())
                 && !known_endpoint.is_ejected(now)
                 && known_endpoint.accepts(now)
         });
--- a/crates/boragepass_path/src/reducer/stream_versions.rs
+++ b/crates/boragepass_path/src/reducer/stream_versions.rs
@@ -61,6 +61,10 @@
         if state.stream_version != StreamVersion::NotBegun {
             return;
         }
+        let Some(version) = version else {
+            state.stream_version = StreamVersion::BegunUnknown;
+            return;
+        };
         state.stream_version = StreamVersion::Begun(version.clone());
         let stream = state.arrival.client_id.clone();
         self.stream_versions.insert(now, stream.clone(), version.clone());
--- a/crates/boragepass_path/src/request/state.rs
+++ b/crates/boragepass_path/src/request/state.rs
@@ -37,7 +37,8 @@
     /// Prompt tokens that the endpoint is expected to prefill for this request; zero once it has sent an event.
     pub(crate) pending_prefill_tokens: u64,
     pub(crate) progress: SendProgress,
-    pub(crate) software_version: BeginningVersion,
+    /// Software version of the endpoint; no value if it may have restarted with another one.
+    pub(crate) software_version: Option<BeginningVersion>,
 }
 
 /// Relay of a request to another VM that is in progress.
--- a/crates/boragepass_path/src/request/stream_versions.rs
+++ b/crates/boragepass_path/src/request/stream_versions.rs
@@ -18,17 +18,19 @@
     NotBegun,
     /// Only endpoints of this version may go on.
     Begun(BeginningVersion),
+    /// The endpoint that began it may have restarted with another version than its entry states.
+    BegunUnknown,
     /// Another VM began the stream; the VMs that hold its version were asked this often.
     Asked(u32),
 }
 
 impl StreamVersion {
-    /// Whether an endpoint with this software version may run the request.
-    pub(crate) fn allows(&self, version: &BeginningVersion) -> bool {
+    /// Whether an endpoint with this software version, `None` if it is not known, may run the request.
+    pub(crate) fn allows(&self, version: Option<&BeginningVersion>) -> bool {
         match self {
             Self::NotBegun => true,
-            Self::Begun(beginning_version) => beginning_version == version,
-            Self::Asked(_) => false,
+            Self::Begun(beginning_version) => Some(beginning_version) == version,
+            Self::BegunUnknown | Self::Asked(_) => false,
         }
     }
 }
