VMs tell each other of endpoints found down, and distrust entries only while the store is unreachable

Change: heartbeats name the endpoints that the VM found down in the last 5 s, with the start that it knew. Other VMs take that over unless they have read a later start. An entry counts as doubtful only while the store is unreachable, and until it has been back for 5 s.

--- a/crates/boragepass_entry/src/peer_wire.rs
+++ b/crates/boragepass_entry/src/peer_wire.rs
@@ -5,9 +5,9 @@
 use std::net::SocketAddr;
 
 use boragepass_path::{
-    ConfigurationVersion, ContentCrashes, Endpoint, EndpointLimitReport, EndpointLoad, Heartbeat, PeerMessage,
-    PieceOutcome, PieceRequest, PieceRequestId, PieceResult, PoolLoad, ResultHandle, StageInputs, StoreVersion,
-    VmRecord, VmState,
+    ConfigurationVersion, ContentCrashes, DownReport, Endpoint, EndpointLimitReport, EndpointLoad, Heartbeat,
+    PeerMessage, PieceOutcome, PieceRequest, PieceRequestId, PieceResult, PoolLoad, ResultHandle, StageInputs,
+    StoreVersion, VmRecord, VmState,
 };
 use boragepass_types::{Hash64, Incarnation, Millicores, RequestRate, SpanMs, StoreEra};
 use serde::{Deserialize, Serialize};
@@ -95,6 +95,8 @@
     endpoint_loads: Vec<(String, u16, u32)>,
     /// Endpoint, its limit in requests per thousand seconds or none, and milliseconds since it stated that.
     endpoint_limits: Vec<(String, Option<u64>, Option<u32>, u64)>,
+    /// Endpoint, start of its process as a Unix time in milliseconds, and milliseconds since it was found down.
+    down_endpoints: Vec<(String, u64, u64)>,
     content_crashes: Vec<WireContentCrashes>,
     cleared_contents: Vec<u64>,
     known_vms: Vec<(String, SocketAddr)>,
@@ -237,6 +239,8 @@
         let endpoint_limit = |report: &EndpointLimitReport| {
             (report.endpoint.to_string(), report.limit.map(|limit| limit.0), report.rejections_max, report.age_ms.0)
         };
+        let down_report =
+            |report: &DownReport| (report.endpoint.to_string(), report.started_at_unix_ms, report.age_ms.0);
         Self {
             vm: (&heartbeat.vm).into(),
             configuration_version: heartbeat.configuration.0,
@@ -246,6 +250,7 @@
             led_pools: heartbeat.led_pools.iter().map(pool_load).collect(),
             endpoint_loads: heartbeat.endpoint_loads.iter().map(endpoint_load).collect(),
             endpoint_limits: heartbeat.endpoint_limits.iter().map(endpoint_limit).collect(),
+            down_endpoints: heartbeat.down_endpoints.iter().map(down_report).collect(),
             content_crashes: heartbeat.content_crashes.iter().map(Into::into).collect(),
             cleared_contents: heartbeat.cleared_contents.iter().map(|content| content.0).collect(),
             known_vms: heartbeat.known_vms.iter().map(|(vm, address)| (vm.to_string(), *address)).collect(),
@@ -268,6 +273,9 @@
             let endpoint = parse_field(&endpoint)?;
             Ok(EndpointLimitReport { endpoint, limit, rejections_max, age_ms: SpanMs(age_ms) })
         };
+        let down_report = |(endpoint, started_at_unix_ms, age_ms): (String, u64, u64)| {
+            Ok(DownReport { endpoint: parse_field(&endpoint)?, started_at_unix_ms, age_ms: SpanMs(age_ms) })
+        };
         Ok(Self {
             vm: wire.vm.try_into()?,
             configuration: ConfigurationVersion(wire.configuration_version),
@@ -281,6 +289,7 @@
                 .into_iter()
                 .map(endpoint_limit)
                 .collect::<Result<_, PeerWireError>>()?,
+            down_endpoints: wire.down_endpoints.into_iter().map(down_report).collect::<Result<_, PeerWireError>>()?,
             content_crashes: wire.content_crashes.into_iter().map(Into::into).collect(),
             cleared_contents: wire.cleared_contents.into_iter().map(Hash64).collect(),
             known_vms: wire
--- a/crates/boragepass_fakes/tests/path_peers.rs
+++ b/crates/boragepass_fakes/tests/path_peers.rs
@@ -49,6 +49,7 @@
         led_pools: Vec::new(),
         endpoint_loads: Vec::new(),
         endpoint_limits: Vec::new(),
+        down_endpoints: Vec::new(),
         content_crashes,
         cleared_contents: Vec::new(),
         known_vms: Vec::new(),
--- a/crates/boragepass_path/src/lib.rs
+++ b/crates/boragepass_path/src/lib.rs
@@ -42,8 +42,8 @@
 };
 pub use fleet::{VmRecord, VmState};
 pub use message::{
-    ContentCrashes, EndpointLimitReport, EndpointLoad, Heartbeat, PeerMessage, PieceRequest, PieceRequestId,
-    PieceResult, PoolLoad, ResultHandle, StageInputs,
+    ContentCrashes, DownReport, EndpointLimitReport, EndpointLoad, Heartbeat, PeerMessage, PieceRequest,
+    PieceRequestId, PieceResult, PoolLoad, ResultHandle, StageInputs,
 };
 pub use placement::{Endpoint, EndpointUpdate, StoreVersion};
 pub use record::{Record, RecordValue};
--- a/crates/boragepass_path/src/message.rs
+++ b/crates/boragepass_path/src/message.rs
@@ -120,6 +120,17 @@
     pub age_ms: SpanMs,
 }
 
+/// Process of an endpoint that a VM found down.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct DownReport {
+    /// Endpoint that was found down.
+    pub endpoint: EndpointId,
+    /// Start of its process, as the entry states it that the VM has read last.
+    pub started_at_unix_ms: u64,
+    /// Time since then.
+    pub age_ms: SpanMs,
+}
+
 /// Crashes of endpoints that a content of requests may have caused.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ContentCrashes {
@@ -152,6 +163,8 @@
     pub endpoint_loads: Vec<EndpointLoad>,
     /// Rate limits of endpoints, as their replies to the VM stated them.
     pub endpoint_limits: Vec<EndpointLimitReport>,
+    /// Endpoints that the VM found down a moment ago.
+    pub down_endpoints: Vec<DownReport>,
     /// Crashes of endpoints by the contents of requests that may have caused them.
     pub content_crashes: Vec<ContentCrashes>,
     /// Contents that other VMs hold crashes against and of which the VM has seen requests complete.
--- a/crates/boragepass_path/src/placement/endpoint_table.rs
+++ b/crates/boragepass_path/src/placement/endpoint_table.rs
@@ -18,7 +18,7 @@
 use super::shared_statement::Statement;
 use super::statements::EndpointStatements;
 use crate::event::{PromptPart, ReportedLoad};
-use crate::message::{EndpointLimitReport, EndpointLoad};
+use crate::message::{DownReport, EndpointLimitReport, EndpointLoad};
 use crate::request::{BeginningVersion, StreamVersion};
 
 /// Time in which live endpoints renew expired entries after the store is back, as the platform documents.
@@ -119,8 +119,12 @@
     /// Whether the store lost its entry and it is kept only for the grace period.
     is_expired: bool,
     full_until: TimeMs,
-    /// When this VM last found it down; another process than that of its entry may run there since.
+    /// When a VM last found it down, until it must have written a new entry.
     found_down_at: Option<TimeMs>,
+    /// Whether it may have restarted without an entry that shows it, since the store is unreachable.
+    may_have_restarted: bool,
+    /// When this VM last found it down.
+    own_found_down_at: Option<TimeMs>,
     pub(crate) statements: EndpointStatements,
 }
 
@@ -138,6 +142,8 @@
             is_expired: false,
             full_until: TimeMs(0),
             found_down_at: None,
+            may_have_restarted: false,
+            own_found_down_at: None,
             statements: EndpointStatements::default(),
         }
     }
@@ -208,7 +214,7 @@
 
     /// Software version that its entry states; no value if it may have restarted since with another one.
     pub(crate) fn software_version(&self) -> Option<&BeginningVersion> {
-        self.found_down_at.is_none().then_some(&self.endpoint.software_version)
+        (!self.may_have_restarted).then_some(&self.endpoint.software_version)
     }
 
     /// Whether it rejected a request a moment ago because it is full.
@@ -275,6 +281,9 @@
             self.store_returned_at = Some(now);
             self.by_id.values_mut().filter_map(|known| known.found_down_at.as_mut()).for_each(|at| *at = now);
         }
+        if !is_reachable {
+            self.by_id.values_mut().for_each(|known| known.may_have_restarted |= known.found_down_at.is_some());
+        }
         self.is_store_unreachable = !is_reachable;
     }
 
@@ -386,10 +395,11 @@
     pub(crate) fn sweep(&mut self, now: TimeMs) -> bool {
         self.departed.retain(|_, departure| now.since(departure.departed_at) < DEPARTED_RETENTION);
         if !self.is_store_unreachable {
-            let is_overdue = |at: &TimeMs| now.since(*at) >= RESTART_ENTRY_TIME;
-            self.by_id
-                .values_mut()
-                .for_each(|known| known.found_down_at = known.found_down_at.filter(|at| !is_overdue(at)));
+            let is_overdue = |at: TimeMs| now.since(at) >= RESTART_ENTRY_TIME;
+            for known in self.by_id.values_mut().filter(|known| known.found_down_at.is_some_and(is_overdue)) {
+                known.found_down_at = None;
+                known.may_have_restarted = false;
+            }
         }
         if self.keeps_expired(now) {
             return false;
@@ -412,6 +422,33 @@
     pub(crate) fn on_down(&mut self, now: TimeMs, id: &EndpointId) {
         if let Some(known) = self.by_id.get_mut(id) {
             known.found_down_at = Some(now);
+            known.own_found_down_at = Some(now);
+            known.may_have_restarted |= self.is_store_unreachable;
+        }
+    }
+
+    /// Endpoints that this VM found down a moment ago, for its heartbeat.
+    pub(crate) fn own_down_reports(&self, now: TimeMs) -> Vec<DownReport> {
+        let report = |known: &KnownEndpoint| {
+            let age_ms = now.since(known.own_found_down_at?);
+            (age_ms < RESTART_ENTRY_TIME).then(|| DownReport {
+                endpoint: known.endpoint.id.clone(),
+                started_at_unix_ms: known.endpoint.started_at_unix_ms,
+                age_ms,
+            })
+        };
+        self.by_id.values().filter_map(report).collect()
+    }
+
+    /// Records endpoints that another VM found down, unless this VM has read an entry of a later start.
+    pub(crate) fn on_down_reports(&mut self, now: TimeMs, reports: Vec<DownReport>) {
+        for DownReport { endpoint, started_at_unix_ms, age_ms } in reports {
+            let known = self.by_id.get_mut(&endpoint);
+            if let Some(known) = known.filter(|it| it.endpoint.started_at_unix_ms == started_at_unix_ms) {
+                let found_down_at = TimeMs(now.0.saturating_sub(age_ms.0));
+                known.found_down_at = known.found_down_at.max(Some(found_down_at));
+                known.may_have_restarted |= self.is_store_unreachable;
+            }
         }
     }
 
--- a/crates/boragepass_path/src/reducer/peers.rs
+++ b/crates/boragepass_path/src/reducer/peers.rs
@@ -64,6 +64,7 @@
         if self.endpoint_table.on_limit_reports(now, heartbeat.endpoint_limits) {
             self.update_limit_shares(now);
         }
+        self.endpoint_table.on_down_reports(now, heartbeat.down_endpoints);
         if self.crash_tracker.on_peer_reports(now, &heartbeat.content_crashes, &heartbeat.cleared_contents) {
             self.end_harmful_requests(now);
         }
@@ -150,6 +151,7 @@
             led_pools: if self.fleet.reaches_endpoints { self.led_pool_loads(now) } else { Vec::new() },
             endpoint_loads: self.endpoint_table.own_loads(),
             endpoint_limits: self.endpoint_table.own_limit_reports(now),
+            down_endpoints: self.endpoint_table.own_down_reports(now),
             content_crashes: self.crash_tracker.reports(now),
             cleared_contents: self.crash_tracker.cleared_reports(now),
             known_vms: self.fleet.sample_live_vms(now),
