Soak: endpoints announce their leaving, ask for pauses, limit their requests and are brittle

Cause: the soak played none of what the users' pages say endpoints state of themselves, so only the model and the property test could find a VM as a process that does not keep to it.

Change: four faults from a generator of their own, so that seeds keep their other faults: an endpoint announces its leaving and restarts under its id, rejects all requests and asks for pauses, or states a limit; the plain endpoints together are slow and brittle. The endpoints check, by the VM that the client chose, that a VM which passed on or got the statement keeps to it, with the users' tolerances; a VM's disturbances excuse it.

Not played: a partition of single VMs. All VMs reach an endpoint at one loopback address, and a proxy there can only close a connection that has opened, which a VM rightly takes for a reached endpoint.

--- a/crates/boragepass_soak/src/ledger.rs
+++ b/crates/boragepass_soak/src/ledger.rs
@@ -11,6 +11,7 @@
 
 use crate::http_server::ReceivedRequest;
 use crate::site::WORKSPACE;
+use crate::statements::{SendingVm, SharedStatements};
 
 /// Statuses that guarantee that the request has not run and never will.
 const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
@@ -70,6 +71,8 @@
     /// Numbers and ids of the endpoints that ran it, in order; an endpoint that restarts gets another id.
     runs: Vec<(usize, String)>,
     end: Option<(Instant, Ending)>,
+    /// Statements that replies to it carried.
+    statements: Vec<SharedStatements>,
 }
 
 impl RequestRecord {
@@ -123,8 +126,15 @@
 
     /// Records a request before its client sends it.
     pub(crate) fn on_request_sent(&self, client_id: &str, kind: RequestKind, vm: usize, body: &[u8]) {
-        let record =
-            RequestRecord { kind, vm, body: body.to_vec(), sent_at: Instant::now(), runs: Vec::new(), end: None };
+        let record = RequestRecord {
+            kind,
+            vm,
+            body: body.to_vec(),
+            sent_at: Instant::now(),
+            runs: Vec::new(),
+            end: None,
+            statements: Vec::new(),
+        };
         self.state().requests.insert(client_id.to_owned(), record);
     }
 
@@ -167,6 +177,31 @@
         }
     }
 
+    /// VM to which a client sent a request, if the request is known.
+    pub(crate) fn sending_vm(&self, client_id: &str) -> Option<SendingVm> {
+        let state = self.state();
+        let record = state.requests.get(client_id)?;
+        let disturbances = state.vm_disturbances.iter().filter(|(vm, ..)| *vm == record.vm);
+        let disturbed_until = disturbances.map(|(_, _, until, _)| *until + DISTURBANCE_AFTERMATH).max();
+        Some(SendingVm { vm: record.vm, sent_at: record.sent_at, disturbed_until })
+    }
+
+    /// Records that the reply to a request carries statements.
+    pub(crate) fn on_statements(&self, client_id: &str, statements: SharedStatements) {
+        if let Some(record) = self.state().requests.get_mut(client_id) {
+            record.statements.push(statements);
+        }
+    }
+
+    /// Whether an endpoint or its link is disturbed.
+    pub(crate) fn is_endpoint_disturbed(&self, endpoint_number: usize, now: Instant) -> bool {
+        let state = self.state();
+        state
+            .endpoint_disturbances
+            .iter()
+            .any(|(number, from, to)| *number == endpoint_number && *from <= now && *to + DISTURBANCE_AFTERMATH >= now)
+    }
+
     /// Checks that a stage call belongs to a request that a client sent.
     pub(crate) fn check_request_known(&self, client_id: &str) {
         let is_known = self.state().requests.contains_key(client_id);
@@ -210,7 +245,11 @@
                 }
                 _ => None,
             };
-            record.end = Some((Instant::now(), ending));
+            let now = Instant::now();
+            if ending == Ending::Answered {
+                record.statements.iter().for_each(|statements| statements.get().on_reply_passed_on(now, record.vm));
+            }
+            record.end = Some((now, ending));
             violation
         };
         if let Some(violation) = violation {
--- a/crates/boragepass_soak/src/lib.rs
+++ b/crates/boragepass_soak/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! Clients, the store and the endpoints are fakes in this process. VMs reach the store and the endpoints through a
 //! loopback [`proxy`] for each link. A [`plan`] drawn from a seed stops, pauses, kills and restarts VM processes and
-//! makes links and fakes misbehave, in series that overlap. The [`ledger`] records what clients and endpoints observe,
+//! makes links and fakes misbehave, in series that overlap. Endpoints state of themselves that they leave, pause, limit their
+//! requests or are brittle. The [`ledger`] records what clients and endpoints observe,
 //! and checks the guarantees of the product on it.
 
 mod clients;
@@ -13,6 +14,7 @@
 mod proxy;
 mod run;
 mod site;
+mod statements;
 mod store;
 mod vm;
 
--- a/crates/boragepass_soak/src/plan.rs
+++ b/crates/boragepass_soak/src/plan.rs
@@ -62,6 +62,18 @@
     /// A new version of the configuration is written to the store.
     #[display("configuration changes")]
     Configure,
+    /// An endpoint announces its leaving in its replies only, and restarts after a time under its id.
+    #[display("endpoint {_0} announces its leaving for {_1} ms")]
+    EndpointLeaves(usize, u64),
+    /// An endpoint rejects all requests for a time, each with a pause in seconds.
+    #[display("endpoint {_0} asks for pauses of {_2} s for {_1} ms")]
+    EndpointPauses(usize, u64, u64),
+    /// An endpoint states a limit of requests per second for a time.
+    #[display("endpoint {_0} states a limit of {_2} requests/s for {_1} ms")]
+    EndpointLimits(usize, u64, u32),
+    /// The plain endpoints work slowly and state for a time how many rejections a second each bears.
+    #[display("plain endpoints bear {_1} rejections/s for {_0} ms")]
+    PlainEndpointsBrittle(u64, u32),
 }
 
 /// Fault and the time at which it is injected.
@@ -89,6 +101,10 @@
 const STORE_FAULTS_SEED: u64 = 0x73_746f_7265;
 /// Distinguishes the generator of endless replies from the others.
 const ENDLESS_REPLIES_SEED: u64 = 0x65_6e64_6c65_7373;
+/// Distinguishes the generator of what endpoints state of themselves from the others.
+const STATEMENTS_SEED: u64 = 0x73_7461_7465;
+/// Shortest time for which endpoints are brittle; in the first 4 s of it rejections do no harm.
+const BRITTLE_MS_MIN: u64 = 8_000;
 /// Most faults in one series.
 const FAULTS_PER_SERIES_MAX: usize = 4;
 
@@ -110,6 +126,7 @@
         }
         draw_store_faults(seed, end_ms, &mut faults);
         draw_endless_replies(seed, end_ms, endpoint_count, &mut faults);
+        draw_statements(seed, end_ms, endpoint_count, &mut faults);
         faults.sort_by_key(|planned| planned.at_ms);
         Self { faults }
     }
@@ -136,6 +153,27 @@
     }
 }
 
+/// Draws what endpoints state of themselves in replies, from a generator of its own for the same reason.
+fn draw_statements(seed: u64, end_ms: u64, endpoint_count: usize, faults: &mut Vec<PlannedFault>) {
+    let mut random = SmallRng::seed_from_u64(seed ^ STATEMENTS_SEED);
+    for number in 0..4 {
+        let (endpoint, duration_ms) = (random.random_range(0..endpoint_count), random.random_range(3_000..9_000));
+        let fault = match number {
+            0 => Fault::EndpointLeaves(endpoint, duration_ms),
+            1 => Fault::EndpointPauses(endpoint, duration_ms / 2, random.random_range(1..4)),
+            2 => Fault::EndpointLimits(endpoint, duration_ms, random.random_range(1..12)),
+            _ => {
+                let rejections_max = random.random_range(0..3);
+                Fault::PlainEndpointsBrittle(duration_ms.max(BRITTLE_MS_MIN), rejections_max)
+            }
+        };
+        let at_ms = random.random_range(FAULT_FREE_START_MS..end_ms);
+        if random.random() {
+            faults.push(PlannedFault { at_ms, fault });
+        }
+    }
+}
+
 fn draw_link_mode(random: &mut SmallRng) -> LinkMode {
     match random.random_range(0..5) {
         0 => LinkMode::Delay(random.random_range(20..400)),
--- a/crates/boragepass_soak/src/run.rs
+++ b/crates/boragepass_soak/src/run.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use async_std::task;
@@ -233,6 +233,32 @@
                     endpoint.restart_with_new_id(&store, incarnation);
                 });
             }
+            Fault::EndpointLeaves(endpoint, ms) => {
+                let (endpoint, store) = (self.endpoints[endpoint].clone(), self.store.clone());
+                endpoint.announce_leaving();
+                std::thread::spawn(move || {
+                    std::thread::sleep(Duration::from_millis(ms));
+                    endpoint.restart(&store);
+                });
+            }
+            Fault::EndpointPauses(endpoint, ms, pause_s) => self.endpoints[endpoint].ask_for_pauses(ms, pause_s),
+            Fault::EndpointLimits(endpoint, ms, per_s) => {
+                let endpoint = self.endpoints[endpoint].clone();
+                endpoint.limit_requests(Some(per_s));
+                std::thread::spawn(move || {
+                    std::thread::sleep(Duration::from_millis(ms));
+                    endpoint.limit_requests(None);
+                });
+            }
+            Fault::PlainEndpointsBrittle(ms, rejections_max) => {
+                let endpoints: Vec<_> = self.endpoints.iter().filter(|it| it.is_plain()).cloned().collect();
+                let falls = Arc::new(AtomicU32::new(0));
+                endpoints.iter().for_each(|endpoint| endpoint.become_brittle(Some(rejections_max), falls.clone()));
+                std::thread::spawn(move || {
+                    std::thread::sleep(Duration::from_millis(ms));
+                    endpoints.iter().for_each(|endpoint| endpoint.become_brittle(None, Arc::default()));
+                });
+            }
             Fault::Configure => {
                 *configuration_version += 3;
                 self.store.put_row(
