Restart all stages whose results are gone at once, so that a request is relayed once

Cause: an endpoint that still had an open connection answered 409, since results of two final stages were gone. The VM restarted the stages one after the other. The first restart relayed the request and set its phase; the second set the phase back to that of a request in stages, and relayed it to a second VM. The same loop could answer a request twice if it missed its deadline, and counted one 409 as two of the two restarts that a request has.

Ruled out: the relaying VMs (both served a request that they got once), the model (it delivers each relay's answer).

Change: restart_stages resets all given stages and then goes on once.

Conclusion: found; in the product, not in the model.

--- a/crates/boragepass_fakes/tests/path_partitions.rs
+++ b/crates/boragepass_fakes/tests/path_partitions.rs
@@ -54,6 +54,27 @@
     });
 }
 
+/// An endpoint that still has open connections turns a request away, since results of two stages are gone.
+#[test]
+fn a_request_is_relayed_once_when_results_of_two_of_its_stages_are_gone() {
+    let mut fleet = PathFleet::new(Deployment::of(Site::Lampu), 1);
+    fleet.clients_resume_streams = true;
+    fleet.run_until(1_000);
+    fleet.set_load(1.0);
+    fleet.start_harmful_requests(2, 2, 5.0);
+    fleet.datagram_loss = 0.28;
+    fleet.run_for(3_702);
+    fleet.set_endpoint_links(&[5, 0, 1], EndpointLinks::RefusingNew);
+    let stage_endpoint = fleet.endpoint_ids().into_iter().find(|id| id.as_str() == "venues-b-1-0");
+    fleet.restart_endpoint(&stage_endpoint.expect("the site has this endpoint"), 100);
+    fleet.run_for(10);
+    fleet.set_load(0.0);
+    fleet.stop_harmful_requests();
+    fleet.run_for(DRAIN_MS);
+    let violations = fleet.ledger.violations();
+    assert!(violations.is_empty(), "{} ({} in all)", violations[0], violations.len());
+}
+
 /// A pool leader without links to endpoints would fail the pieces of all VMs.
 #[test]
 fn clients_of_other_vms_are_served_while_some_vms_have_lost_their_links_to_endpoints() {
--- a/crates/boragepass_path/src/reducer/sends.rs
+++ b/crates/boragepass_path/src/reducer/sends.rs
@@ -361,9 +361,7 @@
             }
             // Conflict: a stage result that the request needs is gone.
             409 => {
-                for stage in final_stages {
-                    self.restart_stage(now, request, stage);
-                }
+                self.restart_stages(now, request, &final_stages);
                 return;
             }
             _ => self.endpoint_table.mark_full(now, &active_send.endpoint, now + FULL_ENDPOINT_BACKOFF),
--- a/crates/boragepass_path/src/reducer/stage_flow.rs
+++ b/crates/boragepass_path/src/reducer/stage_flow.rs
@@ -333,7 +333,7 @@
 
     fn on_piece_failed(&mut self, now: TimeMs, request: RequestNumber, stage: usize, outcome: PieceOutcome) {
         match outcome {
-            PieceOutcome::InputLost => self.restart_stage(now, request, stage),
+            PieceOutcome::InputLost => self.restart_stages(now, request, &[stage]),
             PieceOutcome::Late => self.fail_request(now, request, RefusalReason::LateAtStage),
             PieceOutcome::Failed | PieceOutcome::NoSpace => {
                 self.request_from_other_region(now, request, stage, RefusalReason::StageFailed);
@@ -359,19 +359,20 @@
         self.request_pieces(now, request, stage, None);
     }
 
-    /// Restarts a stage and its input stages after a result was lost.
-    pub(super) fn restart_stage(&mut self, now: TimeMs, request: RequestNumber, stage: usize) {
+    /// Restarts stages and their input stages after results were lost.
+    pub(super) fn restart_stages(&mut self, now: TimeMs, request: RequestNumber, stages: &[usize]) {
         let Some(state) = self.requests.get_mut(&request) else {
             return;
         };
         state.stage_restarts += 1;
         let are_restarts_used_up = state.stage_restarts > STAGE_RESTARTS_MAX;
-        let piece_requests = state.stages.reset_with_inputs(stage);
+        let piece_requests: Vec<_> = stages.iter().flat_map(|stage| state.stages.reset_with_inputs(*stage)).collect();
         state.phase = Phase::InStages;
-        let record = Record::new("stage starts over, a result is gone")
-            .text("request", &state.arrival.client_id)
-            .number("stage", stage);
-        self.log(record);
+        let client_id = state.arrival.client_id.clone();
+        for stage in stages {
+            let record = Record::new("stage starts over, a result is gone").text("request", &client_id);
+            self.log(record.number("stage", *stage));
+        }
         for sent_piece_request in piece_requests {
             self.release_piece_request(now, &sent_piece_request);
         }
