Model: an endpoint under a new id has told no VM what it states

Cause: the model. UpgradeEndpoint moves an endpoint to a new id (models-b-1-0 in the minimal case) and took along whom it had asked for a pause under the old one. The same held for limits and brittleness.

Change: the new id starts without rejections, and states its limit and its brittleness anew. What it then tells VMs is checked as before, and a restart under the same id keeps pauses.

--- a/crates/boragepass_fakes/src/path_fleet/fleet/resumption.rs
+++ b/crates/boragepass_fakes/src/path_fleet/fleet/resumption.rs
@@ -21,6 +21,10 @@
         endpoint.endpoint.is_draining = false;
         endpoint.drain_started_at = None;
         endpoint.leaving = None;
+        // The new endpoint has told no VM what it states.
+        endpoint.rejections = None;
+        endpoint.stated_limit = endpoint.stated_limit.map(|limit| StatedLimit::new(limit.rate));
+        endpoint.brittleness = endpoint.brittleness.map(|it| Brittleness::new(it.rejections_max, self.now));
         self.endpoints.insert(new_id.clone(), endpoint);
         self.remove_entry(id);
         self.schedule(self.now + SpanMs(down_ms), Action::ReturnEngine(new_id.clone()));
