--- a/crates/boragepass_path/src/placement/endpoint_table.rs
+++ b/crates/boragepass_path/src/placement/endpoint_table.rs
@@ -82,6 +82,15 @@
 }
 
 impl EndpointUpdate {
+    /// Where the change comes from, for a log line.
+    pub(crate) fn source(&self) -> &'static str {
+        match self {
+            Self::Snapshot(..) => "store, whole list",
+            Self::PeerSnapshot(..) => "other VM",
+            Self::Changed(..) | Self::Removed(..) => "store",
+        }
+    }
+
     fn version(&self) -> StoreVersion {
         match self {
             Self::Snapshot(_, version)
--- a/crates/boragepass_path/src/reducer/mod.rs
+++ b/crates/boragepass_path/src/reducer/mod.rs
@@ -18,7 +18,7 @@
 mod stage_flow;
 mod stream_versions;
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -256,7 +256,10 @@
 
     fn on_endpoints_updated(&mut self, now: TimeMs, update: EndpointUpdate) {
         let announced: Vec<_> = self.endpoint_table.announced_leaving().cloned().collect();
+        let listed: BTreeSet<_> = self.endpoint_table.iter().map(|known| known.endpoint.id.clone()).collect();
+        let source = update.source();
         let is_restored = self.endpoint_table.update(now, update);
+        self.log_list_change(&listed, source);
         let version = self.endpoint_table.version;
         if is_restored {
             // The copy may lack the row of this VM.
@@ -275,6 +278,23 @@
         self.run_all_pools(now);
     }
 
+    /// Logs which endpoints were added to the list and which were removed.
+    fn log_list_change(&mut self, listed_before: &BTreeSet<EndpointId>, source: &'static str) {
+        let listed: BTreeSet<_> = self.endpoint_table.iter().map(|known| known.endpoint.id.clone()).collect();
+        if listed_before.is_empty() || listed == *listed_before {
+            return;
+        }
+        let names = |ids: std::collections::btree_set::Difference<'_, EndpointId>| {
+            ids.map(ToString::to_string).collect::<Vec<_>>().join(",")
+        };
+        let record = Record::new("endpoint list changed")
+            .text("added", names(listed.difference(listed_before)))
+            .text("removed", names(listed_before.difference(&listed)))
+            .text("source", source)
+            .text("version", self.endpoint_table.version);
+        self.log(record);
+    }
+
     fn on_configuration(&mut self, now: TimeMs, configuration: Arc<Configuration>) {
         let current_version = self.configuration.as_ref().map(|configuration| configuration.version);
         if current_version.is_some_and(|version| version >= configuration.version) {
