A VM that keeps a removed entry for the grace period does not bring it back at other VMs

Cause: a VM forgets. edge-lagos-a-2 reads the store again at 25.7 s and keeps entries that are gone for 2 s, as the store had been unreachable. It shared its list with that entry in it, and with a newer version. edge-lagos-a-1, which had removed the endpoint at 25.62 s, listed it again at 25.77 s ("endpoint list changed", source "other VM"), now as a usual entry, and as a reader of the store it got no list without it later.

Change: lists between VMs say which entries are kept for the grace period only. The receiver does not bring back what it has removed, and keeps the others for 2 s from the first time that it hears so, unless their entries return.

All tests of the workspace pass.

Left: if the store is lost again within the grace period, the sender keeps such entries on and the others drop them after 2 s.

--- a/crates/boragepass_entry/src/peer_wire.rs
+++ b/crates/boragepass_entry/src/peer_wire.rs
@@ -6,8 +6,8 @@
 
 use boragepass_path::{
     ConfigurationVersion, ContentCrashes, DownReport, Endpoint, EndpointLimitReport, EndpointLoad, Heartbeat,
-    PeerMessage, PieceOutcome, PieceRequest, PieceRequestId, PieceResult, PoolLoad, ResultHandle, StageInputs,
-    StoreVersion, VmRecord, VmState,
+    PeerMessage, PieceOutcome, PieceRequest, PieceRequestId, PieceResult, PoolLoad, ResultHandle, SharedEndpoint,
+    StageInputs, StoreVersion, VmRecord, VmState,
 };
 use boragepass_types::{Hash64, Incarnation, Millicores, RequestRate, SpanMs, StoreEra};
 use serde::{Deserialize, Serialize};
@@ -68,6 +68,7 @@
     slots: u32,
     started_at_unix_ms: u64,
     software_version: Option<String>,
+    is_expired: bool,
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -462,8 +463,8 @@
     }
 }
 
-impl From<&Endpoint> for WireEndpoint {
-    fn from(endpoint: &Endpoint) -> Self {
+impl From<&SharedEndpoint> for WireEndpoint {
+    fn from(SharedEndpoint { endpoint, is_expired }: &SharedEndpoint) -> Self {
         Self {
             id: endpoint.id.to_string(),
             pool: endpoint.pool.to_string(),
@@ -473,15 +474,16 @@
             slots: endpoint.slots,
             started_at_unix_ms: endpoint.started_at_unix_ms,
             software_version: endpoint.software_version.as_ref().map(ToString::to_string),
+            is_expired: *is_expired,
         }
     }
 }
 
-impl TryFrom<WireEndpoint> for Endpoint {
+impl TryFrom<WireEndpoint> for SharedEndpoint {
     type Error = PeerWireError;
 
     fn try_from(wire: WireEndpoint) -> Result<Self, Self::Error> {
-        Ok(Self {
+        let endpoint = Endpoint {
             id: parse_field(&wire.id)?,
             pool: parse_field(&wire.pool)?,
             address: wire.address,
@@ -490,7 +492,8 @@
             slots: wire.slots,
             started_at_unix_ms: wire.started_at_unix_ms,
             software_version: wire.software_version.as_deref().map(parse_field).transpose()?,
-        })
+        };
+        Ok(Self { endpoint, is_expired: wire.is_expired })
     }
 }
 
--- a/crates/boragepass_entry/src/peers.rs
+++ b/crates/boragepass_entry/src/peers.rs
@@ -106,7 +106,7 @@
                 .as_ref()
                 .filter(|_| with_configuration)
                 .map(|value| value.to_vec()),
-            endpoints: path.endpoints().map(Into::into).collect(),
+            endpoints: path.shared_endpoints().map(|shared| (&shared).into()).collect(),
             endpoints_version: path.endpoints_version().into(),
         };
         self.links.send_encoded(vm, address, &encode(&WireFrame::State(state)));
--- a/crates/boragepass_fakes/src/path_fleet/fleet/mod.rs
+++ b/crates/boragepass_fakes/src/path_fleet/fleet/mod.rs
@@ -810,7 +810,7 @@
             return;
         };
         let configuration = path.configuration().cloned();
-        let update = EndpointUpdate::PeerSnapshot(path.endpoints().cloned().collect(), path.endpoints_version());
+        let update = EndpointUpdate::PeerSnapshot(path.shared_endpoints().collect(), path.endpoints_version());
         if let Some(configuration) = configuration {
             self.deliver(to, REGION_DELAY_MS, Event::ConfigurationReceived(configuration));
         }
--- a/crates/boragepass_fakes/tests/path_peers.rs
+++ b/crates/boragepass_fakes/tests/path_peers.rs
@@ -8,7 +8,7 @@
 use boragepass_path::{
     ApiKey, Arrival, Batching, ConfigurationVersion, ContentCrashes, Effect, Endpoint, EndpointSignals, EndpointUpdate,
     Event, Heartbeat, PathSettings, PeerMessage, Progress, PromptPart, ReplyHead, RequestNumber, RequestPath,
-    RetryLimits, SendFailure, StoreVersion, VmRecord, VmState,
+    RetryLimits, SendFailure, SharedEndpoint, StoreVersion, VmRecord, VmState,
 };
 use boragepass_types::{EndpointId, Hash64, Incarnation, Millicores, Region, SpanMs, StoreEra, TimeMs, VmId};
 
@@ -121,6 +121,65 @@
     leaders.collect()
 }
 
+fn shared(endpoints: &[Endpoint]) -> Vec<SharedEndpoint> {
+    endpoints.iter().map(|endpoint| SharedEndpoint { endpoint: endpoint.clone(), is_expired: false }).collect()
+}
+
+/// Path of a VM that reads, as the store returns, a list without the first endpoint and keeps that one for a while.
+fn path_that_keeps_an_expired_entry(deployment: &Deployment) -> RequestPath {
+    let mut path = request_path(deployment);
+    path.handle(NOW, Event::StoreReachable(false));
+    path.handle(NOW, Event::StoreReachable(true));
+    update(&mut path, NOW, EndpointUpdate::Snapshot(deployment.endpoints[1..].to_vec(), version(3)));
+    path
+}
+
+fn update(path: &mut RequestPath, now: TimeMs, update: EndpointUpdate) -> Vec<Effect> {
+    path.handle(now, Event::EndpointsUpdated(update))
+}
+
+fn is_listed(path: &RequestPath, id: &EndpointId) -> bool {
+    path.endpoints().any(|endpoint| endpoint.id == *id)
+}
+
+/// The entry was removed for good; the other VM was cut off from the store and does not know that yet.
+#[test]
+fn a_removed_endpoint_is_not_listed_again_by_a_vm_that_still_keeps_its_entry() {
+    let deployment = Deployment::of(Site::Gigdesk);
+    let removed = &deployment.endpoints[0].id;
+    let sender = path_that_keeps_an_expired_entry(&deployment);
+    let list = EndpointUpdate::PeerSnapshot(sender.shared_endpoints().collect(), version(3));
+    let mut reader = request_path_of(vm_record(1, 120), &deployment);
+    update(&mut reader, NOW, EndpointUpdate::Removed(removed.clone(), version(2)));
+    update(&mut reader, NOW, list);
+    assert!(!is_listed(&reader, removed), "{removed} is listed again");
+}
+
+/// A VM that skips the version of the removal has to hear of it from the list of the other one.
+#[test]
+fn an_endpoint_that_another_vm_keeps_for_the_grace_period_is_not_kept_longer() {
+    let deployment = Deployment::of(Site::Gigdesk);
+    let removed = &deployment.endpoints[0].id;
+    let sender = path_that_keeps_an_expired_entry(&deployment);
+    let mut reader = request_path_of(vm_record(1, 120), &deployment);
+    update(&mut reader, NOW, EndpointUpdate::PeerSnapshot(sender.shared_endpoints().collect(), version(3)));
+    assert!(is_listed(&reader, removed), "{removed} may return within the grace period");
+    (0..6).for_each(|step| drop(reader.handle(NOW + SpanMs(500 * step), Event::Tick)));
+    assert!(!is_listed(&reader, removed), "{removed} is still listed after 2.5 s");
+}
+
+#[test]
+fn an_endpoint_that_another_vm_kept_stays_once_its_entry_is_back() {
+    let deployment = Deployment::of(Site::Gigdesk);
+    let returned = &deployment.endpoints[0];
+    let sender = path_that_keeps_an_expired_entry(&deployment);
+    let mut reader = request_path_of(vm_record(1, 120), &deployment);
+    update(&mut reader, NOW, EndpointUpdate::PeerSnapshot(sender.shared_endpoints().collect(), version(3)));
+    update(&mut reader, NOW, EndpointUpdate::Changed(returned.clone(), version(4)));
+    (0..6).for_each(|step| drop(reader.handle(NOW + SpanMs(500 * step), Event::Tick)));
+    assert!(is_listed(&reader, &returned.id));
+}
+
 #[test]
 fn the_vm_with_the_most_processor_capacity_is_pool_leader() {
     let deployment = Deployment::of(Site::Gigdesk);
@@ -175,7 +234,7 @@
     let mut path = request_path(&deployment);
     path.handle(NOW, Event::StoreReachable(false));
     let (removed, rest) = deployment.endpoints.split_first().expect("the site has endpoints");
-    path.handle(NOW, Event::EndpointsUpdated(EndpointUpdate::PeerSnapshot(rest.to_vec(), version(2))));
+    path.handle(NOW, Event::EndpointsUpdated(EndpointUpdate::PeerSnapshot(shared(rest), version(2))));
     assert_eq!(path.endpoints_version(), version(2));
     assert!(path.endpoints().all(|endpoint| endpoint.id != removed.id), "{} is still listed", removed.id);
 }
@@ -246,7 +305,6 @@
 fn a_restored_list_brings_back_no_endpoint_that_departed_or_drains() {
     let deployment = Deployment::of(Site::Gigdesk);
     let mut path = request_path(&deployment);
-    let update = |path: &mut RequestPath, now, update| path.handle(now, Event::EndpointsUpdated(update));
     let [departed, draining, unlisted, ..] = &deployment.endpoints[..] else {
         panic!("the site has endpoints");
     };
--- a/crates/boragepass_path/src/placement/endpoint_table.rs
+++ b/crates/boragepass_path/src/placement/endpoint_table.rs
@@ -68,13 +68,22 @@
     pub number: u64,
 }
 
+/// Endpoint of a list that a VM shares with others.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SharedEndpoint {
+    /// Endpoint.
+    pub endpoint: Endpoint,
+    /// Whether the store no longer lists it, and the VM keeps it only for the grace period.
+    pub is_expired: bool,
+}
+
 /// Change of the endpoint list, with the list's version after it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum EndpointUpdate {
     /// The whole list, from the store.
     Snapshot(Vec<Endpoint>, StoreVersion),
     /// The whole list, from another VM.
-    PeerSnapshot(Vec<Endpoint>, StoreVersion),
+    PeerSnapshot(Vec<SharedEndpoint>, StoreVersion),
     /// One entry was added or changed.
     Changed(Endpoint, StoreVersion),
     /// One entry was removed.
@@ -127,6 +136,8 @@
     prompt_cache: PromptCache,
     /// Whether the store lost its entry and it is kept only for the grace period.
     is_expired: bool,
+    /// Until when it is kept at least, as another VM does.
+    kept_until: TimeMs,
     full_until: TimeMs,
     /// When a VM last found it down, until it must have written a new entry.
     found_down_at: Option<TimeMs>,
@@ -149,6 +160,7 @@
             peer_loads: BTreeMap::new(),
             prompt_cache: PromptCache::default(),
             is_expired: false,
+            kept_until: TimeMs(0),
             full_until: TimeMs(0),
             found_down_at: None,
             may_have_restarted: false,
@@ -274,6 +286,13 @@
         self.by_id.values()
     }
 
+    /// Endpoints as this VM shares them with others.
+    pub(crate) fn shared(&self) -> impl Iterator<Item = SharedEndpoint> {
+        let shared =
+            |known: &KnownEndpoint| SharedEndpoint { endpoint: known.endpoint.clone(), is_expired: known.is_expired };
+        self.by_id.values().map(shared)
+    }
+
     /// Endpoints of a pool that are not draining, whatever their health.
     pub(crate) fn serving<'a>(&'a self, pool: &'a PoolId) -> impl Iterator<Item = &'a KnownEndpoint> {
         self.by_id.values().filter(move |known| known.endpoint.pool == *pool && known.takes_new_work())
@@ -311,18 +330,22 @@
         self.version = version;
         match update {
             EndpointUpdate::Snapshot(endpoints, _) => {
-                for id in self.missing_from(&endpoints) {
+                for id in self.missing_from(endpoints.iter()) {
                     self.remove(now, &id);
                 }
                 self.insert_listed(now, endpoints);
             }
             // The sender has waited out the grace period, so an endpoint missing here is gone even if the store
             // rejects this VM. A VM that kept it would pass it on as part of this version.
-            EndpointUpdate::PeerSnapshot(endpoints, _) => {
-                for id in self.missing_from(&endpoints) {
+            EndpointUpdate::PeerSnapshot(shared, _) => {
+                let (expired, listed): (Vec<_>, Vec<_>) = shared.into_iter().partition(|shared| shared.is_expired);
+                let expired: Vec<_> = expired.into_iter().map(|shared| shared.endpoint).collect();
+                let listed: Vec<_> = listed.into_iter().map(|shared| shared.endpoint).collect();
+                for id in self.missing_from(listed.iter().chain(&expired)) {
                     self.drop_departed(now, &id);
                 }
-                self.insert_listed(now, endpoints);
+                self.insert_listed(now, listed);
+                self.keep_expired(now, expired);
             }
             EndpointUpdate::Changed(endpoint, _) => self.insert_or_update(endpoint),
             EndpointUpdate::Removed(id, _) => self.remove(now, &id),
@@ -340,8 +363,8 @@
         self.by_id.values_mut().filter(move |known| known.statements.is_leaving_to_be_asked() && known.accepts(now))
     }
 
-    fn missing_from(&self, endpoints: &[Endpoint]) -> Vec<EndpointId> {
-        let listed: BTreeSet<_> = endpoints.iter().map(|endpoint| &endpoint.id).collect();
+    fn missing_from<'a>(&self, endpoints: impl Iterator<Item = &'a Endpoint>) -> Vec<EndpointId> {
+        let listed: BTreeSet<_> = endpoints.map(|endpoint| &endpoint.id).collect();
         self.by_id.keys().filter(|id| !listed.contains(id)).cloned().collect()
     }
 
@@ -364,6 +387,22 @@
         }
     }
 
+    /// Keeps endpoints that another VM keeps for its grace period, for that time from now on. Those that this VM has removed
+    /// do not come back.
+    fn keep_expired(&mut self, now: TimeMs, endpoints: Vec<Endpoint>) {
+        for endpoint in endpoints {
+            let id = endpoint.id.clone();
+            if !self.by_id.contains_key(&id) && !self.departed.contains_key(&id) {
+                self.insert_or_update(endpoint);
+            }
+            // VMs that name it to each other would otherwise keep it forever.
+            if let Some(known) = self.by_id.get_mut(&id).filter(|known| !known.is_expired) {
+                known.is_expired = true;
+                known.kept_until = now + EXPIRY_GRACE;
+            }
+        }
+    }
+
     fn insert_or_update(&mut self, mut endpoint: Endpoint) {
         let departed = self.departed.remove(&endpoint.id).map(|departure| departure.known);
         let known = self.by_id.remove(&endpoint.id).or(departed);
@@ -414,7 +453,7 @@
             return false;
         }
         self.store_returned_at = None;
-        let is_expired = |(_, known): &(&EndpointId, &KnownEndpoint)| known.is_expired;
+        let is_expired = |(_, known): &(&EndpointId, &KnownEndpoint)| known.is_expired && known.kept_until <= now;
         let expired: Vec<_> = self.by_id.iter().filter(is_expired).map(|(id, _)| id.clone()).collect();
         for id in &expired {
             self.drop_departed(now, id);
--- a/crates/boragepass_path/src/placement/mod.rs
+++ b/crates/boragepass_path/src/placement/mod.rs
@@ -12,7 +12,7 @@
 mod statements;
 
 pub(crate) use endpoint_reach::{EndpointReach, PROBED_ENDPOINTS, RoundResult};
-pub use endpoint_table::{Endpoint, EndpointUpdate, StoreVersion};
+pub use endpoint_table::{Endpoint, EndpointUpdate, SharedEndpoint, StoreVersion};
 pub(crate) use endpoint_table::{EndpointTable, KnownEndpoint};
 pub(crate) use engine_choice::{
     ChosenEndpoint, PREFILL_TOKENS_PER_MS, RequestRequirements, choose_endpoint, prefill_ms,
--- a/crates/boragepass_path/src/reducer/mod.rs
+++ b/crates/boragepass_path/src/reducer/mod.rs
@@ -32,7 +32,9 @@
 use crate::event::Event;
 use crate::fleet::{Fleet, VmState};
 use crate::message::PieceRequestId;
-use crate::placement::{Endpoint, EndpointReach, EndpointTable, EndpointUpdate, PoolBacklogs, StoreVersion};
+use crate::placement::{
+    Endpoint, EndpointReach, EndpointTable, EndpointUpdate, PoolBacklogs, SharedEndpoint, StoreVersion,
+};
 use crate::record::Record;
 use crate::request::{CallNumber, RequestNumber, RequestState, SendNumber, StreamVersions};
 use crate::retry::{CrashTracker, RetryBudget};
@@ -196,6 +198,11 @@
         self.endpoint_table.iter().map(|known_endpoint| &known_endpoint.endpoint)
     }
 
+    /// Known endpoints, as this VM shares them with others.
+    pub fn shared_endpoints(&self) -> impl Iterator<Item = SharedEndpoint> {
+        self.endpoint_table.shared()
+    }
+
     /// Version of the endpoint list.
     pub fn endpoints_version(&self) -> StoreVersion {
         self.endpoint_table.version
