Soak: a VM is told nothing by a reply that may have been lost

Cause: the check. models-3-1 announced its leaving while it lost its answers. Two requests that it ran were answered by other endpoints, and the ledger took the announcement to be passed on with those answers. The VM's log has "connection lost" for both sends, and no announcement before the request in question, whose reply is the first one that the VM got.

Change: statements count as told only if the endpoint does not lose the reply and its link is undisturbed, as for pauses.

--- a/crates/boragepass_soak/src/endpoints.rs
+++ b/crates/boragepass_soak/src/endpoints.rs
@@ -229,7 +229,8 @@
     if let Some(violation) = sender.and_then(|sender| statements.get().on_request(now, &sender)) {
         ledger.record_violation(client_id, format!("{violation}: {id}"));
     }
-    if let Some(reply) = reject_with_pause(state, sender, loses_reply || ledger.is_endpoint_disturbed(number, now)) {
+    let may_lose_reply = loses_reply || ledger.is_endpoint_disturbed(number, now);
+    if let Some(reply) = reject_with_pause(state, sender, may_lose_reply) {
         return (!loses_reply).then_some(with_statements(reply, &statements));
     }
     if is_full {
@@ -241,7 +242,9 @@
     let reply = match kind {
         EndpointKind::Stage => run_stage_call(ledger, request),
         EndpointKind::Plain | EndpointKind::Model => {
-            ledger.on_statements(client_id, statements.clone());
+            if !may_lose_reply {
+                ledger.on_statements(client_id, statements.clone());
+            }
             let mut reply = run_request(kind, number, &id, ledger, request, is_failing);
             if let Some(reply) = reply.as_mut().filter(|_| statements.get().rejections_max().is_some()) {
                 reply.head_delay = reply.head_delay.max(BRITTLE_WORK_TIME);
