--- a/crates/boragepass_fakes/tests/path_statements.rs
+++ b/crates/boragepass_fakes/tests/path_statements.rs
@@ -76,11 +76,11 @@
     }
 }
 
-/// No VM reads the store between the restart and the announcement.
-#[test]
-fn an_endpoint_that_announces_its_leaving_after_an_unseen_restart_gets_no_request_later() {
+/// Lets endpoints whose clocks err restart while no VM reads the store, and then announce their leaving.
+fn check_announcement_after_unseen_restart(clock_error_ms: i64) {
     for site in SITES {
         let (mut fleet, leaving) = loaded_fleet(site, 4);
+        fleet.endpoint_clock_error_ms = clock_error_ms;
         (0..fleet.vm_count()).for_each(|vm| fleet.set_cut_from_store(vm, true));
         leaving.iter().for_each(|id| fleet.restart_endpoint(id, 300));
         fleet.run_for(1_000);
@@ -92,20 +92,14 @@
     }
 }
 
+#[test]
+fn an_endpoint_that_announces_its_leaving_after_an_unseen_restart_gets_no_request_later() {
+    check_announcement_after_unseen_restart(0);
+}
+
 #[test]
 fn an_endpoint_whose_clock_is_ahead_gets_no_request_after_it_announced_its_leaving() {
-    for site in SITES {
-        let (mut fleet, leaving) = loaded_fleet(site, 4);
-        fleet.endpoint_clock_error_ms = 5_000;
-        (0..fleet.vm_count()).for_each(|vm| fleet.set_cut_from_store(vm, true));
-        leaving.iter().for_each(|id| fleet.restart_endpoint(id, 300));
-        fleet.run_for(1_000);
-        inject(&mut fleet, &leaving, EndpointFault::AnnounceLeaving);
-        fleet.run_for(ANNOUNCEMENT_MS);
-        (0..fleet.vm_count()).for_each(|vm| fleet.set_cut_from_store(vm, false));
-        fleet.run_for(WATCHED_MS);
-        assert_no_violation(&fleet, site);
-    }
+    check_announcement_after_unseen_restart(5_000);
 }
 
 /// The copy lists the start before the last one, until the endpoints write their entries again.
@@ -176,10 +170,11 @@
     }
 }
 
-#[test]
-fn an_endpoint_that_restarts_after_its_leaving_is_used_again() {
+/// Lets endpoints whose clocks err announce their leaving and restart.
+fn check_use_after_restart(clock_error_ms: i64) {
     for site in [Site::Lampu, Site::Gigdesk] {
         let (mut fleet, leaving) = loaded_fleet(site, 6);
+        fleet.endpoint_clock_error_ms = clock_error_ms;
         inject(&mut fleet, &leaving, EndpointFault::AnnounceLeaving);
         fleet.run_for(ANNOUNCEMENT_MS);
         leaving.iter().for_each(|id| fleet.restart_endpoint(id, 300));
@@ -190,19 +185,14 @@
     }
 }
 
+#[test]
+fn an_endpoint_that_restarts_after_its_leaving_is_used_again() {
+    check_use_after_restart(0);
+}
+
 #[test]
 fn an_endpoint_whose_clock_is_behind_is_used_again_after_it_left_and_restarted() {
-    for site in [Site::Lampu, Site::Gigdesk] {
-        let (mut fleet, leaving) = loaded_fleet(site, 6);
-        fleet.endpoint_clock_error_ms = -5_000;
-        inject(&mut fleet, &leaving, EndpointFault::AnnounceLeaving);
-        fleet.run_for(ANNOUNCEMENT_MS);
-        leaving.iter().for_each(|id| fleet.restart_endpoint(id, 300));
-        fleet.run_for(WATCHED_MS);
-        assert_no_violation(&fleet, site);
-        let unused: Vec<_> = leaving.iter().filter(|id| fleet.work_since_restart(id) == 0).collect();
-        assert!(unused.is_empty(), "{site}: {unused:?}");
-    }
+    check_use_after_restart(-5_000);
 }
 
 #[test]
