A stream is joined from no two versions after a restart of all VMs, and one of the only version goes on

Clients whose streams broke when all VMs were killed took them up again at VMs that had just started. If the old version's engines had left meanwhile, such a VM saw only the new version: a client that does not name its stream was let on there, and the answer was joined from two versions. Cause: `only_software_version` judges by the list of now, while the stream began before.

Now one VM keeps the versions that each pool had in a row of the store, written under a condition when they change, and each VM reads it when it starts. A version stays there until the pool was seen without it for the 60 s in which clients take up streams. A stream that no VM knows goes on only if list and row show one version all that time; until the row is read it waits, at most 300 ms.

--- a/crates/boragepass_entry/src/driver.rs
+++ b/crates/boragepass_entry/src/driver.rs
@@ -25,6 +25,7 @@
 use crate::peers::Peers;
 use crate::sends::{self, Reply};
 use crate::stage_calls;
+use crate::version_rows::VersionCall;
 
 /// Longest sleep of the timer loop when no timer is set.
 const IDLE_WAKE: Duration = Duration::from_millis(500);
@@ -77,6 +78,8 @@
     pub(crate) follows_store: Cell<bool>,
     /// Wakes the task that registers this VM in the store.
     registration_channel: (Sender<()>, Receiver<()>),
+    /// What to do with the versions of pools that the store keeps.
+    version_call_channel: (Sender<VersionCall>, Receiver<VersionCall>),
     /// Dropped when clients' connections have to close after the response in progress.
     connection_shutdown_sender: RefCell<Option<Sender<()>>>,
     pub(crate) connection_shutdown: Receiver<()>,
@@ -102,6 +105,7 @@
             is_ready: Cell::new(false),
             follows_store: Cell::new(true),
             registration_channel: bounded(1),
+            version_call_channel: bounded(1),
             connection_shutdown_sender: RefCell::new(Some(connection_shutdown_sender)),
             connection_shutdown,
             exit_channel: bounded(1),
@@ -139,6 +143,11 @@
         self.registration_channel.1.recv().await.ok();
     }
 
+    /// Waits for the next call that concerns the versions of pools.
+    pub(crate) async fn next_version_call(&self) -> Option<VersionCall> {
+        self.version_call_channel.1.recv().await.ok()
+    }
+
     /// Passes a configuration, encoded as in the store, on to the request path. A newer one than that in force is
     /// also kept for other VMs.
     pub(crate) fn receive_configuration(self: &Rc<Self>, value: Bytes) {
@@ -227,6 +236,8 @@
                 // A full channel means that this VM is about to register already.
                 self.registration_channel.0.try_send(()).ok();
             }
+            Effect::ReadRecordedVersions => self.start_version_call(VersionCall::Read),
+            Effect::RecordVersions(versions) => self.start_version_call(VersionCall::Replace(versions)),
             Effect::SetReady(is_ready) => self.is_ready.set(is_ready),
             Effect::CloseConnections => {
                 self.connection_shutdown_sender.borrow_mut().take();
@@ -238,6 +249,13 @@
         }
     }
 
+    fn start_version_call(&self, call: VersionCall) {
+        // The request path starts the next call only after the last one ended, so the channel has room.
+        if self.version_call_channel.0.try_send(call).is_err() {
+            self.record(&Record::new("call for software versions dropped"));
+        }
+    }
+
     fn cancel_send(&self, send: SendNumber) {
         if let Some(running) = self.sends.borrow_mut().remove(&send) {
             running.task_abort.abort();
--- a/crates/boragepass_entry/src/lib.rs
+++ b/crates/boragepass_entry/src/lib.rs
@@ -20,6 +20,7 @@
 mod stage_calls;
 mod store_client;
 mod store_feed;
+mod version_rows;
 
 pub use http_io::HttpIo;
 pub use process::{StartError, run};
--- a/crates/boragepass_entry/src/store_client.rs
+++ b/crates/boragepass_entry/src/store_client.rs
@@ -26,6 +26,8 @@
     HistoryGone,
     /// restored from a copy since the last reply
     Restored,
+    /// row of this system not understood: {0}
+    InvalidRow(String),
     /// {0}
     Unreadable(boragepass_platform::DecodeError),
 }
--- a/crates/boragepass_entry/src/store_feed.rs
+++ b/crates/boragepass_entry/src/store_feed.rs
@@ -26,7 +26,7 @@
 use crate::store_client::{StoreClient, StoreError};
 
 /// Timeout of calls other than polls for changes.
-const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
+pub(crate) const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Delay before the next poll after changes, so that changes close together cost one poll. It stays
 /// well below the 2.5 s within which draining endpoints have to be known.
 const CHANGES_BATCH_DELAY: Duration = Duration::from_millis(200);
@@ -94,7 +94,7 @@
     ));
 }
 
-async fn retry_delay(random: &mut SmallRng) {
+pub(crate) async fn retry_delay(random: &mut SmallRng) {
     task::sleep(Duration::from_millis(RETRY_DELAY_MIN_MS + random.random_range(0..RETRY_DELAY_JITTER_MS))).await;
 }
 
--- a/crates/boragepass_entry/tests/support/mod.rs
+++ b/crates/boragepass_entry/tests/support/mod.rs
@@ -13,7 +13,7 @@
 use boragepass_entry::HttpIo;
 use boragepass_path::{Endpoint, PieceOutcome};
 use boragepass_platform::{
-    Row, RowPage, decode_row_writes, decode_stage_call, encode_changes, encode_endpoint, encode_rows,
+    Row, RowPage, decode_row_transaction, decode_stage_call, encode_changes, encode_endpoint, encode_rows,
     encode_stage_results, names,
 };
 pub(crate) use boragepass_soak::{ReceivedRequest, Reply, serve};
@@ -35,7 +35,7 @@
     tables.insert(names::ENDPOINT_TABLE, endpoint_rows.collect());
     let (address, _) = serve(move |got| {
         if got.path.starts_with(names::ROWS_CHANGE_PATH) {
-            decode_row_writes(&got.body).expect("a readable change");
+            decode_row_transaction(&got.body).expect("a readable change");
             return Some(Reply::new(200, r#"{"ver":3,"nowMs":1}"#));
         }
         let table = tables.keys().find(|table| got.path.contains(&format!("table={table}&")));
--- a/crates/boragepass_fakes/src/path_fleet/fleet/mod.rs
+++ b/crates/boragepass_fakes/src/path_fleet/fleet/mod.rs
@@ -19,8 +19,8 @@
 
 use boragepass_path::{
     Arrival, Batching, CallFailure, CallNumber, CallOutcome, Effect, Endpoint, EndpointSignals, EndpointUpdate, Event,
-    EventId, PathSettings, PeerMessage, PieceOutcome, Progress, PromptPart, Repeatability, ReplyHead, RequestNumber,
-    RequestPath, RetryLimits, SendFailure, SendNumber, StoreVersion, VmRecord, VmState,
+    EventId, PathSettings, PeerMessage, PieceOutcome, Progress, PromptPart, RecordedVersions, Repeatability, ReplyHead,
+    RequestNumber, RequestPath, RetryLimits, SendFailure, SendNumber, StoreVersion, VmRecord, VmState,
 };
 use boragepass_types::{
     EndpointId, FailureDomain, Hash64, Incarnation, Millicores, RequestRate, SpanMs, StoreEra, TimeMs, VmId,
@@ -112,6 +112,8 @@
     is_cut_from_store: bool,
     /// Whether the VM receives changes from the store rather than from peers.
     is_store_follower: bool,
+    /// Version of the store's row of software versions that its process has read.
+    pool_versions_row: u64,
     endpoint_links: EndpointLinks,
     paused_until: TimeMs,
     /// Events that arrived during a pause.
@@ -164,6 +166,7 @@
     ResumeStream(Arc<str>),
     WriteEntry(EndpointId),
     WriteEntriesAgain,
+    ReadRecordedVersions(usize, u64),
 }
 
 /// Action with its time; the sequence number orders actions of the same time.
@@ -230,6 +233,8 @@
     pub datagram_loss: f64,
     /// Whether clients take up streams that broke after an event.
     pub clients_resume_streams: bool,
+    /// Whether these clients name the stream that they take up.
+    pub clients_name_streams: bool,
     /// Share of clients that connect to any VM, since their addresses are old.
     pub stale_client_share: f64,
     /// Share of requests whose clients disconnect after half of the objective.
@@ -269,6 +274,7 @@
                 wake_at: None,
                 is_cut_from_store: false,
                 is_store_follower: true,
+                pool_versions_row: 0,
                 endpoint_links: EndpointLinks::Up,
                 paused_until: TimeMs(0),
                 held_events: VecDeque::new(),
@@ -301,6 +307,7 @@
             relays: relays::Relays::default(),
             datagram_loss: 0.0,
             clients_resume_streams: false,
+            clients_name_streams: true,
             stale_client_share: 0.0,
             abandon_share: 0.0,
             endpoint_clock_error_ms: 0,
@@ -367,6 +374,7 @@
         self.vms[vm].held_events.clear();
         self.vms[vm].is_store_follower = true;
         self.deliver_store_contents(vm);
+        self.read_recorded_versions(vm, incarnation);
         self.schedule(now, Action::WakeVm(vm, incarnation));
     }
 
@@ -628,6 +636,7 @@
             Action::ResumeStream(stream) => self.resume_stream(&stream),
             Action::WriteEntry(endpoint_id) => self.write_entry(&endpoint_id),
             Action::WriteEntriesAgain => self.write_entries_again(),
+            Action::ReadRecordedVersions(vm, incarnation) => self.read_recorded_versions(vm, incarnation),
         }
     }
 
@@ -780,6 +789,8 @@
                 self.vms[vm].request_path = None;
                 self.start_vm(vm);
             }
+            Effect::ReadRecordedVersions => self.read_recorded_versions(vm, incarnation),
+            Effect::RecordVersions(versions) => self.record_versions(vm, incarnation, versions),
             Effect::Log(record) => *self.log_record_counts.entry(record.what).or_default() += 1,
             Effect::FollowStore(follows) => {
                 self.vms[vm].is_store_follower = follows;
--- a/crates/boragepass_fakes/src/path_fleet/fleet/resumption.rs
+++ b/crates/boragepass_fakes/src/path_fleet/fleet/resumption.rs
@@ -4,6 +4,8 @@
 
 /// Time until a client sends the next attempt.
 const NEXT_ATTEMPT_DELAY_MS: u64 = 20;
+/// Time until a client that finds no VM tries again.
+const NO_VM_RETRY_DELAY_MS: u64 = 200;
 
 impl PathFleet {
     /// Replaces an endpoint by one of another software version and a new id at the same address, which is up after a
@@ -56,17 +58,23 @@
 
     /// Submits the next attempt of a stream to any VM.
     pub(super) fn resume_stream(&mut self, stream: &Arc<str>) {
-        let Some(vm) = self.pick_serving_vm() else {
+        let Some((kind, last_event_id, submitted_at)) = self
+            .ledger
+            .requests
+            .get(stream)
+            .and_then(|record| Some((record.kind, record.last_event_id?, record.submitted_at)))
+        else {
             return;
         };
-        let Some((kind, last_event_id)) =
-            self.ledger.requests.get(stream).and_then(|record| Some((record.kind, record.last_event_id?)))
-        else {
+        let Some(vm) = self.pick_serving_vm() else {
+            if self.now.since(submitted_at).0 < self.deployment.kinds[kind].deadline_ms {
+                self.schedule(self.now + SpanMs(NO_VM_RETRY_DELAY_MS), Action::ResumeStream(stream.clone()));
+            }
             return;
         };
         let mut arrival = self.register_request(vm, kind, None, None);
         arrival.resume_after = Some(last_event_id);
-        arrival.resumed_stream = Some(stream.clone());
+        arrival.resumed_stream = self.clients_name_streams.then(|| stream.clone());
         self.relays.on_submitted(&arrival);
         self.ledger.on_resumption(stream, &arrival.client_id);
         self.deliver(vm, CLIENT_DELAY_MS, Event::RequestArrived(Box::new(arrival)));
--- a/crates/boragepass_fakes/src/path_fleet/fleet/store.rs
+++ b/crates/boragepass_fakes/src/path_fleet/fleet/store.rs
@@ -5,6 +5,8 @@
 /// Longest time until endpoints that live have written the entries again that a restored store lost. The users' pages
 /// allow about two seconds.
 const REWRITE_DELAY_MAX_MS: u64 = 1_500;
+/// Time after which a VM repeats a call that did not reach the store.
+const STORE_RETRY_MS: u64 = 300;
 
 /// Endpoint list of the store.
 #[derive(Debug)]
@@ -12,16 +14,28 @@
     entries: BTreeMap<EndpointId, Endpoint>,
     version: u64,
     era: StoreEra,
-    /// Version and entries from which the store can be restored.
-    copy: (u64, BTreeMap<EndpointId, Endpoint>),
+    /// Software versions of pools, as a VM recorded them, and the version of that row; zero if there is none.
+    pool_versions: (u64, RecordedVersions),
+    /// What the store can be restored from.
+    copy: StoreCopy,
     restored_at: Option<TimeMs>,
 }
 
+/// Content of the store at some moment.
+#[derive(Debug, Clone)]
+struct StoreCopy {
+    version: u64,
+    entries: BTreeMap<EndpointId, Endpoint>,
+    pool_versions: (u64, RecordedVersions),
+}
+
 impl Store {
     pub(super) fn new(endpoints: &[Endpoint]) -> Self {
         let entries: BTreeMap<_, _> =
             endpoints.iter().map(|endpoint| (endpoint.id.clone(), endpoint.clone())).collect();
-        Self { copy: (1, entries.clone()), entries, version: 1, era: StoreEra(1), restored_at: None }
+        let pool_versions = (0, RecordedVersions::default());
+        let copy = StoreCopy { version: 1, entries: entries.clone(), pool_versions: pool_versions.clone() };
+        Self { copy, entries, version: 1, era: StoreEra(1), pool_versions, restored_at: None }
     }
 
     fn version(&self) -> StoreVersion {
@@ -51,6 +65,31 @@
         }
     }
 
+    /// Lets a VM read the versions that the store keeps; one that is cut off from the store tries again until it succeeds.
+    pub(super) fn read_recorded_versions(&mut self, vm: usize, incarnation: u64) {
+        if self.vms[vm].incarnation != incarnation || self.vms[vm].request_path.is_none() {
+            return;
+        }
+        if self.vms[vm].is_cut_from_store {
+            let at = self.now + SpanMs(STORE_RETRY_MS);
+            self.schedule(at, Action::ReadRecordedVersions(vm, incarnation));
+            return;
+        }
+        let (row_version, versions) = self.store.pool_versions.clone();
+        self.vms[vm].pool_versions_row = row_version;
+        self.deliver(vm, STORE_DELAY_MS, Event::VersionsRecorded(versions));
+    }
+
+    /// Replaces the versions that the store keeps, unless they changed since the VM read them, and lets the VM read them.
+    pub(super) fn record_versions(&mut self, vm: usize, incarnation: u64, versions: RecordedVersions) {
+        let is_current = self.vms[vm].pool_versions_row == self.store.pool_versions.0;
+        if !self.vms[vm].is_cut_from_store && is_current {
+            self.store.version += 1;
+            self.store.pool_versions = (self.store.version, versions);
+        }
+        self.read_recorded_versions(vm, incarnation);
+    }
+
     /// Cuts a VM off from the store, or connects it again.
     pub fn set_cut_from_store(&mut self, vm: usize, is_cut: bool) {
         if self.vms[vm].is_cut_from_store == is_cut {
@@ -121,14 +160,19 @@
 
     /// Keeps a copy of the store from which it can be restored.
     pub fn keep_store_copy(&mut self) {
-        self.store.copy = (self.store.version, self.store.entries.clone());
+        self.store.copy = StoreCopy {
+            version: self.store.version,
+            entries: self.store.entries.clone(),
+            pool_versions: self.store.pool_versions.clone(),
+        };
     }
 
     /// Restores the store from its copy, in a new era. The endpoints that live write again what it lost.
     pub fn restore_store(&mut self) {
-        let (version, entries) = self.store.copy.clone();
+        let StoreCopy { version, entries, pool_versions } = self.store.copy.clone();
         self.store.entries = entries;
         self.store.version = version;
+        self.store.pool_versions = pool_versions;
         self.store.era = StoreEra(self.store.era.0 + 1);
         self.store.restored_at = Some(self.now);
         for vm in 0..self.vms.len() {
--- a/crates/boragepass_fakes/tests/path_faults.rs
+++ b/crates/boragepass_fakes/tests/path_faults.rs
@@ -1,7 +1,7 @@
 //! Property test: the guarantees of the request path hold under any sequence of faults.
 //!
 //! Several VMs serve a site in virtual time while endpoints crash, restart, stop responding, slow down, lose
-//! answers, drain and announce their leaving, VMs are killed, stopped, paused and cut off from the store or from all
+//! answers, drain and announce their leaving, VMs are killed one by one or all at once, stopped, paused and cut off from the store or from all
 //! endpoints, and the store loses entries and is restored from a copy. The oracle is
 //! the model's ledger of what clients and endpoints saw; it knows no decisions of the VMs.
 
@@ -29,6 +29,8 @@
     SetLoad { percent: u64 },
     FaultEndpoint { endpoint: usize, fault: EndpointFault },
     KillVm { vm: usize },
+    RestartAllVms { down_ms: u64 },
+    NameStreams { is_named: bool },
     StartVm { vm: usize },
     StopVm { vm: usize },
     PauseVm { vm: usize, ms: u64 },
@@ -87,6 +89,8 @@
             2 => (20_u64..250).prop_map(|percent| Step::SetLoad { percent }),
             6 => (0..ENDPOINTS, endpoint_fault()).prop_map(|(endpoint, fault)| Step::FaultEndpoint { endpoint, fault }),
             1 => (0..VMS).prop_map(|vm| Step::KillVm { vm }),
+            1 => (100_u64..2_000).prop_map(|down_ms| Step::RestartAllVms { down_ms }),
+            1 => proptest::bool::ANY.prop_map(|is_named| Step::NameStreams { is_named }),
             2 => (0..VMS).prop_map(|vm| Step::StartVm { vm }),
             1 => (0..VMS).prop_map(|vm| Step::StopVm { vm }),
             1 => (0..VMS, 100_u64..5_000).prop_map(|(vm, ms)| Step::PauseVm { vm, ms }),
@@ -150,6 +154,12 @@
                 fleet.inject_fault(&ids[endpoint % ids.len()], fault);
             }
             Step::KillVm { vm } => fleet.kill_vm(vm),
+            Step::RestartAllVms { down_ms } => {
+                (0..VMS).for_each(|vm| fleet.kill_vm(vm));
+                fleet.run_for(down_ms);
+                (0..VMS).for_each(|vm| fleet.start_vm(vm));
+            }
+            Step::NameStreams { is_named } => fleet.clients_name_streams = is_named,
             Step::StartVm { vm } => fleet.start_vm(vm),
             Step::StopVm { vm } => fleet.stop_vm(vm),
             Step::PauseVm { vm, ms } => fleet.pause_vm(vm, ms),
--- a/crates/boragepass_fakes/tests/path_peers.rs
+++ b/crates/boragepass_fakes/tests/path_peers.rs
@@ -1,14 +1,15 @@
 //! How VMs share work on the request path: the choice of pool leaders, who follows the store, and the
 //! endpoint list that a VM gets from the store or from a peer.
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use boragepass_fakes::path_fleet::{Deployment, Site};
 use boragepass_path::{
     ApiKey, Arrival, Batching, ConfigurationVersion, ContentCrashes, Effect, Endpoint, EndpointSignals, EndpointUpdate,
-    Event, Heartbeat, PathSettings, PeerMessage, Progress, PromptPart, ReplyHead, RequestNumber, RequestPath,
-    RetryLimits, SendFailure, SharedEndpoint, StoreVersion, VmRecord, VmState,
+    Event, Heartbeat, PathSettings, PeerMessage, Progress, PromptPart, RecordedVersions, ReplyHead, RequestNumber,
+    RequestPath, RetryLimits, SendFailure, SharedEndpoint, StoreVersion, VmRecord, VmState,
 };
 use boragepass_types::{EndpointId, Hash64, Incarnation, Millicores, Region, SpanMs, StoreEra, TimeMs, VmId};
 
@@ -473,12 +474,84 @@
 
 #[test]
 fn a_stream_that_the_client_does_not_name_goes_on_only_without_a_choice_of_versions() {
-    let effects = take_up_stream(&mut request_path_beside_versions(), 1, None);
+    let mut path = request_path_beside_versions();
+    path.handle(NOW, Event::VersionsRecorded(RecordedVersions::default()));
+    let effects = take_up_stream(&mut path, 1, None);
     assert_eq!((sent_to(&effects), answered_status(&effects)), (None, Some(503)));
-    let effects = take_up_stream(&mut request_path(&Deployment::of(Site::Gigdesk)), 1, None);
+    let mut path = request_path(&Deployment::of(Site::Gigdesk));
+    path.handle(NOW, Event::VersionsRecorded(RecordedVersions::default()));
+    let effects = take_up_stream(&mut path, 1, None);
     assert!(sent_to(&effects).is_some());
 }
 
+/// Versions that the store keeps: these for the engines, and the present one for all other pools.
+fn recorded_versions(engine_versions: &[&str]) -> Event {
+    let endpoints = Deployment::of(Site::Gigdesk).endpoints.into_iter();
+    let mut by_pool: BTreeMap<_, _> =
+        endpoints.map(|endpoint| (endpoint.pool, BTreeSet::from([endpoint.software_version]))).collect();
+    let engine_versions = engine_versions.iter().map(|version| version.parse().ok()).collect();
+    by_pool.insert("models".parse().expect("a valid id"), engine_versions);
+    Event::VersionsRecorded(RecordedVersions { by_pool })
+}
+
+/// Versions of engines that a VM records within some time.
+fn versions_recorded_within(path: &mut RequestPath, from: TimeMs, ms: u64) -> Option<Vec<String>> {
+    let engines = "models".parse().expect("a valid id");
+    let effects: Vec<_> = (0..=ms / 250).flat_map(|step| path.handle(from + SpanMs(step * 250), Event::Tick)).collect();
+    let recorded = effects.into_iter().find_map(|effect| match effect {
+        Effect::RecordVersions(versions) => versions.by_pool.get(&engines).cloned(),
+        _ => None,
+    });
+    recorded.map(|versions| versions.into_iter().flatten().map(|version| version.to_string()).collect())
+}
+
+#[test]
+fn a_stream_does_not_go_on_at_the_only_version_if_the_store_names_an_earlier_one() {
+    for stream in [None, Some("first-attempt")] {
+        let mut path = request_path(&Deployment::of(Site::Gigdesk));
+        path.handle(NOW, recorded_versions(&["0", "1"]));
+        let mut effects = take_up_stream(&mut path, 1, stream);
+        for step in 1..=10 {
+            effects.extend(path.handle(NOW + SpanMs(50 * step), Event::Tick));
+        }
+        assert_eq!((sent_to(&effects), answered_status(&effects)), (None, Some(503)), "{stream:?}");
+    }
+}
+
+#[test]
+fn a_stream_that_no_vm_knows_goes_on_if_the_pool_had_one_version() {
+    for stream in [None, Some("first-attempt")] {
+        let mut path = request_path(&Deployment::of(Site::Gigdesk));
+        let mut effects = take_up_stream(&mut path, 1, stream);
+        assert_eq!(sent_to(&effects), None, "{stream:?}: the store's row was not read yet");
+        path.handle(NOW, recorded_versions(&["1"]));
+        for step in 1..=10 {
+            effects.extend(path.handle(NOW + SpanMs(50 * step), Event::Tick));
+        }
+        assert!(sent_to(&effects).is_some(), "{stream:?}");
+    }
+}
+
+#[test]
+fn a_vm_records_a_version_that_appears_and_drops_it_once_no_stream_can_have_begun_at_it() {
+    const STREAM_RETENTION: SpanMs = SpanMs(60_000);
+    let mut path = request_path(&Deployment::of(Site::Gigdesk));
+    path.handle(NOW, recorded_versions(&["1"]));
+    assert_eq!(versions_recorded_within(&mut path, NOW, 4_000), None);
+    path.handle(NOW + SpanMs(4_100), recorded_versions(&["1"]));
+    let engine = path.endpoints().find(|known| known.pool.as_str() == "models").expect("the site has engines").clone();
+    let id: EndpointId = "engine-of-version-2".parse().expect("a valid id");
+    let newer = Endpoint { id: id.clone(), software_version: "2".parse().ok(), ..engine };
+    path.handle(NOW + SpanMs(4_200), Event::EndpointsUpdated(EndpointUpdate::Changed(newer, version(2))));
+    let now = NOW + SpanMs(4_300);
+    assert_eq!(versions_recorded_within(&mut path, now, 1_000), Some(vec!["1".to_owned(), "2".to_owned()]));
+    path.handle(now + SpanMs(1_100), recorded_versions(&["1", "2"]));
+    path.handle(now + SpanMs(1_200), Event::EndpointsUpdated(EndpointUpdate::Removed(id, version(3))));
+    let left_at = now + SpanMs(1_300);
+    assert_eq!(versions_recorded_within(&mut path, left_at, STREAM_RETENTION.0 - 2_000), None);
+    assert_eq!(versions_recorded_within(&mut path, left_at + STREAM_RETENTION, 1_000), Some(vec!["1".to_owned()]));
+}
+
 /// The executor may report a break with its last event as the first that it says of any event.
 #[test]
 fn a_stream_that_breaks_before_its_first_event_is_reported_goes_on_at_its_version() {
--- a/crates/boragepass_fakes/tests/path_streams.rs
+++ b/crates/boragepass_fakes/tests/path_streams.rs
@@ -50,6 +50,54 @@
     }
 }
 
+/// Kills all VMs at the same moment and starts them again.
+fn restart_all_vms(fleet: &mut PathFleet, down_ms: u64) {
+    (0..fleet.vm_count()).for_each(|vm| fleet.kill_vm(vm));
+    fleet.run_for(down_ms);
+    (0..fleet.vm_count()).for_each(|vm| fleet.start_vm(vm));
+}
+
+#[test]
+fn no_stream_is_joined_from_two_versions_after_a_restart_of_all_vms() {
+    for (site, seed) in [(Site::Lampu, 6), (Site::Gigdesk, 7)] {
+        for names_stream in [true, false] {
+            let mut fleet = mixed_fleet(site, seed);
+            fleet.clients_name_streams = names_stream;
+            restart_all_vms(&mut fleet, 600);
+            fleet.run_for(WARM_UP_MS);
+            let earlier_version: Vec<_> =
+                engines(&fleet).into_iter().filter(|id| !id.as_str().contains("replaced")).collect();
+            for id in &earlier_version {
+                fleet.upgrade_endpoint(id, "2", 0);
+            }
+            restart_all_vms(&mut fleet, 1_000);
+            fleet.run_for(WARM_UP_MS);
+            drain(&mut fleet);
+        }
+    }
+}
+
+#[test]
+fn streams_of_the_only_version_go_on_after_a_restart_of_all_vms() {
+    for (site, seed) in [(Site::Lampu, 8), (Site::Gigdesk, 9)] {
+        for names_stream in [true, false] {
+            let mut fleet = PathFleet::new(Deployment::of(site), seed);
+            fleet.clients_resume_streams = true;
+            fleet.clients_name_streams = names_stream;
+            fleet.run_until(1_000);
+            fleet.set_load(1.0);
+            for _ in 0..4 {
+                fleet.run_for(WARM_UP_MS);
+                restart_all_vms(&mut fleet, 600);
+            }
+            drain(&mut fleet);
+            let (resumed, continued) = (fleet.ledger.resumed_streams, fleet.ledger.continued_streams);
+            assert!(resumed >= 12, "{site}: only {resumed} streams were taken up");
+            assert!(continued * 2 >= resumed, "{site}: {continued} of {resumed} streams went on");
+        }
+    }
+}
+
 #[test]
 fn a_stream_goes_on_only_at_the_software_version_that_began_it() {
     for (site, seed) in [(Site::Lampu, 1), (Site::Gigdesk, 2)] {
--- a/crates/boragepass_path/src/effect.rs
+++ b/crates/boragepass_path/src/effect.rs
@@ -8,6 +8,7 @@
 use crate::admission::RefusalReason;
 use crate::event::EventId;
 use crate::message::PeerMessage;
+use crate::placement::RecordedVersions;
 use crate::record::Record;
 use crate::request::{CallNumber, RequestNumber, SendNumber};
 
@@ -155,6 +156,10 @@
     FollowStore(bool),
     /// Registers this VM in the store again.
     RegisterVm,
+    /// Reads the versions of pools that the store keeps; reports `VersionsRecorded` once that succeeds.
+    ReadRecordedVersions,
+    /// Replaces the versions of pools that the store keeps, unless they changed since they were read; then reads them.
+    RecordVersions(RecordedVersions),
     /// Sets whether this VM reports itself as ready.
     SetReady(bool),
     /// Stops keeping client connections alive.
--- a/crates/boragepass_path/src/event.rs
+++ b/crates/boragepass_path/src/event.rs
@@ -8,7 +8,7 @@
 use crate::configuration::{ApiKey, Configuration};
 use crate::fleet::VmRecord;
 use crate::message::PeerMessage;
-use crate::placement::EndpointUpdate;
+use crate::placement::{EndpointUpdate, RecordedVersions};
 use crate::request::{CallNumber, RequestNumber, SendNumber};
 
 /// Number of a server-sent event within a stream.
@@ -210,6 +210,8 @@
     ConfigurationReceived(Arc<Configuration>),
     /// The list of endpoints changed, as the store or another VM reports it.
     EndpointsUpdated(EndpointUpdate),
+    /// The versions of pools that the store keeps were read; empty if it has none.
+    VersionsRecorded(RecordedVersions),
     /// Whether the store answers this VM.
     StoreReachable(bool),
     /// VMs that the store lists.
--- a/crates/boragepass_path/src/fleet/members.rs
+++ b/crates/boragepass_path/src/fleet/members.rs
@@ -230,17 +230,20 @@
         if reaching.is_empty() { serving } else { reaching }
     }
 
+    /// Live VMs with whether they reach the store; this one included.
+    pub(crate) fn live_vms(&self, now: TimeMs) -> impl Iterator<Item = (&VmRecord, bool)> {
+        let others = self.members.values().filter(move |member| self.is_live(now, &member.record.vm));
+        let others = others.map(|member| (&member.record, member.reach.store));
+        std::iter::once((&self.local_record, self.can_reach_store)).chain(others)
+    }
+
     /// Live VMs of a failure domain with whether they reach the store; this one included if it is there.
     pub(crate) fn live_vms_in_domain<'a>(
         &'a self,
         now: TimeMs,
         domain: &'a FailureDomain,
     ) -> impl Iterator<Item = (&'a VmRecord, bool)> {
-        let others = self.members.values().filter(move |member| self.is_live(now, &member.record.vm));
-        let others = others.map(|member| (&member.record, member.reach.store));
-        std::iter::once((&self.local_record, self.can_reach_store))
-            .chain(others)
-            .filter(move |(record, _)| record.failure_domain == *domain)
+        self.live_vms(now).filter(move |(record, _)| record.failure_domain == *domain)
     }
 
     /// Configuration version in a VM's last heartbeat; zero if it is unknown.
--- a/crates/boragepass_path/src/fleet/mod.rs
+++ b/crates/boragepass_path/src/fleet/mod.rs
@@ -1,5 +1,5 @@
 //! The fleet of VMs: which are alive, which is the leader of a pool, which follow the store, which hold the
-//! versions of streams, and which addresses clients get.
+//! versions of streams, which records the versions of pools, and which addresses clients get.
 
 mod addresses;
 mod followers;
@@ -8,6 +8,7 @@
 mod members;
 mod relays;
 mod stream_holders;
+mod version_recorder;
 
 pub(crate) use followers::is_store_follower;
 pub(crate) use leader::pool_leader;
@@ -16,3 +17,4 @@
 pub use members::{VmRecord, VmState};
 pub(crate) use relays::relay_vm;
 pub(crate) use stream_holders::stream_holders;
+pub(crate) use version_recorder::is_version_recorder;
--- a/crates/boragepass_path/src/lib.rs
+++ b/crates/boragepass_path/src/lib.rs
@@ -45,7 +45,7 @@
     ContentCrashes, DownReport, EndpointLimitReport, EndpointLoad, Heartbeat, PeerMessage, PieceRequest,
     PieceRequestId, PieceResult, PoolLoad, ResultHandle, StageInputs,
 };
-pub use placement::{Endpoint, EndpointUpdate, SharedEndpoint, StoreVersion};
+pub use placement::{Endpoint, EndpointUpdate, RecordedVersions, SharedEndpoint, StoreVersion};
 pub use record::{Record, RecordValue};
 pub use reducer::RequestPath;
 pub use request::{CallNumber, RequestNumber, SendNumber};
--- a/crates/boragepass_path/src/placement/mod.rs
+++ b/crates/boragepass_path/src/placement/mod.rs
@@ -10,6 +10,7 @@
 mod rejection_limit;
 mod shared_statement;
 mod statements;
+mod version_history;
 
 pub(crate) use endpoint_reach::{EndpointReach, PROBED_ENDPOINTS, RoundResult};
 pub use endpoint_table::{Endpoint, EndpointUpdate, SharedEndpoint, StoreVersion};
@@ -21,3 +22,5 @@
 pub(crate) use region_choice::{PoolBacklogs, StageDemand};
 pub(crate) use rejection_limit::brittle_sharing_vms_max;
 pub(crate) use shared_statement::Statement;
+pub use version_history::RecordedVersions;
+pub(crate) use version_history::{PastVersions, VersionHistory};
--- a/crates/boragepass_path/src/reducer/arrivals.rs
+++ b/crates/boragepass_path/src/reducer/arrivals.rs
@@ -96,7 +96,7 @@
         let trial = self.admit_content(now, arrival)?;
         let pool =
             choose_pool(&route, &arrival.client_id).ok_or((RefusalReason::NoEndpoint, Some(NOT_READY_RETRY_AFTER)))?;
-        let stream_version = self.arriving_stream_version(arrival, &pool)?;
+        let stream_version = self.arriving_stream_version(now, arrival, &pool)?;
         let stages = StageProgress::new(&route.stages, &arrival.pieces);
         let time_left = arrival.deadline_ms.unwrap_or(route.timeout_ms).min(route.timeout_ms);
         let forecast = self.forecast(now, &configuration, &pool, &stages, arrival);
--- a/crates/boragepass_path/src/reducer/mod.rs
+++ b/crates/boragepass_path/src/reducer/mod.rs
@@ -3,7 +3,7 @@
 //! This file holds the state, readiness, and the drain of a stopping process. The submodules hold the flows:
 //! arrival and admission (`arrivals`), stages of this VM's requests (`stage_flow`), pools that this VM leads
 //! (`leading`), sends to endpoints (`sends`), contents that crash them (`crashes`), software versions that begin
-//! streams (`stream_versions`), what endpoints state in replies (`signals`), the loss of all links to endpoints
+//! streams (`stream_versions`) and those that pools had (`version_record`), what endpoints state in replies (`signals`), the loss of all links to endpoints
 //! (`reach`), requests relayed to other VMs (`relays`), ends of requests (`endings`), and other VMs (`peers`).
 
 mod arrivals;
@@ -17,6 +17,7 @@
 mod signals;
 mod stage_flow;
 mod stream_versions;
+mod version_record;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
@@ -33,7 +34,7 @@
 use crate::fleet::{Fleet, VmState};
 use crate::message::PieceRequestId;
 use crate::placement::{
-    Endpoint, EndpointReach, EndpointTable, EndpointUpdate, PoolBacklogs, SharedEndpoint, StoreVersion,
+    Endpoint, EndpointReach, EndpointTable, EndpointUpdate, PoolBacklogs, SharedEndpoint, StoreVersion, VersionHistory,
 };
 use crate::record::Record;
 use crate::request::{CallNumber, RequestNumber, RequestState, SendNumber, StreamVersions};
@@ -41,6 +42,7 @@
 use crate::settings::PathSettings;
 use crate::stages::Pool;
 use crate::timers::{Timer, Timers};
+use version_record::VersionRecording;
 
 /// Interval at which expired entries are dropped.
 const SWEEP_INTERVAL: SpanMs = SpanMs(500);
@@ -72,6 +74,8 @@
     /// Endpoints that were found down while this VM's own links were in doubt.
     doubted_down_endpoints: Vec<EndpointId>,
     stream_versions: StreamVersions,
+    version_history: VersionHistory,
+    version_recording: VersionRecording,
     requests: HashMap<RequestNumber, RequestState>,
     /// Requests by the number of their send in progress.
     sends: HashMap<SendNumber, RequestNumber>,
@@ -114,6 +118,8 @@
             crash_tracker: CrashTracker::default(),
             doubted_down_endpoints: Vec::new(),
             stream_versions: StreamVersions::default(),
+            version_history: VersionHistory::default(),
+            version_recording: VersionRecording::new(now),
             requests: HashMap::new(),
             sends: HashMap::new(),
             relays: HashMap::new(),
@@ -161,6 +167,7 @@
             Event::CallEnded(call, outcome) => self.on_call_ended(now, call, outcome),
             Event::ConfigurationReceived(configuration) => self.on_configuration(now, configuration),
             Event::EndpointsUpdated(update) => self.on_endpoints_updated(now, update),
+            Event::VersionsRecorded(recorded) => self.on_versions_recorded(now, recorded),
             Event::StoreReachable(is_reachable) => {
                 self.endpoint_table.on_store_reachability(now, is_reachable);
                 self.fleet.can_reach_store = is_reachable;
@@ -253,6 +260,8 @@
                 self.query_doubted_statements(now);
                 self.crash_tracker.sweep(now);
                 self.stream_versions.sweep(now);
+                self.watch_versions(now);
+                self.update_version_record(now);
                 self.release_orphaned_piece_requests(now);
                 self.led_pools.values_mut().for_each(|pool| pool.sweep(now));
                 self.run_all_pools(now);
@@ -267,10 +276,12 @@
         let source = update.source();
         let is_restored = self.endpoint_table.update(now, update);
         self.log_list_change(&listed, source);
+        self.watch_versions(now);
         let version = self.endpoint_table.version;
         if is_restored {
-            // The copy may lack the row of this VM.
+            // The copy may lack the row of this VM, and what it recorded of versions.
             self.effects.push(Effect::RegisterVm);
+            self.version_recording = VersionRecording::new(now);
             self.log(Record::new("store was restored from a copy").text("version", version));
         }
         for endpoint in announced {
--- a/crates/boragepass_path/src/reducer/stream_versions.rs
+++ b/crates/boragepass_path/src/reducer/stream_versions.rs
@@ -11,6 +11,7 @@
 use crate::event::Arrival;
 use crate::fleet::stream_holders;
 use crate::message::PeerMessage;
+use crate::placement::PastVersions;
 use crate::record::Record;
 use crate::request::{BeginningVersion, RequestNumber, RequestState, StreamVersion};
 use crate::timers::Timer;
@@ -26,6 +27,7 @@
     /// What the stream of an arriving request may go on at. Refuses it if no endpoint of the version serves.
     pub(super) fn arriving_stream_version(
         &self,
+        now: TimeMs,
         arrival: &Arrival,
         pool: &PoolId,
     ) -> Result<StreamVersion, (RefusalReason, Option<SpanMs>)> {
@@ -35,10 +37,11 @@
                 Some(version) => StreamVersion::Begun(version.clone()),
                 None => StreamVersion::Asked(0),
             },
-            // A client that does not name the stream can go on only if there is no choice of versions.
-            (Some(_), None) => match self.endpoint_table.only_software_version(pool) {
-                Some(version) => StreamVersion::Begun(version.clone()),
-                None => return Err((RefusalReason::StreamVersionUnknown, None)),
+            // A client that does not name the stream can go on only if there was no choice of versions.
+            (Some(_), None) => match self.past_versions(now, pool) {
+                PastVersions::One(version) => StreamVersion::Begun(version.clone()),
+                PastVersions::Several => return Err((RefusalReason::StreamVersionUnknown, None)),
+                PastVersions::Unknown => StreamVersion::Asked(0),
             },
         };
         match &stream_version {
@@ -73,27 +76,50 @@
         }
     }
 
-    /// Asks the holders for the version of the stream that a request resumes, or fails the request if they do not know it.
+    /// Asks the holders for the version of the stream that a request resumes. If they do not know it, the request goes on
+    /// if its pool had only one version, and fails otherwise.
     pub(super) fn query_stream_version(&mut self, now: TimeMs, request: RequestNumber) {
         let Some(state) = self.requests.get_mut(&request) else {
             return;
         };
-        let (StreamVersion::Asked(queries), Some(stream)) = (&mut state.stream_version, &state.arrival.resumed_stream)
-        else {
+        let StreamVersion::Asked(queries) = &mut state.stream_version else {
             return;
         };
         if *queries >= QUERIES_MAX {
-            self.fail_request(now, request, RefusalReason::StreamVersionUnknown);
+            self.go_on_at_only_version(now, request);
             return;
         }
         *queries += 1;
-        let stream = stream.clone();
-        for vm in stream_holders(&self.fleet, now, &stream) {
-            self.send_peer_datagram(&vm, PeerMessage::StreamVersionQuery(stream.clone()));
+        if let Some(stream) = state.arrival.resumed_stream.clone() {
+            for vm in stream_holders(&self.fleet, now, &stream) {
+                self.send_peer_datagram(&vm, PeerMessage::StreamVersionQuery(stream.clone()));
+            }
         }
         self.timers.set(now + QUERY_INTERVAL, Timer::StreamVersionQuery(request));
     }
 
+    /// Lets a request go on whose stream's version no VM knows, if its pool had only one version; fails it otherwise.
+    fn go_on_at_only_version(&mut self, now: TimeMs, request: RequestNumber) {
+        let Some(pool) = self.requests.get(&request).map(|state| state.pool.clone()) else {
+            return;
+        };
+        let version = match self.past_versions(now, &pool) {
+            PastVersions::One(version) => version.clone(),
+            PastVersions::Several | PastVersions::Unknown => {
+                self.fail_request(now, request, RefusalReason::StreamVersionUnknown);
+                return;
+            }
+        };
+        if let Some(state) = self.requests.get_mut(&request) {
+            state.stream_version = StreamVersion::Begun(version.clone());
+            let record = Record::new("stream goes on at the only version")
+                .text("request", &state.arrival.client_id)
+                .text("software_version", version.as_ref().map_or("none", |version| version.as_str()));
+            self.log(record);
+            self.advance_if_ready(now, request);
+        }
+    }
+
     /// Replies to a VM that asks for the version of a stream, if it is known here.
     pub(super) fn on_stream_version_query(&mut self, from: &VmId, stream: Arc<str>) {
         if let Some(version) = self.stream_versions.get(&stream).cloned() {
--- a/crates/boragepass_path/src/request/mod.rs
+++ b/crates/boragepass_path/src/request/mod.rs
@@ -6,4 +6,4 @@
 
 pub use numbers::{CallNumber, RequestNumber, SendNumber};
 pub(crate) use state::{ActiveSend, Phase, RelayedSend, RequestState, SendProgress};
-pub(crate) use stream_versions::{BeginningVersion, StreamVersion, StreamVersions};
+pub(crate) use stream_versions::{BeginningVersion, STREAM_RETENTION, StreamVersion, StreamVersions};
--- a/crates/boragepass_path/src/request/stream_versions.rs
+++ b/crates/boragepass_path/src/request/stream_versions.rs
@@ -6,7 +6,7 @@
 use boragepass_types::{SoftwareVersion, SpanMs, TimeMs};
 
 /// Time for which a client may take up a stream: longer than the timeouts of routes.
-const RETENTION: SpanMs = SpanMs(60_000);
+pub(crate) const STREAM_RETENTION: SpanMs = SpanMs(60_000);
 
 /// Software version of the endpoint that began a stream; `None` if the endpoint states none.
 pub(crate) type BeginningVersion = Option<SoftwareVersion>;
@@ -20,7 +20,7 @@
     Begun(BeginningVersion),
     /// The endpoint that began it may have restarted with another version than its entry states.
     BegunUnknown,
-    /// Another VM began the stream; the VMs that hold its version were asked this often.
+    /// Another VM began the stream; the VMs that hold its version were asked this often, if the client names the stream.
     Asked(u32),
 }
 
@@ -53,6 +53,6 @@
 
     /// Drops streams that no client takes up any more.
     pub(crate) fn sweep(&mut self, now: TimeMs) {
-        self.by_stream.retain(|_, (_, at)| now.since(*at) < RETENTION);
+        self.by_stream.retain(|_, (_, at)| now.since(*at) < STREAM_RETENTION);
     }
 }
--- a/crates/boragepass_soak/src/store.rs
+++ b/crates/boragepass_soak/src/store.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use boragepass_platform::{
-    Row, RowChange, RowPage, decode_row_writes, decode_table_read, encode_changes, encode_rows, names,
+    Row, RowChange, RowPage, decode_row_transaction, decode_table_read, encode_changes, encode_rows, names,
 };
 
 use crate::http_server::{ReceivedRequest, Reply, serve};
@@ -74,6 +74,11 @@
         self.keep_copy();
     }
 
+    /// Version of a row; zero if it does not exist.
+    fn row_version(&self, table: &str, key: &str) -> u64 {
+        self.tables.get(table).and_then(|rows| rows.get(key)).map_or(0, |row| row.version)
+    }
+
     fn remove_row(&mut self, table: &str, key: &str) {
         self.version += 1;
         let removed = RowChange::Removed { key: key.to_owned(), version: self.version };
@@ -132,7 +137,11 @@
         }
         let head_delay = if is_active(self.slow_until) { SLOW_REPLY_DELAY } else { Duration::ZERO };
         if request.path.starts_with(names::ROWS_CHANGE_PATH) {
-            for (table, row) in decode_row_writes(&request.body).ok()? {
+            let transaction = decode_row_transaction(&request.body).ok()?;
+            if !transaction.expected.iter().all(|(table, key, version)| self.row_version(table, key) == *version) {
+                return Some(Reply { head_delay, ..Reply::new(412, "") });
+            }
+            for (table, row) in transaction.writes {
                 self.put_row(&table, &row.key, row.value.to_vec());
             }
             if is_active(self.losing_replies_until) {
