No version is taken for the only one while the store's row does not name the pool

Cause: a row that does not exist yet counted as proof that the pool had no other version. A VM records versions from 3 s after its start on; if all VMs were killed before, and the entry of the other version's engine had lapsed at that moment, a stream was joined. Now such a pool's versions are unknown: streams wait 300 ms, the row is read again, at most once a second, and then they are refused.

--- a/crates/boragepass_fakes/tests/path_peers.rs
+++ b/crates/boragepass_fakes/tests/path_peers.rs
@@ -475,11 +475,11 @@
 #[test]
 fn a_stream_that_the_client_does_not_name_goes_on_only_without_a_choice_of_versions() {
     let mut path = request_path_beside_versions();
-    path.handle(NOW, Event::VersionsRecorded(RecordedVersions::default()));
+    path.handle(NOW, recorded_versions(&["1"]));
     let effects = take_up_stream(&mut path, 1, None);
     assert_eq!((sent_to(&effects), answered_status(&effects)), (None, Some(503)));
     let mut path = request_path(&Deployment::of(Site::Gigdesk));
-    path.handle(NOW, Event::VersionsRecorded(RecordedVersions::default()));
+    path.handle(NOW, recorded_versions(&["1"]));
     let effects = take_up_stream(&mut path, 1, None);
     assert!(sent_to(&effects).is_some());
 }
@@ -532,6 +532,20 @@
     }
 }
 
+/// The first VMs to start find no row, and a restart of all before there is one leaves no evidence.
+#[test]
+fn a_stream_does_not_go_on_while_the_store_names_no_version_of_its_pool() {
+    let mut path = request_path(&Deployment::of(Site::Gigdesk));
+    path.handle(NOW, Event::VersionsRecorded(RecordedVersions::default()));
+    let mut effects = take_up_stream(&mut path, 1, None);
+    assert!(effects.iter().any(|effect| matches!(effect, Effect::ReadRecordedVersions)));
+    path.handle(NOW, Event::VersionsRecorded(RecordedVersions::default()));
+    for step in 1..=10 {
+        effects.extend(path.handle(NOW + SpanMs(50 * step), Event::Tick));
+    }
+    assert_eq!((sent_to(&effects), answered_status(&effects)), (None, Some(503)));
+}
+
 #[test]
 fn a_vm_records_a_version_that_appears_and_drops_it_once_no_stream_can_have_begun_at_it() {
     const STREAM_RETENTION: SpanMs = SpanMs(60_000);
--- a/crates/boragepass_path/src/placement/version_history.rs
+++ b/crates/boragepass_path/src/placement/version_history.rs
@@ -24,7 +24,7 @@
     One(&'a BeginningVersion),
     /// Several, or none.
     Several,
-    /// Not known yet: the store's row was not read, and this VM has not known the pool for long enough.
+    /// Not known yet: no row that names the pool was read, and this VM has not known the pool for long enough.
     Unknown,
 }
 
@@ -74,7 +74,8 @@
     /// Versions that a pool had since the oldest stream began that a client may take up.
     pub(crate) fn past_versions(&self, now: TimeMs, pool: &PoolId) -> PastVersions<'_> {
         let has_watched = self.watched_since.is_some_and(|since| now.since(since) >= STREAM_RETENTION);
-        if self.recorded.is_none() && !has_watched {
+        let is_recorded = self.recorded.as_ref().is_some_and(|recorded| recorded.by_pool.contains_key(pool));
+        if !is_recorded && !has_watched {
             return PastVersions::Unknown;
         }
         let versions = self.last_listed_at.get(pool).into_iter().flatten();
--- a/crates/boragepass_path/src/reducer/stream_versions.rs
+++ b/crates/boragepass_path/src/reducer/stream_versions.rs
@@ -90,7 +90,9 @@
             return;
         }
         *queries += 1;
-        if let Some(stream) = state.arrival.resumed_stream.clone() {
+        let (pool, stream) = (state.pool.clone(), state.arrival.resumed_stream.clone());
+        self.read_versions_if_unknown(now, &pool);
+        if let Some(stream) = stream {
             for vm in stream_holders(&self.fleet, now, &stream) {
                 self.send_peer_datagram(&vm, PeerMessage::StreamVersionQuery(stream.clone()));
             }
--- a/crates/boragepass_path/src/reducer/version_record.rs
+++ b/crates/boragepass_path/src/reducer/version_record.rs
@@ -11,6 +11,8 @@
 /// Time after its start in which a VM hears the others and so knows whether it is the one that records versions. Also the
 /// time between two changes of the row.
 const RECORDING_DELAY: SpanMs = SpanMs(3_000);
+/// Shortest time between two reads of the row for streams.
+const READ_INTERVAL: SpanMs = SpanMs(1_000);
 
 /// State of this VM's calls that record versions.
 #[derive(Debug)]
@@ -20,11 +22,13 @@
     /// Whether the VM has read the row since it became the one that records versions.
     has_current_row: bool,
     is_call_in_progress: bool,
+    /// When the VM may read the row again because a stream needs it.
+    next_read_at: TimeMs,
 }
 
 impl VersionRecording {
     pub(super) fn new(now: TimeMs) -> Self {
-        Self { next_at: now + RECORDING_DELAY, has_current_row: false, is_call_in_progress: false }
+        Self { next_at: now + RECORDING_DELAY, has_current_row: false, is_call_in_progress: false, next_read_at: now }
     }
 }
 
@@ -49,6 +53,19 @@
         self.version_recording.is_call_in_progress = false;
     }
 
+    /// Reads the store's row again if it is not known which versions a pool had; it may not have named the pool before.
+    pub(super) fn read_versions_if_unknown(&mut self, now: TimeMs, pool: &PoolId) {
+        let recording = &mut self.version_recording;
+        if recording.is_call_in_progress || now < recording.next_read_at {
+            return;
+        }
+        if self.version_history.past_versions(now, pool) == PastVersions::Unknown {
+            recording.is_call_in_progress = true;
+            recording.next_read_at = now + READ_INTERVAL;
+            self.effects.push(Effect::ReadRecordedVersions);
+        }
+    }
+
     /// Brings the store's row up to date if this VM is the one that keeps it.
     pub(super) fn update_version_record(&mut self, now: TimeMs) {
         let is_recorder = self.fleet.can_reach_store && is_version_recorder(&self.fleet, now, &self.settings.vm);
