--- a/crates/boragepass_fakes/src/path_fleet/endpoint.rs
+++ b/crates/boragepass_fakes/src/path_fleet/endpoint.rs
@@ -44,6 +44,8 @@
     /// Requests and calls that arrived since its last start.
     pub(super) arrivals: u32,
     pub(super) drain_started_at: Option<TimeMs>,
+    /// When its entry was removed from the store, until it writes it again.
+    pub(super) removed_at: Option<TimeMs>,
     pub(super) stated_limit: Option<StatedLimit>,
     pub(super) leaving: Option<LeavingAnnouncement>,
     pub(super) brittleness: Option<Brittleness>,
@@ -106,6 +108,7 @@
             running_requests: 0,
             arrivals: 0,
             drain_started_at: None,
+            removed_at: None,
             stated_limit: None,
             leaving: None,
             brittleness: None,
--- a/crates/boragepass_fakes/src/path_fleet/fleet/mod.rs
+++ b/crates/boragepass_fakes/src/path_fleet/fleet/mod.rs
@@ -110,6 +110,8 @@
     /// Earliest tick that is scheduled.
     wake_at: Option<TimeMs>,
     is_cut_from_store: bool,
+    /// When it was last cut off from the store or connected again.
+    store_link_changed_at: TimeMs,
     /// Whether the VM receives changes from the store rather than from peers.
     is_store_follower: bool,
     /// Version of the store's row of software versions that its process has read.
@@ -273,6 +275,7 @@
                 started_at: START_TIME,
                 wake_at: None,
                 is_cut_from_store: false,
+                store_link_changed_at: TimeMs(0),
                 is_store_follower: true,
                 pool_versions_row: 0,
                 endpoint_links: EndpointLinks::Up,
@@ -468,6 +471,16 @@
         self.now.since(self.vms[vm].paused_until).0 < 1_000
     }
 
+    /// Whether a VM is held to what the store has confirmed: for a while it has run, reached the store and lost no datagrams.
+    fn is_in_touch(&self, vm: usize) -> bool {
+        let (now, vm_state) = (self.now, &self.vms[vm]);
+        let changed_at = vm_state.started_at.max(vm_state.store_link_changed_at).max(vm_state.paused_until);
+        !vm_state.is_cut_from_store
+            && now.since(changed_at).0 > CONTACT_MS
+            && self.datagram_loss == 0.0
+            && !self.store.was_restored_lately(now)
+    }
+
     /// Puts a fault in force at an endpoint.
     pub fn inject_fault(&mut self, id: &EndpointId, fault: EndpointFault) {
         let now = self.now;
--- a/crates/boragepass_fakes/src/path_fleet/fleet/sends.rs
+++ b/crates/boragepass_fakes/src/path_fleet/fleet/sends.rs
@@ -36,6 +36,10 @@
         if !is_excused && endpoint.drain_started_at.is_some_and(|at| now.since(at).0 > DRAIN_GRACE_MS) {
             self.ledger.record_violation(now, &client_id, "a draining endpoint got a new request");
         }
+        let is_removed = endpoint.removed_at.is_some_and(|at| now.since(at).0 > DRAIN_GRACE_MS);
+        if is_removed && self.is_in_touch(vm) {
+            self.ledger.record_violation(now, &client_id, "an endpoint that the store no longer lists got a request");
+        }
         let (is_down, is_unresponsive, generation) =
             (endpoint.is_down(now), endpoint.is_unresponsive, endpoint.generation);
         let link_outcome = self.link_outcome(vm, id);
--- a/crates/boragepass_fakes/src/path_fleet/fleet/store.rs
+++ b/crates/boragepass_fakes/src/path_fleet/fleet/store.rs
@@ -96,6 +96,7 @@
             return;
         }
         self.vms[vm].is_cut_from_store = is_cut;
+        self.vms[vm].store_link_changed_at = self.now;
         self.deliver(vm, STORE_DELAY_MS, Event::StoreReachable(!is_cut));
         self.deliver_store_contents(vm);
     }
@@ -134,6 +135,7 @@
             return;
         }
         endpoint.is_registered = true;
+        endpoint.removed_at = None;
         if endpoint.endpoint.is_draining {
             endpoint.drain_started_at.get_or_insert(self.now);
         }
@@ -145,6 +147,7 @@
     pub(super) fn remove_entry(&mut self, id: &EndpointId) {
         if let Some(endpoint) = self.endpoints.get_mut(id) {
             endpoint.is_registered = false;
+            endpoint.removed_at.get_or_insert(self.now);
         }
         if self.store.entries.remove(id).is_some() {
             self.publish(|version| EndpointUpdate::Removed(id.clone(), version));
