Soak: VMs of the build in production beside those of this one

--production names the program of another build; VMs start with it, and each restart switches a VM to the other build, so kills, stops and pauses upgrade and roll back.

--- a/crates/boragepass_entry/tests/soak.rs
+++ b/crates/boragepass_entry/tests/soak.rs
@@ -10,7 +10,7 @@
 fn run_soak(seed: u64, vm_count: usize) {
     let folder = std::env::temp_dir().join(format!("boragepass-soak-test-{}-{seed}", std::process::id()));
     let program = PathBuf::from(env!("CARGO_BIN_EXE_boragepass-entry"));
-    let settings = SoakSettings { program, folder: folder.clone(), seed, run_ms: RUN_MS, vm_count };
+    let settings = SoakSettings { program, production: None, folder: folder.clone(), seed, run_ms: RUN_MS, vm_count };
     let (plan, summary) = run(&settings).expect("the site starts");
     assert!(summary.violations.is_empty(), "{:#?}\n{plan:#?}\nlogs in {}", summary.violations, folder.display());
     assert!(summary.endings.values().sum::<u32>() > 100, "{:?}", summary.endings);
--- a/crates/boragepass_soak/src/main.rs
+++ b/crates/boragepass_soak/src/main.rs
@@ -29,6 +29,9 @@
     /// program of an entry VM; default: boragepass-entry in the folder of this program
     #[options(meta = "FILE")]
     entry: Option<PathBuf>,
+    /// program of the build in production: VMs start with it, and each restart switches a VM to the other build
+    #[options(no_short, meta = "FILE")]
+    production: Option<PathBuf>,
     /// folder for settings and logs; default: boragepass-soak in the temporary folder
     #[options(no_short, meta = "DIR")]
     folder: Option<PathBuf>,
@@ -94,6 +97,7 @@
     let folder = arguments.folder.clone().unwrap_or_else(|| std::env::temp_dir().join("boragepass-soak"));
     let settings = SoakSettings {
         program: arguments.entry.clone().unwrap_or_else(default_program),
+        production: arguments.production.clone(),
         folder: folder.join(format!("{}-{seed}", std::process::id())),
         seed,
         run_ms: run_s * 1_000,
--- a/crates/boragepass_soak/src/run.rs
+++ b/crates/boragepass_soak/src/run.rs
@@ -61,6 +61,9 @@
 pub struct SoakSettings {
     /// Path of the program that runs as an entry VM.
     pub program: PathBuf,
+    /// Program of the build in production, if the run upgrades from it: each VM starts with it, and each restart
+    /// switches the VM to the other build.
+    pub production: Option<PathBuf>,
     /// Folder for settings and logs.
     pub folder: PathBuf,
     /// Seed of the fault plan and of the clients' random draws.
@@ -145,7 +148,8 @@
         let listen = listen_addresses(number);
         seed_addresses.push(listen.peers);
         let link = Proxy::to(site.store.address);
-        let vm = SoakVm::new(number, listen, &soak.program, &soak.folder, site.ledger.clone());
+        let programs = soak.production.iter().chain([&soak.program]).cloned().collect();
+        let vm = SoakVm::new(number, listen, programs, &soak.folder, site.ledger.clone());
         let text = settings_text(number, &listen, link.address, &seed_addresses[..seed_addresses.len().min(3)]);
         std::fs::write(vm.settings_path(), text).map_err(write_error(&vm.settings_path()))?;
         site.store_links.push(link);
--- a/crates/boragepass_soak/src/vm.rs
+++ b/crates/boragepass_soak/src/vm.rs
@@ -25,6 +25,7 @@
 #[derive(Debug)]
 struct Process {
     child: Option<Child>,
+    start_count: usize,
     stop_requested_at: Option<Instant>,
     is_killed: bool,
     exited_at: Option<Instant>,
@@ -37,7 +38,8 @@
 pub(crate) struct SoakVm {
     pub(crate) number: usize,
     pub(crate) listen: ListenAddresses,
-    program: PathBuf,
+    /// Programs that its starts run in turn.
+    programs: Vec<PathBuf>,
     folder: PathBuf,
     process: Arc<Mutex<Process>>,
     ledger: Arc<Ledger>,
@@ -64,26 +66,20 @@
     pub(crate) fn new(
         number: usize,
         listen: ListenAddresses,
-        program: &Path,
+        programs: Vec<PathBuf>,
         folder: &Path,
         ledger: Arc<Ledger>,
     ) -> Self {
         let process = Process {
             child: None,
+            start_count: 0,
             stop_requested_at: None,
             is_killed: false,
             exited_at: None,
             paused_until: None,
             is_shut_down: false,
         };
-        Self {
-            number,
-            listen,
-            program: program.to_owned(),
-            folder: folder.to_owned(),
-            process: Arc::new(Mutex::new(process)),
-            ledger,
-        }
+        Self { number, listen, programs, folder: folder.to_owned(), process: Arc::new(Mutex::new(process)), ledger }
     }
 
     fn process(&self) -> MutexGuard<'_, Process> {
@@ -111,15 +107,17 @@
     }
 
     fn spawn(&self) -> Result<(), SoakError> {
-        let start_error = |source| SoakError::Start { program: self.program.display().to_string(), source };
+        let program = &self.programs[self.process().start_count % self.programs.len()];
+        let start_error = |source| SoakError::Start { program: program.display().to_string(), source };
         let log_path = self.folder.join(format!("entry-{}.log", self.number));
         let log = File::options().create(true).append(true).open(log_path).map_err(start_error)?;
         let stderr_log = log.try_clone().map_err(start_error)?;
-        let mut command = Command::new(&self.program);
+        let mut command = Command::new(program);
         command.arg("--settings").arg(self.settings_path()).stdin(Stdio::null()).stdout(log).stderr(stderr_log);
         let child = command.spawn().map_err(start_error)?;
         let mut process = self.process();
         process.child = Some(child);
+        process.start_count += 1;
         process.stop_requested_at = None;
         process.is_killed = false;
         process.exited_at = None;
