Additions to messages between VMs follow the frame, and VMs tell which settings they serve with

Cause: bincode writes no names, so each added field meant a new format number, and two builds rejected each other's messages. The layout also changed within one number.

The first section states the revision of messages that a VM reads, the digest of the settings that VMs have in common, and how often it read valid ones; one heartbeat in eight carries it (22 bytes). /v1/status shows that and the configuration's version of each live VM, and why this VM rejected its file. Unknown settings are logged and no longer stop a process (--check still reports them), and listen.relays has a default, so a build starts with the file of the one before or after it.

--- a/crates/boragepass_entry/src/driver.rs
+++ b/crates/boragepass_entry/src/driver.rs
@@ -74,6 +74,8 @@
     pub(crate) metrics: Metrics,
     pub(crate) peers: Peers,
     pub(crate) is_ready: Cell<bool>,
+    /// Why the settings file was rejected when it was last read; `None` if it was not.
+    pub(crate) last_settings_error: RefCell<Option<String>>,
     /// Whether this VM itself polls the store for changes.
     pub(crate) follows_store: Cell<bool>,
     /// Wakes the task that registers this VM in the store.
@@ -103,6 +105,7 @@
             metrics,
             peers,
             is_ready: Cell::new(false),
+            last_settings_error: RefCell::default(),
             follows_store: Cell::new(true),
             registration_channel: bounded(1),
             version_call_channel: bounded(1),
--- a/crates/boragepass_entry/src/lib.rs
+++ b/crates/boragepass_entry/src/lib.rs
@@ -12,7 +12,8 @@
 mod metrics;
 mod page_server;
 mod pages;
-mod peer_wire;
+mod peer_sections;
+pub mod peer_wire;
 mod peers;
 mod process;
 mod reply_body;
@@ -23,4 +24,5 @@
 mod version_rows;
 
 pub use http_io::HttpIo;
+pub use peer_sections::Sections;
 pub use process::{StartError, run};
--- a/crates/boragepass_entry/src/main.rs
+++ b/crates/boragepass_entry/src/main.rs
@@ -4,6 +4,7 @@
 use std::process::ExitCode;
 
 use boragepass_platform::names::SETTINGS_VARIABLE;
+use boragepass_settings::{check_entry_settings, parse_entry_settings};
 use gumdrop::Options;
 
 /// Runs an entry VM.
@@ -36,7 +37,8 @@
             return ExitCode::from(EXIT_BAD_INPUT);
         }
     };
-    let settings = match boragepass_settings::parse_entry_settings(&name, &text) {
+    let parse = if arguments.check { check_entry_settings } else { parse_entry_settings };
+    let settings = match parse(&name, &text) {
         Ok(settings) => settings,
         Err(findings) => {
             eprintln!("{findings}");
--- a/crates/boragepass_entry/src/pages.rs
+++ b/crates/boragepass_entry/src/pages.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use boragepass_path::Endpoint;
+use boragepass_path::{Endpoint, VmSummary};
 use boragepass_platform::{AddressQuery, encode_addresses, names};
 use boragepass_types::SpanMs;
 use http::{Request, StatusCode};
@@ -71,11 +71,23 @@
                 "is_draining": endpoint.is_draining,
             })
         };
+        let vm = |summary: &VmSummary| {
+            json!({
+                "vm": summary.vm.as_str(),
+                "state": summary.state.to_string(),
+                "configuration": summary.configuration.0,
+                "peer_revision": summary.process.map(|process| process.peer_revision),
+                "settings_digest": summary.process.map(|process| process.settings_digest.to_string()),
+                "settings_reads": summary.process.map(|process| process.settings_reads),
+            })
+        };
         json!({
             "is_ready": driver.is_ready.get(),
             "configuration": path.configuration().map(|configuration| configuration.version.0),
             "endpoints_version": path.endpoints_version().number,
             "store_era": path.endpoints_version().era.0,
+            "rejected_settings": *driver.last_settings_error.borrow(),
+            "vms": path.vm_summaries(now).iter().map(vm).collect::<Vec<_>>(),
             "requests_in_progress": path.in_progress(),
             "serving_vms": path.serving_vms(now).iter().map(|vm| vm.as_str().to_owned()).collect::<Vec<_>>(),
             "endpoints": path.endpoints().map(endpoint).collect::<Vec<_>>(),
--- /dev/null
+++ b/crates/boragepass_entry/src/peer_sections.rs
@@ -0,0 +1,65 @@
+//! Sections behind a frame: additions to a message that builds without them skip.
+//!
+//! Each section is a tag of 2 bytes, a length of 4 bytes and its content, numbers in little-endian order. A tag keeps its
+//! content's layout; another layout gets another tag. The build of the first landing with format 8 ignores all that
+//! follows a frame, so sections need no other format.
+
+use boragepass_path::ProcessStatement;
+use boragepass_types::Hash64;
+
+use crate::peer_wire::PeerWireError;
+
+/// What the sender's process runs: revision of messages, digest of its settings, and number of times that it read them.
+const PROCESS_TAG: u16 = 1;
+const HEADER_BYTES: usize = 6;
+const PROCESS_BYTES: usize = 16;
+
+/// Sections that this build reads.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Sections {
+    /// What the sender's process runs.
+    pub process: Option<ProcessStatement>,
+}
+
+impl Sections {
+    /// Appends the sections that are present.
+    pub(crate) fn encode_onto(&self, bytes: &mut Vec<u8>) {
+        if let Some(process) = &self.process {
+            bytes.extend(PROCESS_TAG.to_le_bytes());
+            bytes.extend((PROCESS_BYTES as u32).to_le_bytes());
+            bytes.extend(process.peer_revision.to_le_bytes());
+            bytes.extend(process.settings_digest.0.to_le_bytes());
+            bytes.extend(process.settings_reads.to_le_bytes());
+        }
+    }
+
+    /// Decodes all sections; unknown ones are skipped.
+    pub(crate) fn decode(mut bytes: &[u8]) -> Result<Self, PeerWireError> {
+        let mut sections = Self::default();
+        while !bytes.is_empty() {
+            let (header, rest) = bytes.split_first_chunk::<HEADER_BYTES>().ok_or_else(cut_off)?;
+            let [tag_low, tag_high, len @ ..] = *header;
+            let (content, rest) = rest.split_at_checked(u32::from_le_bytes(len) as usize).ok_or_else(cut_off)?;
+            if u16::from_le_bytes([tag_low, tag_high]) == PROCESS_TAG {
+                sections.process = Some(decode_process(content)?);
+            }
+            bytes = rest;
+        }
+        Ok(sections)
+    }
+}
+
+fn decode_process(content: &[u8]) -> Result<ProcessStatement, PeerWireError> {
+    let (revision, rest) = content.split_first_chunk::<4>().ok_or_else(cut_off)?;
+    let (digest, rest) = rest.split_first_chunk::<8>().ok_or_else(cut_off)?;
+    let reads = rest.first_chunk::<4>().ok_or_else(cut_off)?;
+    Ok(ProcessStatement {
+        peer_revision: u32::from_le_bytes(*revision),
+        settings_digest: Hash64(u64::from_le_bytes(*digest)),
+        settings_reads: u32::from_le_bytes(*reads),
+    })
+}
+
+fn cut_off() -> PeerWireError {
+    PeerWireError::Undecodable("a section is cut off".to_owned())
+}
--- a/crates/boragepass_entry/src/peer_wire.rs
+++ b/crates/boragepass_entry/src/peer_wire.rs
@@ -1,6 +1,8 @@
 //! Encoding of messages between VMs in bincode, with a version byte before each.
 //!
-//! bincode writes no names, so the order of fields and variants is the format; names can change.
+//! bincode writes no names, so the order of fields and variants is the format; names can change. VMs of the last
+//! landing's build must read all messages during an upgrade, so additions go into sections behind the frame
+//! ([`Sections`]), and a new kind of message goes only to VMs that state a revision that reads it.
 
 use std::net::SocketAddr;
 
@@ -12,6 +14,8 @@
 use boragepass_types::{Hash64, Incarnation, Millicores, RequestRate, SpanMs, StoreEra};
 use serde::{Deserialize, Serialize};
 
+use crate::peer_sections::Sections;
+
 /// Version of the format. Messages with another one are rejected.
 const FORMAT_VERSION: u8 = 8;
 /// Largest message that is encoded or decoded.
@@ -19,7 +23,7 @@
 
 /// Why a message cannot be decoded.
 #[derive(Debug, displaydoc::Display)]
-pub(crate) enum PeerWireError {
+pub enum PeerWireError {
     /// unknown version {0}
     UnknownVersion(u8),
     /// undecodable: {0}
@@ -32,7 +36,7 @@
 
 /// Content of one datagram, or of one message over a connection, to another VM.
 #[derive(Debug, Serialize, Deserialize)]
-pub(crate) enum WireFrame {
+pub enum WireFrame {
     Message(WireMessage),
     State(WireState),
     /// Message in a datagram, with its sender; a heartbeat names its sender itself.
@@ -45,21 +49,21 @@
 
 /// Configuration and endpoints that the sender knows.
 #[derive(Debug, Serialize, Deserialize)]
-pub(crate) struct WireState {
+pub struct WireState {
     /// Configuration, encoded as in the store.
-    pub(crate) configuration: Option<Vec<u8>>,
-    pub(crate) endpoints: Vec<WireEndpoint>,
-    pub(crate) endpoints_version: WireStoreVersion,
+    pub configuration: Option<Vec<u8>>,
+    pub endpoints: Vec<WireEndpoint>,
+    pub endpoints_version: WireStoreVersion,
 }
 
 #[derive(Debug, Clone, Copy, Serialize, Deserialize)]
-pub(crate) struct WireStoreVersion {
+pub struct WireStoreVersion {
     era: u64,
     number: u64,
 }
 
 #[derive(Debug, Serialize, Deserialize)]
-pub(crate) struct WireEndpoint {
+pub struct WireEndpoint {
     id: String,
     pool: String,
     address: SocketAddr,
@@ -72,7 +76,7 @@
 }
 
 #[derive(Debug, Serialize, Deserialize)]
-pub(crate) enum WireMessage {
+pub enum WireMessage {
     Heartbeat(Box<WireHeartbeat>),
     PieceRequest(Box<WirePieceRequest>),
     Results(WirePieceRequestId, Vec<(u16, WirePieceResult)>),
@@ -84,7 +88,7 @@
 }
 
 #[derive(Debug, Serialize, Deserialize)]
-pub(crate) struct WireHeartbeat {
+pub struct WireHeartbeat {
     vm: WireVm,
     configuration_version: u64,
     has_store: bool,
@@ -133,7 +137,7 @@
 }
 
 #[derive(Debug, Serialize, Deserialize)]
-pub(crate) struct WirePieceRequestId {
+pub struct WirePieceRequestId {
     vm: String,
     incarnation: u64,
     number: u64,
@@ -146,7 +150,7 @@
 }
 
 #[derive(Debug, Serialize, Deserialize)]
-pub(crate) struct WirePieceRequest {
+pub struct WirePieceRequest {
     id: WirePieceRequestId,
     pool: String,
     region: String,
@@ -162,7 +166,7 @@
 }
 
 #[derive(Debug, Serialize, Deserialize)]
-pub(crate) enum WirePieceResult {
+pub enum WirePieceResult {
     Computed { handle: String, endpoint: String, failure_domain: String },
     Late,
     InputLost,
@@ -298,6 +302,7 @@
                 .into_iter()
                 .map(|(vm, address)| Ok((parse_field(&vm)?, address)))
                 .collect::<Result<_, PeerWireError>>()?,
+            process: None,
         })
     }
 }
@@ -497,23 +502,28 @@
     }
 }
 
-/// Encodes a frame, behind the format's version.
-pub(crate) fn encode(frame: &WireFrame) -> Vec<u8> {
+/// Encodes a frame, behind the format's version, and the sections that follow it.
+pub fn encode(frame: &WireFrame, sections: &Sections) -> Vec<u8> {
     let mut bytes = vec![FORMAT_VERSION];
     match bincode::serde::encode_to_vec(frame, bincode_config()) {
-        Ok(body) => bytes.extend(body),
+        Ok(body) => {
+            bytes.extend(body);
+            sections.encode_onto(&mut bytes);
+        }
         // Only a message above the size limit cannot be encoded. It is sent empty, which the receiver rejects.
         Err(_) => bytes.clear(),
     }
     bytes
 }
 
-/// Decodes a frame of this version of the format.
-pub(crate) fn decode(bytes: &[u8]) -> Result<WireFrame, PeerWireError> {
+/// Decodes a frame of this version of the format, and the sections that follow it.
+pub fn decode(bytes: &[u8]) -> Result<(WireFrame, Sections), PeerWireError> {
     match bytes.split_first() {
-        Some((&FORMAT_VERSION, body)) => bincode::serde::decode_from_slice(body, bincode_config())
-            .map(|(frame, _)| frame)
-            .map_err(|error| PeerWireError::Undecodable(error.to_string())),
+        Some((&FORMAT_VERSION, body)) => {
+            let (frame, frame_bytes) = bincode::serde::decode_from_slice(body, bincode_config())
+                .map_err(|error| PeerWireError::Undecodable(error.to_string()))?;
+            Ok((frame, Sections::decode(body.get(frame_bytes..).unwrap_or_default())?))
+        }
         Some((version, _)) => Err(PeerWireError::UnknownVersion(*version)),
         None => Err(PeerWireError::Undecodable("empty".to_owned())),
     }
--- a/crates/boragepass_entry/src/peers.rs
+++ b/crates/boragepass_entry/src/peers.rs
@@ -16,6 +16,7 @@
 use bytes::Bytes;
 
 use crate::driver::Driver;
+use crate::peer_sections::Sections;
 use crate::peer_wire::{WireFrame, WireState, decode, encode};
 
 /// Capacity of the queue of received messages that wait for the request path.
@@ -70,14 +71,18 @@
 
     /// Sends a message over the connection to a VM.
     pub(crate) fn send_message(&self, vm: &VmId, address: SocketAddr, message: &PeerMessage) {
-        self.links.send_encoded(vm, address, &encode(&WireFrame::Message(message.into())));
+        self.links.send_encoded(vm, address, &encode(&WireFrame::Message(message.into()), &Sections::default()));
     }
 
     /// Sends a message that may be lost. Many VMs usually get the same one, so its encoding is cached.
     pub(crate) fn send_datagram(&self, address: SocketAddr, message: &PeerMessage) {
         let mut last_encoded = self.last_encoded_datagram.borrow_mut();
         if last_encoded.as_ref().is_none_or(|(encoded_message, _)| encoded_message != message) {
-            *last_encoded = Some((message.clone(), encode(&self.datagram_frame(message))));
+            let process = match message {
+                PeerMessage::Heartbeat(heartbeat) => heartbeat.process,
+                _ => None,
+            };
+            *last_encoded = Some((message.clone(), encode(&self.datagram_frame(message), &Sections { process })));
         }
         let Some((_, bytes)) = last_encoded.as_ref() else {
             return;
@@ -109,7 +114,7 @@
             endpoints: path.shared_endpoints().map(|shared| (&shared).into()).collect(),
             endpoints_version: path.endpoints_version().into(),
         };
-        self.links.send_encoded(vm, address, &encode(&WireFrame::State(state)));
+        self.links.send_encoded(vm, address, &encode(&WireFrame::State(state), &Sections::default()));
     }
 }
 
@@ -125,7 +130,7 @@
 async fn receive_messages(driver: Rc<Driver>, messages: Receiver<ReceivedMessage>) {
     while let Ok((vm, incarnation, bytes)) = messages.recv().await {
         match decode(&bytes) {
-            Ok(frame) => handle_frame(&driver, Some((vm, incarnation)), frame),
+            Ok((frame, sections)) => handle_frame(&driver, Some((vm, incarnation)), frame, sections),
             Err(error) => driver.record(&Record::new("message not read").text("vm", vm).text("reason", error)),
         }
     }
@@ -143,7 +148,7 @@
             }
         };
         match decode(&buffer[..len]) {
-            Ok(frame) => handle_frame(&driver, None, frame),
+            Ok((frame, sections)) => handle_frame(&driver, None, frame, sections),
             Err(error) => {
                 driver.record(&Record::new("datagram not read").text("from", address).text("reason", error));
             }
@@ -151,7 +156,7 @@
     }
 }
 
-fn handle_frame(driver: &Rc<Driver>, sender: Option<(VmId, Incarnation)>, frame: WireFrame) {
+fn handle_frame(driver: &Rc<Driver>, sender: Option<(VmId, Incarnation)>, frame: WireFrame, sections: Sections) {
     let (message, sender) = match frame {
         WireFrame::Message(wire) => (PeerMessage::try_from(wire), sender),
         WireFrame::SentBy { vm, incarnation, message } => match vm.parse() {
@@ -167,7 +172,8 @@
         }
     };
     match (message, sender) {
-        (Ok(PeerMessage::Heartbeat(heartbeat)), _) => {
+        (Ok(PeerMessage::Heartbeat(mut heartbeat)), _) => {
+            heartbeat.process = sections.process;
             let (from, incarnation) = (heartbeat.vm.vm.clone(), heartbeat.vm.incarnation);
             driver.dispatch(Event::PeerMessageReceived {
                 from,
--- a/crates/boragepass_entry/src/process.rs
+++ b/crates/boragepass_entry/src/process.rs
@@ -135,6 +135,7 @@
         .text("peers", peer_address)
         .text("relays", relay_address);
     driver.record(&started);
+    record_settings(&driver, &settings, "settings in force");
     peers::start(&driver, sockets, settings.peer_key.clone(), tasks.clone());
     store_feed::start(&driver, settings.store_address, settings.store_recovery_ms, local_record, incarnation.0);
     version_rows::start(&driver, settings.store_address, incarnation.0);
@@ -201,6 +202,13 @@
     }
 }
 
+/// Records the settings that are in force.
+fn record_settings(driver: &Rc<Driver>, settings: &EntrySettings, what: &'static str) {
+    let record = Record::new(what).text("digest", settings.digest).number("seeds", settings.seed_addresses.len());
+    driver.record(&record.text("unknown_keys", settings.unknown_keys.join(",")));
+    driver.dispatch(Event::SettingsRead(settings.digest));
+}
+
 /// Reads the settings again, of which only the seeds take effect before the next start.
 fn reload_settings(driver: &Rc<Driver>, path: &std::path::Path) {
     let name = path.display().to_string();
@@ -208,9 +216,13 @@
     let settings = text.and_then(|text| parse_entry_settings(&name, &text).map_err(|findings| findings.to_string()));
     match settings {
         Ok(settings) => {
-            driver.record(&Record::new("settings read again").number("seeds", settings.seed_addresses.len()));
+            record_settings(driver, &settings, "settings read again");
+            driver.last_settings_error.replace(None);
             update_seeds(driver, &settings);
         }
-        Err(error) => driver.record(&Record::new("settings not read, the earlier ones hold").text("reason", error)),
+        Err(error) => {
+            driver.record(&Record::new("settings not read, the earlier ones hold").text("reason", &error));
+            driver.last_settings_error.replace(Some(error));
+        }
     }
 }
--- a/crates/boragepass_entry/tests/over_sockets.rs
+++ b/crates/boragepass_entry/tests/over_sockets.rs
@@ -284,10 +284,47 @@
 }
 
 fn terminate(process_id: i32) {
-    let sent = std::process::Command::new("kill").arg("-TERM").arg(process_id.to_string()).status();
+    send_signal("-TERM", process_id);
+}
+
+fn send_signal(signal: &str, process_id: i32) {
+    let sent = std::process::Command::new("kill").arg(signal).arg(process_id.to_string()).status();
     assert!(sent.is_ok_and(|status| status.success()));
 }
 
+/// Number of times that a VM read valid settings, their digest, and whether it rejected the file since.
+fn settings_status(vm: &EntryVm) -> (u64, String, bool) {
+    let status: serde_json::Value = serde_json::from_str(&status_of(vm)).expect("a JSON document");
+    let own = &status["vms"][0];
+    let digest = own["settings_digest"].as_str().expect("a digest").to_owned();
+    (own["settings_reads"].as_u64().expect("a number"), digest, !status["rejected_settings"].is_null())
+}
+
+#[test]
+fn operators_see_which_settings_a_vm_serves_with_after_the_file_changed() {
+    let (slow_endpoint, _) =
+        serve(|got| Some(Reply { head_delay: Duration::from_millis(1_000), ..Reply::signed(got, "kept") }));
+    let mut vm = start_vm(&[endpoint("i-slow", "api", slow_endpoint)]);
+    let process_id = i32::try_from(vm.process().id()).expect("a process id");
+    let (first_reads, first_digest, is_rejected) = settings_status(&vm);
+    assert_eq!((first_reads, is_rejected), (1, false));
+    let clients = vm.address("clients");
+    let client = std::thread::spawn(move || send_request(clients, client_request("/status/1", "r-1", "")));
+    std::thread::sleep(Duration::from_millis(300));
+
+    vm.change_settings("slack = 56", "slack = 57\nkey_of_a_later_build = 1");
+    send_signal("-HUP", process_id);
+    wait_until("the changed settings are read", || settings_status(&vm).0 == 2);
+    let (_, changed_digest, _) = settings_status(&vm);
+    assert_ne!(changed_digest, first_digest);
+
+    vm.change_settings("slack = 57", "slack = many");
+    wait_until("the bad file is rejected without a signal", || settings_status(&vm).2);
+    assert_eq!(settings_status(&vm).1, changed_digest, "the earlier settings stay in force");
+    let answer = client.join().expect("the client got an answer");
+    assert_eq!((answer.status, answer.body.as_deref()), (200, Ok("kept")));
+}
+
 /// A poll that the store received while it was silent must not delay what it confirms once it is back.
 #[test]
 fn a_configuration_is_in_force_soon_after_a_silent_store_is_back() {
--- a/crates/boragepass_entry/tests/support/mod.rs
+++ b/crates/boragepass_entry/tests/support/mod.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
@@ -73,6 +74,7 @@
 /// Entry VM as a process of its own, which is killed on drop.
 pub(crate) struct EntryVm {
     process: Child,
+    settings_path: PathBuf,
     addresses: BTreeMap<String, SocketAddr>,
     log_lines: Arc<Mutex<Vec<String>>>,
 }
@@ -115,7 +117,13 @@
                 reader_lines.lock().expect("the lock is not poisoned").push(line);
             }
         });
-        Self { process, addresses, log_lines }
+        Self { process, settings_path: path, addresses, log_lines }
+    }
+
+    /// Replaces a text in the settings file.
+    pub(crate) fn change_settings(&self, old: &str, new: &str) {
+        let settings = std::fs::read_to_string(&self.settings_path).expect("a settings file");
+        std::fs::write(&self.settings_path, settings.replace(old, new)).expect("a settings file");
     }
 
     pub(crate) fn address(&self, name: &str) -> SocketAddr {
--- a/crates/boragepass_fakes/tests/path_peers.rs
+++ b/crates/boragepass_fakes/tests/path_peers.rs
@@ -54,6 +54,7 @@
         content_crashes,
         cleared_contents: Vec::new(),
         known_vms: Vec::new(),
+        process: None,
         vm,
     };
     let (from, incarnation) = (heartbeat.vm.vm.clone(), heartbeat.vm.incarnation);
--- a/crates/boragepass_path/src/event.rs
+++ b/crates/boragepass_path/src/event.rs
@@ -227,6 +227,8 @@
         /// Message.
         message: PeerMessage,
     },
+    /// The process read valid settings, with this digest.
+    SettingsRead(Hash64),
     /// The process received a request to stop.
     Terminate,
     /// A timer may be due; see [`RequestPath::next_wake`](crate::RequestPath::next_wake).
--- a/crates/boragepass_path/src/fleet/members.rs
+++ b/crates/boragepass_path/src/fleet/members.rs
@@ -6,10 +6,11 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use boragepass_types::{FailureDomain, Incarnation, Millicores, Region, SpanMs, TimeMs, VmId};
+use boragepass_types::{FailureDomain, Hash64, Incarnation, Millicores, Region, SpanMs, TimeMs, VmId};
 use derive_more::Display;
 
 use crate::configuration::ConfigurationVersion;
+use crate::message::{PEER_REVISION, ProcessStatement};
 use crate::settings::PathSettings;
 
 /// Shortest interval between two heartbeats to the same VM.
@@ -20,6 +21,8 @@
 const MISSED_HEARTBEATS_MAX: u64 = 5;
 /// Time for which a VM still gets heartbeats after its own last one or after it was last listed.
 const UNHEARD_CONTACT_TIME: SpanMs = SpanMs(60_000);
+/// Heartbeats of which one states what the VM's process runs.
+const HEARTBEATS_PER_STATEMENT: u32 = 8;
 /// Other VMs that one heartbeat names.
 const INTRODUCED_VMS_MAX: usize = 4;
 
@@ -76,6 +79,20 @@
     last_named_at: TimeMs,
     reach: Reach,
     configuration: ConfigurationVersion,
+    process: Option<ProcessStatement>,
+}
+
+/// What operators are shown of a VM.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct VmSummary {
+    /// Name of the VM.
+    pub vm: VmId,
+    /// What it does with new requests.
+    pub state: VmState,
+    /// Version of the configuration that it has in force.
+    pub configuration: ConfigurationVersion,
+    /// What its process runs; `None` if it has not stated that yet, or is of a build that does not.
+    pub process: Option<ProcessStatement>,
 }
 
 /// This VM and all others that it knows.
@@ -85,6 +102,10 @@
     members: BTreeMap<VmId, Member>,
     /// Addresses of VMs whose names are not known yet, from the settings and other VMs.
     seeds: Vec<SocketAddr>,
+    /// What this VM's process runs.
+    pub(crate) local_process: Option<ProcessStatement>,
+    /// Heartbeats until the next one that carries `local_process`.
+    heartbeats_until_statement: u32,
     /// Position of the next sample of live VMs.
     sample_offset: usize,
     /// Whether this VM reaches the store.
@@ -123,6 +144,8 @@
             local_record,
             members: BTreeMap::new(),
             seeds: Vec::new(),
+            local_process: None,
+            heartbeats_until_statement: 0,
             sample_offset: 0,
             can_reach_store: true,
             reaches_endpoints: true,
@@ -152,6 +175,7 @@
                     last_named_at: now,
                     reach: Reach { store: false, endpoints: true },
                     configuration: ConfigurationVersion(0),
+                    process: None,
                 },
             );
         }
@@ -164,6 +188,7 @@
         record: VmRecord,
         reach: Reach,
         configuration: ConfigurationVersion,
+        process: Option<ProcessStatement>,
     ) -> MembershipChange {
         if record.vm == self.local_record.vm {
             return MembershipChange::Stale;
@@ -181,11 +206,44 @@
             }
             Some(_) | None => MembershipChange::Joined,
         };
-        let member = Member { record, last_heartbeat_at: Some(now), last_named_at: now, reach, configuration };
+        let same_process = self.members.get(&record.vm).filter(|known| known.record.incarnation == record.incarnation);
+        let process = process.or(same_process.and_then(|known| known.process));
+        let member = Member { record, last_heartbeat_at: Some(now), last_named_at: now, reach, configuration, process };
         self.members.insert(member.record.vm.clone(), member);
         change
     }
 
+    /// Records that this VM's process read valid settings. The next heartbeat states it.
+    pub(crate) fn on_settings_read(&mut self, settings_digest: Hash64) {
+        let settings_reads = self.local_process.map_or(0, |process| process.settings_reads) + 1;
+        self.local_process = Some(ProcessStatement { peer_revision: PEER_REVISION, settings_digest, settings_reads });
+        self.heartbeats_until_statement = 0;
+    }
+
+    /// What this VM's process runs, for a heartbeat; only each eighth carries it, to save bytes between regions.
+    pub(crate) fn process_statement(&mut self) -> Option<ProcessStatement> {
+        if self.heartbeats_until_statement > 0 {
+            self.heartbeats_until_statement -= 1;
+            return None;
+        }
+        self.heartbeats_until_statement = HEARTBEATS_PER_STATEMENT - 1;
+        self.local_process
+    }
+
+    /// What operators are shown of the live VMs, this one first.
+    pub(crate) fn summaries(&self, now: TimeMs, configuration: ConfigurationVersion) -> Vec<VmSummary> {
+        let summary = |record: &VmRecord, configuration, process| VmSummary {
+            vm: record.vm.clone(),
+            state: record.state,
+            configuration,
+            process,
+        };
+        let live = self.members.values().filter(|member| self.is_live(now, &member.record.vm));
+        std::iter::once(summary(&self.local_record, configuration, self.local_process))
+            .chain(live.map(|member| summary(&member.record, member.configuration, member.process)))
+            .collect()
+    }
+
     /// Interval between two heartbeats of this VM.
     pub(crate) fn heartbeat_interval(&self) -> SpanMs {
         SpanMs(HEARTBEAT_INTERVAL_MIN.0.max(self.members.len() as u64 * HEARTBEAT_INTERVAL_PER_VM_MS))
--- a/crates/boragepass_path/src/fleet/mod.rs
+++ b/crates/boragepass_path/src/fleet/mod.rs
@@ -14,7 +14,7 @@
 pub(crate) use leader::pool_leader;
 pub(crate) use limit_sharing::limit_sharing_vms;
 pub(crate) use members::{Fleet, MembershipChange, Reach};
-pub use members::{VmRecord, VmState};
+pub use members::{VmRecord, VmState, VmSummary};
 pub(crate) use relays::relay_vm;
 pub(crate) use stream_holders::stream_holders;
 pub(crate) use version_recorder::is_version_recorder;
--- a/crates/boragepass_path/src/lib.rs
+++ b/crates/boragepass_path/src/lib.rs
@@ -40,10 +40,10 @@
     Arrival, CallFailure, CallOutcome, EndpointSignals, Event, EventId, PieceOutcome, Progress, PromptPart, ReplyHead,
     ReportedLoad, SendFailure,
 };
-pub use fleet::{VmRecord, VmState};
+pub use fleet::{VmRecord, VmState, VmSummary};
 pub use message::{
-    ContentCrashes, DownReport, EndpointLimitReport, EndpointLoad, Heartbeat, PeerMessage, PieceRequest,
-    PieceRequestId, PieceResult, PoolLoad, ResultHandle, StageInputs,
+    ContentCrashes, DownReport, EndpointLimitReport, EndpointLoad, Heartbeat, PEER_REVISION, PeerMessage, PieceRequest,
+    PieceRequestId, PieceResult, PoolLoad, ProcessStatement, ResultHandle, StageInputs,
 };
 pub use placement::{Endpoint, EndpointUpdate, RecordedVersions, SharedEndpoint, StoreVersion};
 pub use record::{Record, RecordValue};
--- a/crates/boragepass_path/src/message.rs
+++ b/crates/boragepass_path/src/message.rs
@@ -144,6 +144,20 @@
     pub age_ms: SpanMs,
 }
 
+/// Counts the additions to messages between VMs. A VM that states none is of a build before the first.
+pub const PEER_REVISION: u32 = 1;
+
+/// What a VM's process runs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ProcessStatement {
+    /// Revision of the messages that it reads, see [`PEER_REVISION`].
+    pub peer_revision: u32,
+    /// Digest of the settings that it serves with.
+    pub settings_digest: Hash64,
+    /// Number of times that it read valid settings, the first time at its start.
+    pub settings_reads: u32,
+}
+
 /// State that a VM sends to the others several times a second.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Heartbeat {
@@ -171,6 +185,8 @@
     pub cleared_contents: Vec<Hash64>,
     /// A few of the VMs that it knows; successive heartbeats carry different ones.
     pub known_vms: Vec<(VmId, SocketAddr)>,
+    /// What the VM's process runs; only a few heartbeats carry it.
+    pub process: Option<ProcessStatement>,
 }
 
 /// Message between VMs.
--- a/crates/boragepass_path/src/reducer/mod.rs
+++ b/crates/boragepass_path/src/reducer/mod.rs
@@ -31,7 +31,7 @@
 use crate::configuration::Configuration;
 use crate::effect::Effect;
 use crate::event::Event;
-use crate::fleet::{Fleet, VmState};
+use crate::fleet::{Fleet, VmState, VmSummary};
 use crate::message::PieceRequestId;
 use crate::placement::{
     Endpoint, EndpointReach, EndpointTable, EndpointUpdate, PoolBacklogs, SharedEndpoint, StoreVersion, VersionHistory,
@@ -181,6 +181,7 @@
             }
             Event::SeedsListed(seeds) => seeds.into_iter().for_each(|seed| self.fleet.add_seed(seed)),
             Event::PeerMessageReceived { from, incarnation, message } => self.on_peer(now, &from, incarnation, message),
+            Event::SettingsRead(digest) => self.fleet.on_settings_read(digest),
             Event::Terminate => self.on_terminate(now),
             Event::Tick => {}
         }
@@ -220,6 +221,12 @@
         self.fleet.serving(now).map(|record| record.vm.clone()).collect()
     }
 
+    /// What is known of the live VMs, this one first.
+    pub fn vm_summaries(&self, now: TimeMs) -> Vec<VmSummary> {
+        let configuration = self.configuration.as_ref().map(|configuration| configuration.version).unwrap_or_default();
+        self.fleet.summaries(now, configuration)
+    }
+
     /// Number of requests in progress.
     pub fn in_progress(&self) -> usize {
         self.requests.len()
--- a/crates/boragepass_path/src/reducer/peers.rs
+++ b/crates/boragepass_path/src/reducer/peers.rs
@@ -44,7 +44,7 @@
         let (state, incarnation) = (heartbeat.vm.state, heartbeat.vm.incarnation);
         let reached_endpoints = self.fleet.does_reach_endpoints(&vm);
         let reach = Reach { store: heartbeat.has_store, endpoints: heartbeat.reaches_endpoints };
-        match self.fleet.on_heartbeat(now, heartbeat.vm, reach, heartbeat.configuration) {
+        match self.fleet.on_heartbeat(now, heartbeat.vm, reach, heartbeat.configuration, heartbeat.process) {
             MembershipChange::Stale => return,
             MembershipChange::Joined | MembershipChange::StateChanged => {
                 self.log(
@@ -155,6 +155,7 @@
             content_crashes: self.crash_tracker.reports(now),
             cleared_contents: self.crash_tracker.cleared_reports(now),
             known_vms: self.fleet.sample_live_vms(now),
+            process: self.fleet.process_statement(),
         };
         for pool_load in heartbeat.led_pools.clone() {
             self.pool_backlogs.on_report(now, pool_load);
--- a/crates/boragepass_settings/src/entry.rs
+++ b/crates/boragepass_settings/src/entry.rs
@@ -4,13 +4,15 @@
 use std::str::FromStr;
 
 use boragepass_types::{
-    AccessKey, FailureDomain, FindingKind, Findings, Millicores, Region, SpanMs, VmId, suggest_key,
+    AccessKey, FailureDomain, FindingKind, Findings, Hash64, Millicores, Region, SpanMs, VmId, suggest_key,
 };
 
 use crate::raw::RawSettings;
 use crate::resolve::SectionReader;
 
 const SECTIONS: &[&str] = &["node", "listen", "store", "peers", "failure_domains", "retries", "stop", "log"];
+/// Sections that differ from VM to VM.
+const VM_SECTIONS: &[&str] = &["node", "listen"];
 /// About six log lines for each request, at 100 requests a second.
 const DEFAULT_LOG_LINES_PER_S: u32 = 600;
 
@@ -65,6 +67,10 @@
     pub stop_grace_ms: SpanMs,
     /// Limit of the log rate; lines above it are dropped and counted.
     pub log_lines_per_s: u32,
+    /// Digest of what VMs with the same settings have in common.
+    pub digest: Hash64,
+    /// Sections and keys that this build does not know, as another build's file may have them.
+    pub unknown_keys: Vec<String>,
 }
 
 /// Addresses separated by commas.
@@ -153,7 +159,23 @@
     domain_regions
 }
 
-fn resolve(raw: &RawSettings) -> Result<EntrySettings, Findings> {
+/// Address of the port behind another one; the platform leaves both to this system.
+fn next_port(address: SocketAddr) -> SocketAddr {
+    SocketAddr::new(address.ip(), address.port().saturating_add(1))
+}
+
+/// Digest of what VMs have in common: all sections but those that name the VM and its addresses.
+fn shared_digest(raw: &RawSettings) -> Hash64 {
+    let mut text = String::new();
+    for section in raw.sections.iter().filter(|section| !VM_SECTIONS.contains(&section.name.as_str())) {
+        text.push_str(&format!("[{}]\n", section.name));
+        section.entries.iter().for_each(|entry| text.push_str(&format!("{}={}\n", entry.key, entry.value)));
+    }
+    Hash64::of(text.as_bytes())
+}
+
+/// Settings, and what the file has beyond them.
+fn resolve(raw: &RawSettings) -> Result<(EntrySettings, Findings), Findings> {
     let mut findings = Findings::default();
     check_sections(raw, &mut findings);
     let domain_regions = resolve_domain_regions(raw, &mut findings);
@@ -165,7 +187,7 @@
     let (client_address, readiness_address, resolver_address) =
         (listen.required("clients"), listen.required("readiness"), listen.required("addresses"));
     let (operator_address, metrics_address) = (listen.required("operators"), listen.required("metrics"));
-    let (peer_address, relay_address) = (listen.required("peers"), listen.required("relays"));
+    let (peer_address, relay_address): (Option<SocketAddr>, _) = (listen.required("peers"), listen.optional("relays"));
     let mut store = SectionReader::new(raw, "store", &["address", "recovery_ms"], &mut findings);
     let store_address = store.required("address");
     let store_recovery: Option<RecoveryTime> = store.optional("recovery_ms");
@@ -177,7 +199,10 @@
     let retry_window: Option<Seconds> = retries.required("window_s");
     let stop_grace: Option<Seconds> = SectionReader::new(raw, "stop", &["grace_s"], &mut findings).required("grace_s");
     let log_lines_per_s = SectionReader::new(raw, "log", &["lines_per_s"], &mut findings).optional("lines_per_s");
+    let unknown_keys: Vec<_> = findings.unknown_keys().map(ToOwned::to_owned).collect();
+    let has_errors = findings.iter().count() > unknown_keys.len();
     let settings = || {
+        let peer_address = peer_address?;
         Some(EntrySettings {
             vm: vm?,
             region: region?,
@@ -187,8 +212,9 @@
             resolver_address: resolver_address?,
             operator_address: operator_address?,
             metrics_address: metrics_address?,
-            peer_address: peer_address?,
-            relay_address: relay_address?,
+            peer_address,
+            // Files of builds that relay nothing do not name it.
+            relay_address: relay_address.unwrap_or_else(|| next_port(peer_address)),
             store_address: store_address?,
             store_recovery_ms: store_recovery.map_or(DEFAULT_STORE_RECOVERY, |recovery| recovery.0),
             peer_key: peer_key?,
@@ -200,15 +226,25 @@
             retry_window_ms: retry_window?.0,
             stop_grace_ms: stop_grace?.0,
             log_lines_per_s: log_lines_per_s.unwrap_or(DEFAULT_LOG_LINES_PER_S),
+            digest: shared_digest(raw),
+            unknown_keys: unknown_keys.clone(),
         })
     };
     match settings() {
-        Some(settings) if findings.is_empty() => Ok(settings),
+        Some(settings) if !has_errors => Ok((settings, findings)),
         Some(_) | None => Err(findings),
     }
 }
 
-/// Parses and checks the settings of an entry VM. Findings name the file as `path`.
+/// Parses the settings of an entry VM. Findings name the file as `path`. Unknown sections and keys are no error, since
+/// the file may be for a later or an earlier build.
 pub fn parse_entry_settings(path: &str, text: &str) -> Result<EntrySettings, Findings> {
-    resolve(&RawSettings::parse(path, text)?)
+    let (settings, _unknown_keys) = resolve(&RawSettings::parse(path, text)?)?;
+    Ok(settings)
+}
+
+/// Checks the settings of an entry VM; unknown sections and keys are findings too.
+pub fn check_entry_settings(path: &str, text: &str) -> Result<EntrySettings, Findings> {
+    let (settings, unknown_keys) = resolve(&RawSettings::parse(path, text)?)?;
+    if unknown_keys.is_empty() { Ok(settings) } else { Err(unknown_keys) }
 }
--- a/crates/boragepass_settings/src/lib.rs
+++ b/crates/boragepass_settings/src/lib.rs
@@ -16,7 +16,7 @@
 use boragepass_core::Limits;
 use boragepass_types::{AccessKey, Bytes, FailureDomain, Findings, Pipeline, Region, SpanMs, VmId};
 
-pub use entry::{EntrySettings, parse_entry_settings};
+pub use entry::{EntrySettings, check_entry_settings, parse_entry_settings};
 pub use reference::limits_reference;
 
 /// Settings of a `boragepassd` process.
--- a/crates/boragepass_settings/tests/entry.rs
+++ b/crates/boragepass_settings/tests/entry.rs
@@ -4,7 +4,7 @@
 
 fn parsed_fixture_matches_snapshot(path: &Path, text: String) -> datatest_stable::Result<()> {
     let name = path.file_stem().ok_or("a fixture has a name")?.to_string_lossy().into_owned();
-    let result = match boragepass_settings::parse_entry_settings(&format!("{name}.ini"), &text) {
+    let result = match boragepass_settings::check_entry_settings(&format!("{name}.ini"), &text) {
         Ok(settings) => format!("{settings:#?}"),
         Err(findings) => findings.to_string(),
     };
--- a/crates/boragepass_types/src/finding.rs
+++ b/crates/boragepass_types/src/finding.rs
@@ -84,6 +84,14 @@
         self.0.append(&mut other.0);
     }
 
+    /// Unknown keys and sections among the problems.
+    pub fn unknown_keys(&self) -> impl Iterator<Item = &str> {
+        self.0.iter().filter_map(|finding| match &finding.kind {
+            FindingKind::UnknownKey(key) => Some(key.as_str()),
+            _ => None,
+        })
+    }
+
     /// Iterates over the problems.
     pub fn iter(&self) -> impl Iterator<Item = &Finding> {
         self.0.iter()
