--- a/crates/boragepass_fakes/tests/path_statements.rs
+++ b/crates/boragepass_fakes/tests/path_statements.rs
@@ -8,6 +8,8 @@
 const ANNOUNCEMENT_MS: u64 = 1_500;
 /// Longer than a VM may still send to an endpoint after its announcement.
 const WATCHED_MS: u64 = 8_000;
+/// Longer than any run.
+const LONG_LAPSE_MS: u64 = 3_600_000;
 
 /// Site under its usual load, and one endpoint of each of its pools.
 fn loaded_fleet(site: Site, seed: u64) -> (PathFleet, Vec<EndpointId>) {
@@ -236,3 +238,22 @@
         assert_no_violation(&fleet, site);
     }
 }
+
+/// A VM that the store was away from keeps the entry for a grace period, and other VMs get its list.
+#[test]
+fn an_endpoint_removed_without_a_word_gets_no_request_while_vms_return_from_cuts_from_the_store() {
+    for (site, seed) in [(Site::Lampu, 11), (Site::Gigdesk, 12)] {
+        let (mut fleet, leaving) = loaded_fleet(site, seed);
+        for (vm, id) in (0..fleet.vm_count()).zip(leaving) {
+            fleet.set_cut_from_store(vm, true);
+            fleet.run_for(1_500);
+            fleet.lapse_entry(&id, LONG_LAPSE_MS);
+            fleet.run_for(500);
+            fleet.set_cut_from_store(vm, false);
+            fleet.change_configuration();
+            fleet.run_for(WATCHED_MS);
+        }
+        let violation = fleet.ledger.violations().first().map(ToString::to_string);
+        assert_eq!(violation, None, "{site}");
+    }
+}
