Checks of the configuration read the VM's own version, and the soak kills all VMs at once

Cause: the status page lists all VMs with their configurations since, so a search for the version in its text also found that of another VM; the checks at the end of a soak and four of over_sockets.rs had become weaker. They read the VM's own field now.

The soak draws up to two kills of all VMs, from a generator of its own.

--- a/crates/boragepass_entry/tests/over_sockets.rs
+++ b/crates/boragepass_entry/tests/over_sockets.rs
@@ -341,7 +341,7 @@
     std::thread::sleep(Duration::from_millis(SILENCE_MS));
     let newer_configuration = CONFIGURATION.replacen("\"version\": 1", "\"version\": 2", 1);
     store.put_row(names::CONFIGURATION_TABLE, names::CONFIGURATION_KEY, newer_configuration.into());
-    let is_in_force = || status_of(&vm).contains("\"configuration\":2");
+    let is_in_force = || configuration_of(&vm) == Some(2);
     let returned_at = std::time::Instant::now();
     while !is_in_force() {
         let elapsed = returned_at.elapsed();
@@ -354,6 +354,12 @@
     get(vm.address("operators"), "/v1/status").body.unwrap_or_default()
 }
 
+/// Version of the configuration that a VM itself has in force.
+fn configuration_of(vm: &EntryVm) -> Option<u64> {
+    let status: serde_json::Value = serde_json::from_str(&status_of(vm)).expect("a JSON document");
+    status["configuration"].as_u64()
+}
+
 fn wait_until(what: &str, mut is_done: impl FnMut() -> bool) {
     for _ in 0..100 {
         if is_done() {
@@ -390,7 +396,7 @@
     write_configuration(CONFIGURATION.replacen("\"version\": 1", "\"version\": 2", 1));
     list("i-third", false);
     store.remove_row(names::ENDPOINT_TABLE, "i-first");
-    wait_until("the configuration is in force", || status_of(&vm).contains("\"configuration\":2"));
+    wait_until("the configuration is in force", || configuration_of(&vm) == Some(2));
     wait_until("the added endpoint is known", || status_of(&vm).contains("i-third"));
     wait_until("the removed endpoint is gone", || !status_of(&vm).contains("i-first"));
     wait_until("the VM registers again", || store.has_row(names::VM_TABLE, "entry-1"));
@@ -410,7 +416,7 @@
     vm.wait_ready();
     let newer_configuration = CONFIGURATION.replacen("\"version\": 1", "\"version\": 2", 1);
     store.put_row(names::CONFIGURATION_TABLE, names::CONFIGURATION_KEY, newer_configuration.into());
-    wait_until("the change is in force", || status_of(&vm).contains("\"configuration\":2"));
+    wait_until("the change is in force", || configuration_of(&vm) == Some(2));
     store.restore_copy(copied_version);
     wait_until("the VM reads the restored store", || status_of(&vm).contains("\"store_era\":2"));
     std::thread::sleep(Duration::from_millis(500));
@@ -422,8 +428,8 @@
         ("seeds =", "seeds = 127.0.0.1:1".to_owned()),
     ];
     let later_vm = EntryVm::start_with(unreachable_store, &lines);
-    wait_until("the later VM has a configuration", || !status_of(&later_vm).contains("\"configuration\":null"));
-    assert!(status_of(&later_vm).contains("\"configuration\":2"), "{}", status_of(&later_vm));
+    wait_until("the later VM has a configuration", || configuration_of(&later_vm).is_some());
+    assert_eq!(configuration_of(&later_vm), Some(2));
 }
 
 /// Two engines of different versions serve, and each breaks off within the second event of a stream.
--- a/crates/boragepass_soak/src/plan.rs
+++ b/crates/boragepass_soak/src/plan.rs
@@ -74,6 +74,9 @@
     /// The plain endpoints work slowly and state for a time how many rejections a second each bears.
     #[display("plain endpoints bear {_1} rejections/s for {_0} ms")]
     PlainEndpointsBrittle(u64, u32),
+    /// All VMs get SIGKILL at once and are started again.
+    #[display("all VMs are killed")]
+    KillAll,
 }
 
 /// Fault and the time at which it is injected.
@@ -103,6 +106,8 @@
 const ENDLESS_REPLIES_SEED: u64 = 0x65_6e64_6c65_7373;
 /// Distinguishes the generator of what endpoints state of themselves from the others.
 const STATEMENTS_SEED: u64 = 0x73_7461_7465;
+/// Distinguishes the generator of kills of all VMs from the others.
+const KILL_OF_ALL_SEED: u64 = 0x61_6c6c;
 /// Shortest time for which endpoints are brittle; in the first 4 s of it rejections do no harm.
 const BRITTLE_MS_MIN: u64 = 8_000;
 /// Most faults in one series.
@@ -127,6 +132,7 @@
         draw_store_faults(seed, end_ms, &mut faults);
         draw_endless_replies(seed, end_ms, endpoint_count, &mut faults);
         draw_statements(seed, end_ms, endpoint_count, &mut faults);
+        draw_kill_of_all(seed, end_ms, &mut faults);
         faults.sort_by_key(|planned| planned.at_ms);
         Self { faults }
     }
@@ -174,6 +180,14 @@
     }
 }
 
+/// Draws up to two kills of all VMs, from a generator of its own for the same reason.
+fn draw_kill_of_all(seed: u64, end_ms: u64, faults: &mut Vec<PlannedFault>) {
+    let mut random = SmallRng::seed_from_u64(seed ^ KILL_OF_ALL_SEED);
+    for _ in 0..random.random_range(0..3) {
+        faults.push(PlannedFault { at_ms: random.random_range(FAULT_FREE_START_MS..end_ms), fault: Fault::KillAll });
+    }
+}
+
 fn draw_link_mode(random: &mut SmallRng) -> LinkMode {
     match random.random_range(0..5) {
         0 => LinkMode::Delay(random.random_range(20..400)),
--- a/crates/boragepass_soak/src/run.rs
+++ b/crates/boragepass_soak/src/run.rs
@@ -114,6 +114,13 @@
     Ok((plan, site.ledger.check_and_summarize(faults_end_at + RECOVERY_TIME_MAX)))
 }
 
+/// Version of the configuration that a VM states for itself in a reply with its status; none if it states none.
+fn configuration_in(reply: &str) -> Option<u64> {
+    let (_, body) = reply.split_once("\r\n\r\n")?;
+    let status: serde_json::Value = serde_json::from_str(body).ok()?;
+    status["configuration"].as_u64()
+}
+
 fn sleep_until(at: Instant) {
     std::thread::sleep(at.saturating_duration_since(Instant::now()));
 }
@@ -197,7 +204,7 @@
     fn check_configurations(&self, version: u64) {
         for vm in &self.vms {
             let status = query(vm.listen.operators, "/v1/status").unwrap_or_else(|error| error.to_string());
-            if !status.contains(&format!("\"configuration\":{version},")) {
+            if configuration_in(&status) != Some(version) {
                 let description = format!("does not have configuration {version} in force at the end: {status}");
                 self.ledger.record_violation(format!("VM {}", vm.number), description);
             }
@@ -210,6 +217,7 @@
         match fault {
             Fault::Stop(vm) => self.vms[vm].stop(),
             Fault::Kill(vm) => self.vms[vm].kill(),
+            Fault::KillAll => self.vms.iter().for_each(SoakVm::kill),
             Fault::Pause(vm, ms) => self.vms[vm].pause(ms),
             Fault::Reload(vm) => self.vms[vm].reload(),
             Fault::StoreLink(vm, mode, ms) => disturb_link(&self.store_links[vm], mode, ms),
