Configuration, endpoints and settings carry home regions, cold starts, evacuations and slowness

Cause: routes and workspaces may name home regions, pools a rate for cold endpoints, operators evacuate failure domains, and endpoints state a fourth figure in their load header. None of it was decoded. The endpoints that may take a request are now told by one function (placement/eligibility.rs), apart from their price, so that each part adds a condition there.

--- a/crates/boragepass_entry/src/peer_wire.rs
+++ b/crates/boragepass_entry/src/peer_wire.rs
@@ -497,6 +497,7 @@
             slots: wire.slots,
             started_at_unix_ms: wire.started_at_unix_ms,
             software_version: wire.software_version.as_deref().map(parse_field).transpose()?,
+            cold_left_ms: SpanMs(0),
         };
         Ok(Self { endpoint, is_expired: wire.is_expired })
     }
--- a/crates/boragepass_entry/src/process.rs
+++ b/crates/boragepass_entry/src/process.rs
@@ -9,7 +9,7 @@
 use async_std::channel::{Receiver, bounded};
 use async_std::net::{TcpListener, UdpSocket};
 use async_std::task;
-use boragepass_path::{Batching, Event, PathSettings, Record, RequestPath, RetryLimits, VmRecord, VmState};
+use boragepass_path::{Batching, ColdBounds, Event, PathSettings, Record, RequestPath, RetryLimits, VmRecord, VmState};
 use boragepass_server::{Clock, Identity, Tasks, new_incarnation};
 use boragepass_settings::{EntrySettings, parse_entry_settings};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
@@ -81,6 +81,7 @@
         relay_address: local_record.relay_address,
         processor: local_record.processor,
         regions: settings.domain_regions.clone(),
+        cold_bounds: ColdBounds { overage: settings.cold_overage, slack: settings.cold_slack },
         retries: RetryLimits {
             ratio: settings.retry_ratio,
             slack: settings.retry_slack,
--- a/crates/boragepass_entry/src/store_feed.rs
+++ b/crates/boragepass_entry/src/store_feed.rs
@@ -5,13 +5,13 @@
 //! since the last poll, the table is read again. Failed calls are retried after a delay with jitter, so
 //! that VMs that start or lose the store together do not all retry at the same time.
 
-use std::collections::HashSet;
+use std::collections::{BTreeSet, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use async_std::task;
-use boragepass_path::{EndpointUpdate, Event, Record, StorePoll, StoreVersion, VmRecord, VmState};
+use boragepass_path::{EndpointUpdate, Evacuations, Event, Record, StorePoll, StoreVersion, VmRecord, VmState};
 use boragepass_platform::{
     Row, RowChange, decode_changes, decode_endpoint, decode_rows, encode_row_write, names, table_changes_path,
     table_rows_path,
@@ -63,6 +63,8 @@
     last_call_sent_at: Instant,
     /// Era that the store's last reply stated.
     era: Option<StoreEra>,
+    /// Names of the failure domains that the operators evacuate.
+    evacuated_domains: BTreeSet<String>,
     /// Keys of rows that could not be decoded; each is logged once.
     unreadable_keys: HashSet<String>,
     random: SmallRng,
@@ -81,6 +83,7 @@
             last_reply_at: Instant::now(),
             last_call_sent_at: Instant::now(),
             era: None,
+            evacuated_domains: BTreeSet::new(),
             unreadable_keys: HashSet::new(),
             random: SmallRng::seed_from_u64(seed),
         };
@@ -219,7 +222,12 @@
 
     fn apply_table(&mut self, rows: Vec<Row>, version: u64) {
         match self.table {
-            Table::Configuration => rows.into_iter().for_each(|row| self.apply_configuration(&row)),
+            Table::Configuration => {
+                let evacuated = rows.iter().filter_map(|row| row.key.strip_prefix(names::EVACUATION_KEY_PREFIX));
+                self.evacuated_domains = evacuated.map(ToOwned::to_owned).collect();
+                self.dispatch_evacuations(version);
+                rows.into_iter().for_each(|row| self.apply_configuration(&row));
+            }
             Table::Endpoints => {
                 let endpoints = rows.iter().filter_map(|row| self.decode_endpoint_row(row)).collect();
                 let version = self.store_version(version);
@@ -230,8 +238,20 @@
 
     fn apply_change(&mut self, change: RowChange) {
         match (self.table, change) {
-            (Table::Configuration, RowChange::Written(row)) => self.apply_configuration(&row),
-            (Table::Configuration, RowChange::Removed { .. }) => {}
+            (Table::Configuration, RowChange::Written(row)) => {
+                if let Some(domain) = row.key.strip_prefix(names::EVACUATION_KEY_PREFIX) {
+                    self.evacuated_domains.insert(domain.to_owned());
+                    self.dispatch_evacuations(row.version);
+                } else {
+                    self.apply_configuration(&row);
+                }
+            }
+            (Table::Configuration, RowChange::Removed { key, version }) => {
+                if let Some(domain) = key.strip_prefix(names::EVACUATION_KEY_PREFIX) {
+                    self.evacuated_domains.remove(domain);
+                    self.dispatch_evacuations(version);
+                }
+            }
             (Table::Endpoints, RowChange::Written(row)) => {
                 let update = match self.decode_endpoint_row(&row) {
                     Some(endpoint) => EndpointUpdate::Changed(endpoint, self.store_version(row.version)),
@@ -248,6 +268,26 @@
         }
     }
 
+    /// Reports the evacuated failure domains. Rows whose key names no failure domain are logged and left out.
+    fn dispatch_evacuations(&mut self, version: u64) {
+        let mut domains = BTreeSet::new();
+        for name in &self.evacuated_domains {
+            match name.parse() {
+                Ok(domain) => {
+                    domains.insert(domain);
+                }
+                Err(error) => {
+                    if self.unreadable_keys.insert(name.clone()) {
+                        let record = Record::new("evacuation not read").text("domain", name).text("reason", error);
+                        self.driver.record(&record);
+                    }
+                }
+            }
+        }
+        let version = self.store_version(version);
+        self.driver.dispatch(Event::EvacuationsUpdated(Evacuations { version, domains }));
+    }
+
     fn apply_configuration(&mut self, row: &Row) {
         if row.key != names::CONFIGURATION_KEY {
             return;
--- a/crates/boragepass_entry/tests/over_sockets.rs
+++ b/crates/boragepass_entry/tests/over_sockets.rs
@@ -32,6 +32,7 @@
         slots: 6,
         started_at_unix_ms: 1,
         software_version: "1".parse().ok(),
+        cold_left_ms: boragepass_types::SpanMs(0),
     }
 }
 
--- a/crates/boragepass_entry/tests/peer_wire.rs
+++ b/crates/boragepass_entry/tests/peer_wire.rs
@@ -105,6 +105,7 @@
         slots: 48,
         started_at_unix_ms: 1_700_000_000_000,
         software_version: Some(id("v1")),
+        cold_left_ms: SpanMs(0),
     };
     let shared = SharedEndpoint { endpoint, is_expired: true };
     let endpoints_version = StoreVersion { era: StoreEra(2), number: 9 };
--- a/crates/boragepass_fakes/src/path_fleet/deployment.rs
+++ b/crates/boragepass_fakes/src/path_fleet/deployment.rs
@@ -141,6 +141,7 @@
                 .collect(),
             is_anonymous: false,
             event_gap_max_ms: Some(SpanMs(400)),
+            home_regions: Vec::new(),
         };
         Self {
             name: spec.name,
@@ -434,6 +435,7 @@
             health_path: "/health".into(),
             connections_max: 300,
             kind,
+            cold_start: None,
         });
         Self {
             domains,
@@ -452,8 +454,12 @@
             head_timeout_ms: SpanMs(3_000),
             idle_timeout_ms: SpanMs(15_000),
         };
-        let workspace =
-            Workspace { name: parse_name("workspace"), priority: 1, keys: vec![ApiKey(Arc::from(CLIENT_KEY))] };
+        let workspace = Workspace {
+            name: parse_name("workspace"),
+            priority: 1,
+            keys: vec![ApiKey(Arc::from(CLIENT_KEY))],
+            home_regions: Vec::new(),
+        };
         let routes = self.kinds.iter().map(|kind| kind.route.clone()).collect();
         Configuration::new(ConfigurationVersion(version), limits, routes, self.services.clone(), vec![workspace])
     }
@@ -480,5 +486,6 @@
         slots,
         started_at_unix_ms: 1,
         software_version: "1".parse().ok(),
+        cold_left_ms: SpanMs(0),
     }
 }
--- a/crates/boragepass_fakes/src/path_fleet/fleet/mod.rs
+++ b/crates/boragepass_fakes/src/path_fleet/fleet/mod.rs
@@ -18,9 +18,10 @@
 use std::sync::Arc;
 
 use boragepass_path::{
-    Arrival, Batching, CallFailure, CallNumber, CallOutcome, Effect, Endpoint, EndpointSignals, EndpointUpdate, Event,
-    EventId, PathSettings, PeerMessage, PieceOutcome, Progress, PromptPart, RecordedVersions, Repeatability, ReplyHead,
-    RequestNumber, RequestPath, RetryLimits, SendFailure, SendNumber, StoreVersion, VmRecord, VmState,
+    Arrival, Batching, CallFailure, CallNumber, CallOutcome, ColdBounds, Effect, Endpoint, EndpointSignals,
+    EndpointUpdate, Event, EventId, PathSettings, PeerMessage, PieceOutcome, Progress, PromptPart, RecordedVersions,
+    Repeatability, ReplyHead, RequestNumber, RequestPath, RetryLimits, SendFailure, SendNumber, StoreVersion, VmRecord,
+    VmState,
 };
 use boragepass_types::{
     EndpointId, FailureDomain, Hash64, Incarnation, Millicores, RequestRate, SpanMs, StoreEra, TimeMs, VmId,
@@ -404,6 +405,7 @@
             processor: VM_PROCESSOR,
             regions,
             retries: RetryLimits { ratio: 0.2, slack: 56.0, window_ms: SpanMs(10_000) },
+            cold_bounds: ColdBounds::default(),
             stop_grace_ms: SpanMs(8_000),
             batching: self.batching,
             seed: vm.incarnation,
--- a/crates/boragepass_fakes/tests/path_peers.rs
+++ b/crates/boragepass_fakes/tests/path_peers.rs
@@ -7,9 +7,10 @@
 
 use boragepass_fakes::path_fleet::{Deployment, Site};
 use boragepass_path::{
-    ApiKey, Arrival, Batching, ConfigurationVersion, ContentCrashes, Effect, Endpoint, EndpointSignals, EndpointUpdate,
-    Event, Heartbeat, PathSettings, PeerMessage, ProcessStatement, Progress, PromptPart, RecordedVersions, ReplyHead,
-    RequestNumber, RequestPath, RetryLimits, SendFailure, SharedEndpoint, StoreVersion, VmRecord, VmState,
+    ApiKey, Arrival, Batching, ColdBounds, ConfigurationVersion, ContentCrashes, Effect, Endpoint, EndpointSignals,
+    EndpointUpdate, Event, Heartbeat, PathSettings, PeerMessage, ProcessStatement, Progress, PromptPart,
+    RecordedVersions, ReplyHead, RequestNumber, RequestPath, RetryLimits, SendFailure, SharedEndpoint, StoreVersion,
+    VmRecord, VmState,
 };
 use boragepass_types::{EndpointId, Hash64, Incarnation, Millicores, Region, SpanMs, StoreEra, TimeMs, VmId};
 
@@ -112,6 +113,7 @@
         processor: local_record.processor,
         regions: deployment.domains.clone(),
         retries: RetryLimits { ratio: 0.2, slack: 56.0, window_ms: SpanMs(10_000) },
+        cold_bounds: ColdBounds::default(),
         stop_grace_ms: SpanMs(8_000),
         batching: Batching::Led,
         seed: 1,
--- a/crates/boragepass_path/src/configuration/mod.rs
+++ b/crates/boragepass_path/src/configuration/mod.rs
@@ -6,7 +6,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use boragepass_types::{PoolId, SpanMs, WorkspaceId};
+use boragepass_types::{PoolId, Region, RequestRate, SpanMs, WorkspaceId};
 use derive_more::Display;
 
 pub use route_table::RouteError;
@@ -83,6 +83,8 @@
     pub is_anonymous: bool,
     /// Longest gap between events of a stream, if the route states one.
     pub event_gap_max_ms: Option<SpanMs>,
+    /// Regions in which its requests may be served and stored; empty if all may.
+    pub home_regions: Vec<Region>,
 }
 
 /// What the endpoints of a pool do.
@@ -124,6 +126,15 @@
     pub result_ttl_ms: SpanMs,
 }
 
+/// What an endpoint bears after its start.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ColdStart {
+    /// Time for which it is cold.
+    pub duration_ms: SpanMs,
+    /// Requests that it tolerates meanwhile, from all VMs together.
+    pub rate: RequestRate,
+}
+
 /// A pool of endpoints that do the same work.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Service {
@@ -135,6 +146,8 @@
     pub connections_max: u32,
     /// What its endpoints do.
     pub kind: ServiceKind,
+    /// What its endpoints bear after their start; `None` if they are never cold.
+    pub cold_start: Option<ColdStart>,
 }
 
 /// A workspace with the keys of its clients.
@@ -146,6 +159,8 @@
     pub priority: u8,
     /// Keys that belong to it.
     pub keys: Vec<ApiKey>,
+    /// Regions in which its requests may be served and stored; empty if all may.
+    pub home_regions: Vec<Region>,
 }
 
 /// Limits on what clients may send.
--- a/crates/boragepass_path/src/event.rs
+++ b/crates/boragepass_path/src/event.rs
@@ -8,7 +8,7 @@
 use crate::configuration::{ApiKey, Configuration};
 use crate::fleet::VmRecord;
 use crate::message::PeerMessage;
-use crate::placement::{EndpointUpdate, RecordedVersions};
+use crate::placement::{EndpointUpdate, Evacuations, RecordedVersions};
 use crate::request::{CallNumber, RequestNumber, SendNumber};
 
 /// Number of a server-sent event within a stream.
@@ -69,6 +69,8 @@
     pub waiting: u32,
     /// Requests that can run concurrently.
     pub slots: u32,
+    /// Time that work takes at this moment, in percent of the usual time; `None` if it states none.
+    pub slowness_percent: Option<u32>,
 }
 
 /// What an endpoint states of itself in a reply.
@@ -84,6 +86,8 @@
     pub is_leaving: bool,
     /// Time for which it wants no requests from this VM, if it rejected one.
     pub pause_ms: Option<SpanMs>,
+    /// Time for which it is still cold; `None` if it does not state that.
+    pub cold_left_ms: Option<SpanMs>,
 }
 
 /// Properties of a reply that its status and headers establish.
@@ -210,6 +214,8 @@
     ConfigurationReceived(Arc<Configuration>),
     /// The list of endpoints changed, as the store or another VM reports it.
     EndpointsUpdated(EndpointUpdate),
+    /// The failure domains that the operators evacuate were read, from the store or another VM.
+    EvacuationsUpdated(Evacuations),
     /// The versions of pools that the store keeps were read; empty if it has none.
     VersionsRecorded(RecordedVersions),
     /// Whether the store answers this VM.
--- a/crates/boragepass_path/src/lib.rs
+++ b/crates/boragepass_path/src/lib.rs
@@ -32,8 +32,8 @@
 
 pub use admission::{Backlog, Forecast, RefusalReason};
 pub use configuration::{
-    ApiKey, Configuration, ConfigurationVersion, HttpLimits, ModelPool, Repeatability, Route, RouteError, Service,
-    ServiceKind, StagePool, StageSpec, Workspace,
+    ApiKey, ColdStart, Configuration, ConfigurationVersion, HttpLimits, ModelPool, Repeatability, Route, RouteError,
+    Service, ServiceKind, StagePool, StageSpec, Workspace,
 };
 pub use effect::{Answer, CallEntry, Effect, PieceInputs, RelayTarget, SendTarget};
 pub use event::{
@@ -45,10 +45,10 @@
     ContentCrashes, DownReport, EndpointLimitReport, EndpointLoad, Heartbeat, PEER_REVISION, PeerMessage, PieceRequest,
     PieceRequestId, PieceResult, PoolLoad, ProcessStatement, ResultHandle, StageInputs,
 };
-pub use placement::{Endpoint, EndpointUpdate, RecordedVersions, SharedEndpoint, StoreVersion};
+pub use placement::{Endpoint, EndpointUpdate, Evacuations, RecordedVersions, SharedEndpoint, StoreVersion};
 pub use record::{Record, RecordValue};
 pub use reducer::RequestPath;
 pub use request::{CallNumber, RequestNumber, SendNumber};
-pub use settings::{Batching, PathSettings, RetryLimits};
+pub use settings::{Batching, ColdBounds, PathSettings, RetryLimits};
 pub use stages::{AvailableEndpoint, CallEnd, PieceRank, PieceTask, Pool, PoolCall};
 pub use store_poll::StorePoll;
--- a/crates/boragepass_path/src/placement/endpoint_table.rs
+++ b/crates/boragepass_path/src/placement/endpoint_table.rs
@@ -56,6 +56,8 @@
     pub started_at_unix_ms: u64,
     /// Version of its software; `None` if its entry states none.
     pub software_version: Option<SoftwareVersion>,
+    /// Time for which it stays cold, counted from when it wrote its entry.
+    pub cold_left_ms: SpanMs,
 }
 
 /// Version of the store's content. A store that was restored from a copy gives versions out again, in a later era.
--- a/crates/boragepass_path/src/placement/engine_choice.rs
+++ b/crates/boragepass_path/src/placement/engine_choice.rs
@@ -7,6 +7,7 @@
 
 use boragepass_types::{EndpointId, FailureDomain, PoolId, TimeMs, rendezvous_weight};
 
+use super::eligibility::is_eligible;
 use super::{EndpointTable, KnownEndpoint};
 use crate::event::{Arrival, PromptPart};
 use crate::request::StreamVersion;
@@ -138,10 +139,7 @@
     requirements: &RequestRequirements<'_>,
 ) -> Option<ChosenEndpoint> {
     let preferred = preferred_endpoints(table, settings, requirements, now);
-    let candidates = table
-        .serving(requirements.pool)
-        .filter(|known| !requirements.excluded.contains(&known.endpoint.id) && known.accepts(now))
-        .filter(|known| requirements.stream_version.allows(known.software_version()));
+    let candidates = table.serving(requirements.pool).filter(|known| is_eligible(known, requirements, now));
     let priced = candidates.map(|known| {
         let uncached_tokens = uncached_tokens(requirements, &preferred, known);
         let active_requests = known.active_requests(now);
--- a/crates/boragepass_path/src/placement/mod.rs
+++ b/crates/boragepass_path/src/placement/mod.rs
@@ -1,9 +1,11 @@
 //! Known endpoints with their load and health, the choice of an endpoint for a request, and the choice
 //! of a region for the pieces of a stage.
 
+mod eligibility;
 mod endpoint_reach;
 mod endpoint_table;
 mod engine_choice;
+mod evacuations;
 mod prompt_cache;
 mod rate_limit;
 mod region_choice;
@@ -18,6 +20,7 @@
 pub(crate) use engine_choice::{
     ChosenEndpoint, PREFILL_TOKENS_PER_MS, RequestRequirements, choose_endpoint, prefill_ms,
 };
+pub use evacuations::Evacuations;
 pub(crate) use rate_limit::sharing_vms_max;
 pub(crate) use region_choice::{PoolBacklogs, StageDemand};
 pub(crate) use rejection_limit::brittle_sharing_vms_max;
--- a/crates/boragepass_path/src/reducer/mod.rs
+++ b/crates/boragepass_path/src/reducer/mod.rs
@@ -167,6 +167,7 @@
             Event::CallEnded(call, outcome) => self.on_call_ended(now, call, outcome),
             Event::ConfigurationReceived(configuration) => self.on_configuration(now, configuration),
             Event::EndpointsUpdated(update) => self.on_endpoints_updated(now, update),
+            Event::EvacuationsUpdated(_) => {}
             Event::VersionsRecorded(recorded) => self.on_versions_recorded(now, recorded),
             Event::StoreReachable(is_reachable) => {
                 self.endpoint_table.on_store_reachability(now, is_reachable);
--- a/crates/boragepass_path/src/settings.rs
+++ b/crates/boragepass_path/src/settings.rs
@@ -15,6 +15,21 @@
     pub window_ms: SpanMs,
 }
 
+/// Requests in one second that a cold endpoint bears, from all VMs together.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ColdBounds {
+    /// Multiple of the rate that its pool states.
+    pub overage: f64,
+    /// Requests beyond that.
+    pub slack: f64,
+}
+
+impl Default for ColdBounds {
+    fn default() -> Self {
+        Self { overage: 1.0, slack: 0.0 }
+    }
+}
+
 /// Who composes the calls of a stage pool.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, derive_more::Display, derive_more::FromStr)]
 #[display(rename_all = "lowercase")]
@@ -50,6 +65,8 @@
     pub regions: Vec<(FailureDomain, Region)>,
     /// Limits on retries.
     pub retries: RetryLimits,
+    /// Requests that a cold endpoint bears.
+    pub cold_bounds: ColdBounds,
     /// Time from the request to stop until the process has to exit.
     pub stop_grace_ms: SpanMs,
     /// Who composes the calls of a stage pool.
--- a/crates/boragepass_settings/src/entry.rs
+++ b/crates/boragepass_settings/src/entry.rs
@@ -10,12 +10,14 @@
 use crate::raw::RawSettings;
 use crate::resolve::SectionReader;
 
-const SECTIONS: &[&str] = &["node", "listen", "store", "peers", "failure_domains", "retries", "stop", "log"];
+const SECTIONS: &[&str] = &["node", "listen", "store", "peers", "failure_domains", "retries", "stop", "log", "cold"];
 /// Sections that differ from VM to VM.
 const VM_SECTIONS: &[&str] = &["node", "listen"];
 /// About six log lines for each request, at 100 requests a second.
 const DEFAULT_LOG_LINES_PER_S: u32 = 600;
 
+/// Keeps to the rate that the pool states.
+const DEFAULT_COLD_OVERAGE: f64 = 1.0;
 const DEFAULT_PROCESSOR: Millicores = Millicores(1_000);
 const DEFAULT_STORE_RECOVERY: SpanMs = SpanMs(4_000);
 /// Shorter recovery times would poll the store too often.
@@ -65,6 +67,10 @@
     pub retry_window_ms: SpanMs,
     /// Time between the stop signal and the moment when the process is killed.
     pub stop_grace_ms: SpanMs,
+    /// Requests in one second that a cold endpoint bears, as a multiple of the rate that its pool states.
+    pub cold_overage: f64,
+    /// Requests in one second that a cold endpoint bears beyond that multiple.
+    pub cold_slack: f64,
     /// Limit of the log rate; lines above it are dropped and counted.
     pub log_lines_per_s: u32,
     /// Digest of what VMs with the same settings have in common.
@@ -109,6 +115,27 @@
     }
 }
 
+/// Why a number is not accepted.
+#[derive(Debug, displaydoc::Display)]
+enum NonNegativeError {
+    /// {0}
+    Unreadable(std::num::ParseFloatError),
+    /// must be zero or more
+    Negative,
+}
+
+/// Number that is zero or more.
+struct NonNegative(f64);
+
+impl FromStr for NonNegative {
+    type Err = NonNegativeError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let number: f64 = text.parse().map_err(NonNegativeError::Unreadable)?;
+        if number.is_finite() && number >= 0.0 { Ok(Self(number)) } else { Err(NonNegativeError::Negative) }
+    }
+}
+
 /// Why a recovery time is not accepted.
 #[derive(Debug, displaydoc::Display)]
 enum RecoveryTimeError {
@@ -198,6 +225,9 @@
     let (retry_ratio, retry_slack) = (retries.required("ratio"), retries.required("slack"));
     let retry_window: Option<Seconds> = retries.required("window_s");
     let stop_grace: Option<Seconds> = SectionReader::new(raw, "stop", &["grace_s"], &mut findings).required("grace_s");
+    let mut cold = SectionReader::new(raw, "cold", &["overage", "slack"], &mut findings);
+    let (cold_overage, cold_slack): (Option<NonNegative>, Option<NonNegative>) =
+        (cold.optional("overage"), cold.optional("slack"));
     let log_lines_per_s = SectionReader::new(raw, "log", &["lines_per_s"], &mut findings).optional("lines_per_s");
     let unknown_keys: Vec<_> = findings.unknown_keys().map(ToOwned::to_owned).collect();
     let has_errors = findings.iter().count() > unknown_keys.len();
@@ -225,6 +255,8 @@
             retry_slack: retry_slack?,
             retry_window_ms: retry_window?.0,
             stop_grace_ms: stop_grace?.0,
+            cold_overage: cold_overage.map_or(DEFAULT_COLD_OVERAGE, |overage| overage.0),
+            cold_slack: cold_slack.map_or(0.0, |slack| slack.0),
             log_lines_per_s: log_lines_per_s.unwrap_or(DEFAULT_LOG_LINES_PER_S),
             digest: shared_digest(raw),
             unknown_keys: unknown_keys.clone(),
--- a/crates/boragepass_soak/src/endpoints.rs
+++ b/crates/boragepass_soak/src/endpoints.rs
@@ -124,6 +124,7 @@
             slots: SLOTS as u32,
             started_at_unix_ms,
             software_version: self.version().parse().ok(),
+            cold_left_ms: boragepass_types::SpanMs(0),
         };
         store.put_row(names::ENDPOINT_TABLE, &id, encode_endpoint(&endpoint));
     }
