Failure domains that operators evacuate get no new work

Cause: the reducer ignored the evacuations that the store feed reports, and answers with addresses named VMs of other regions for up to 11.7 s after their last heartbeat in a fleet of 195. Change: EndpointTable::serving leaves out endpoints of evacuated domains; the set travels in a section of heartbeats and shared state, and the highest version of the store wins. A starting VM waits for the set for up to 3 s. Answers name VMs heard within 7.5 s. The model has the operator's row and an oracle.

--- a/crates/boragepass_entry/src/metrics.rs
+++ b/crates/boragepass_entry/src/metrics.rs
@@ -15,6 +15,7 @@
     latencies: HistogramVec,
     in_progress: IntGauge,
     dropped_lines: IntGauge,
+    evacuated_domains: IntGauge,
 }
 
 impl Metrics {
@@ -31,13 +32,16 @@
         let latencies = HistogramVec::new(latency_options, &["what"])?;
         let in_progress = IntGauge::new("boragepass_requests_in_progress", "requests in progress")?;
         let dropped_lines = IntGauge::new("boragepass_log_lines_dropped", "lines of the log that were dropped")?;
+        let evacuated_domains =
+            IntGauge::new("boragepass_evacuated_domains", "failure domains whose endpoints get no new work")?;
         let registry = Registry::new();
         registry.register(Box::new(records.clone()))?;
         registry.register(Box::new(refusals.clone()))?;
         registry.register(Box::new(latencies.clone()))?;
         registry.register(Box::new(in_progress.clone()))?;
         registry.register(Box::new(dropped_lines.clone()))?;
-        Ok(Self { registry, records, refusals, latencies, in_progress, dropped_lines })
+        registry.register(Box::new(evacuated_domains.clone()))?;
+        Ok(Self { registry, records, refusals, latencies, in_progress, dropped_lines, evacuated_domains })
     }
 
     /// Counts a record by its kind and its reason, and observes the times it states.
@@ -56,6 +60,11 @@
         }
     }
 
+    /// Sets the number of evacuated failure domains.
+    pub(crate) fn set_evacuated_domains(&self, domains: usize) {
+        self.evacuated_domains.set(domains as i64);
+    }
+
     /// Encodes all metrics as text.
     pub(crate) fn encode(&self, in_progress: usize, dropped_lines: u64) -> Vec<u8> {
         self.in_progress.set(in_progress as i64);
--- a/crates/boragepass_entry/src/pages.rs
+++ b/crates/boragepass_entry/src/pages.rs
@@ -4,7 +4,7 @@
 
 use boragepass_path::{Endpoint, VmSummary};
 use boragepass_platform::{AddressQuery, encode_addresses, names};
-use boragepass_types::SpanMs;
+use boragepass_types::{FailureDomain, SpanMs};
 use http::{Request, StatusCode};
 use hyper::body::Incoming;
 use serde_json::{Value, json};
@@ -48,6 +48,8 @@
 pub(crate) fn metrics(driver: Rc<Driver>) -> impl Fn(&Request<Incoming>) -> Page {
     move |_| {
         let in_progress = driver.with_path(|path, _| path.in_progress());
+        let evacuated_domains = driver.with_path(|path, now| path.evacuated_domains(now).count());
+        driver.metrics.set_evacuated_domains(evacuated_domains);
         Page::text(StatusCode::OK, driver.metrics.encode(in_progress, driver.log.dropped_lines()))
     }
 }
@@ -81,7 +83,13 @@
                 "settings_reads": summary.process.map(|process| process.settings_reads),
             })
         };
+        let evacuated = |(domain, duration): (&FailureDomain, SpanMs)| {
+            json!({ "failure_domain": domain.as_str(), "known_for_ms": duration.0 })
+        };
         json!({
+            "evacuated": path.evacuated_domains(now).map(evacuated).collect::<Vec<_>>(),
+            "evacuations_version": path.evacuations().map(|evacuations| evacuations.version.to_string()),
+            "evacuations_source": path.evacuation_source().map(|source| source.to_string()),
             "is_ready": driver.is_ready.get(),
             "configuration": path.configuration().map(|configuration| configuration.version.0),
             "endpoints_version": path.endpoints_version().number,
--- a/crates/boragepass_entry/src/peer_sections.rs
+++ b/crates/boragepass_entry/src/peer_sections.rs
@@ -4,21 +4,28 @@
 //! content's layout; another layout gets another tag. The build of the first landing with format 8 ignores all that
 //! follows a frame, so sections need no other format.
 
-use boragepass_path::ProcessStatement;
-use boragepass_types::Hash64;
+use std::collections::BTreeSet;
 
-use crate::peer_wire::PeerWireError;
+use boragepass_path::{Evacuations, ProcessStatement, StoreVersion};
+use boragepass_types::{Hash64, StoreEra};
+
+use crate::peer_wire::{PeerWireError, parse_field};
 
 /// What the sender's process runs: revision of messages, digest of its settings, and number of times that it read them.
 const PROCESS_TAG: u16 = 1;
+/// Evacuated failure domains: era and number of the store's version, the number of domains in 2 bytes, and each name
+/// behind its length in 2 bytes.
+const EVACUATIONS_TAG: u16 = 3;
 const HEADER_BYTES: usize = 6;
 const PROCESS_BYTES: usize = 16;
 
 /// Sections that this build reads.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Sections {
     /// What the sender's process runs.
     pub process: Option<ProcessStatement>,
+    /// Failure domains that the operators evacuate, as far as the sender knows.
+    pub evacuations: Option<Evacuations>,
 }
 
 impl Sections {
@@ -31,6 +38,12 @@
             bytes.extend(process.settings_digest.0.to_le_bytes());
             bytes.extend(process.settings_reads.to_le_bytes());
         }
+        if let Some(evacuations) = &self.evacuations {
+            let content = encode_evacuations(evacuations);
+            bytes.extend(EVACUATIONS_TAG.to_le_bytes());
+            bytes.extend((content.len() as u32).to_le_bytes());
+            bytes.extend(content);
+        }
     }
 
     /// Decodes all sections; unknown ones are skipped.
@@ -40,8 +53,10 @@
             let (header, rest) = bytes.split_first_chunk::<HEADER_BYTES>().ok_or_else(cut_off)?;
             let [tag_low, tag_high, len @ ..] = *header;
             let (content, rest) = rest.split_at_checked(u32::from_le_bytes(len) as usize).ok_or_else(cut_off)?;
-            if u16::from_le_bytes([tag_low, tag_high]) == PROCESS_TAG {
-                sections.process = Some(decode_process(content)?);
+            match u16::from_le_bytes([tag_low, tag_high]) {
+                PROCESS_TAG => sections.process = Some(decode_process(content)?),
+                EVACUATIONS_TAG => sections.evacuations = Some(decode_evacuations(content)?),
+                _ => {}
             }
             bytes = rest;
         }
@@ -60,6 +75,35 @@
     })
 }
 
+fn encode_evacuations(evacuations: &Evacuations) -> Vec<u8> {
+    let Evacuations { version, domains } = evacuations;
+    let mut content = Vec::new();
+    content.extend(version.era.0.to_le_bytes());
+    content.extend(version.number.to_le_bytes());
+    content.extend((domains.len() as u16).to_le_bytes());
+    for domain in domains {
+        content.extend((domain.as_str().len() as u16).to_le_bytes());
+        content.extend(domain.as_str().as_bytes());
+    }
+    content
+}
+
+fn decode_evacuations(content: &[u8]) -> Result<Evacuations, PeerWireError> {
+    let (era, rest) = content.split_first_chunk::<8>().ok_or_else(cut_off)?;
+    let (number, rest) = rest.split_first_chunk::<8>().ok_or_else(cut_off)?;
+    let (count, mut rest) = rest.split_first_chunk::<2>().ok_or_else(cut_off)?;
+    let mut domains = BTreeSet::new();
+    for _ in 0..u16::from_le_bytes(*count) {
+        let (len, behind) = rest.split_first_chunk::<2>().ok_or_else(cut_off)?;
+        let (name, behind) = behind.split_at_checked(usize::from(u16::from_le_bytes(*len))).ok_or_else(cut_off)?;
+        let name = std::str::from_utf8(name).map_err(|error| PeerWireError::Undecodable(error.to_string()))?;
+        domains.insert(parse_field(name)?);
+        rest = behind;
+    }
+    let version = StoreVersion { era: StoreEra(u64::from_le_bytes(*era)), number: u64::from_le_bytes(*number) };
+    Ok(Evacuations { version, domains })
+}
+
 fn cut_off() -> PeerWireError {
     PeerWireError::Undecodable("a section is cut off".to_owned())
 }
--- a/crates/boragepass_entry/src/peer_wire.rs
+++ b/crates/boragepass_entry/src/peer_wire.rs
@@ -175,7 +175,7 @@
     NoEndpoint,
 }
 
-fn parse_field<T: std::str::FromStr>(text: &str) -> Result<T, PeerWireError>
+pub(crate) fn parse_field<T: std::str::FromStr>(text: &str) -> Result<T, PeerWireError>
 where
     T::Err: std::fmt::Display,
 {
@@ -303,6 +303,7 @@
                 .map(|(vm, address)| Ok((parse_field(&vm)?, address)))
                 .collect::<Result<_, PeerWireError>>()?,
             process: None,
+            evacuations: None,
         })
     }
 }
--- a/crates/boragepass_entry/src/peers.rs
+++ b/crates/boragepass_entry/src/peers.rs
@@ -78,11 +78,13 @@
     pub(crate) fn send_datagram(&self, address: SocketAddr, message: &PeerMessage) {
         let mut last_encoded = self.last_encoded_datagram.borrow_mut();
         if last_encoded.as_ref().is_none_or(|(encoded_message, _)| encoded_message != message) {
-            let process = match message {
-                PeerMessage::Heartbeat(heartbeat) => heartbeat.process,
-                _ => None,
+            let sections = match message {
+                PeerMessage::Heartbeat(heartbeat) => {
+                    Sections { process: heartbeat.process, evacuations: heartbeat.evacuations.clone() }
+                }
+                _ => Sections::default(),
             };
-            *last_encoded = Some((message.clone(), encode(&self.datagram_frame(message), &Sections { process })));
+            *last_encoded = Some((message.clone(), encode(&self.datagram_frame(message), &sections)));
         }
         let Some((_, bytes)) = last_encoded.as_ref() else {
             return;
@@ -114,7 +116,8 @@
             endpoints: path.shared_endpoints().map(|shared| (&shared).into()).collect(),
             endpoints_version: path.endpoints_version().into(),
         };
-        self.links.send_encoded(vm, address, &encode(&WireFrame::State(state), &Sections::default()));
+        let sections = Sections { evacuations: path.evacuations().cloned(), ..Sections::default() };
+        self.links.send_encoded(vm, address, &encode(&WireFrame::State(state), &sections));
     }
 }
 
@@ -167,6 +170,9 @@
             }
         },
         WireFrame::State(state) => {
+            if let Some(evacuations) = sections.evacuations {
+                driver.dispatch(Event::EvacuationsShared(evacuations));
+            }
             apply_shared_state(driver, state);
             return;
         }
@@ -174,6 +180,7 @@
     match (message, sender) {
         (Ok(PeerMessage::Heartbeat(mut heartbeat)), _) => {
             heartbeat.process = sections.process;
+            heartbeat.evacuations = sections.evacuations;
             let (from, incarnation) = (heartbeat.vm.vm.clone(), heartbeat.vm.incarnation);
             driver.dispatch(Event::PeerMessageReceived {
                 from,
--- a/crates/boragepass_entry/tests/over_sockets.rs
+++ b/crates/boragepass_entry/tests/over_sockets.rs
@@ -766,3 +766,43 @@
     let expected = vm.address("clients").to_string();
     assert!(addresses.body.unwrap_or_default().contains(&expected));
 }
+
+/// Guards against an evacuation that the row in the store does not bring about, that a VM without the store does not learn
+/// from another one, or that outlives the row.
+#[test]
+fn an_evacuated_domain_gets_no_request_until_it_is_taken_back() {
+    let store = Store::start();
+    let (api_endpoint, requests) = serve(|got| Some(Reply::signed(got, "sound")));
+    store.put_row(names::ENDPOINT_TABLE, "i-api", encode_endpoint(&endpoint("i-api", "api", api_endpoint)));
+    store.put_row(names::CONFIGURATION_TABLE, names::CONFIGURATION_KEY, CONFIGURATION.into());
+    let peer_port = free_port();
+    let peers_at = |ip: &str| ("peers = 127.0.0.1:0", format!("peers = {ip}:{peer_port}"));
+    let vm = EntryVm::start_with(store.address, &[peers_at("127.0.0.1")]);
+    vm.wait_ready();
+    let unreachable_store = SocketAddr::from(([127, 0, 0, 1], free_port()));
+    let lines = [
+        peers_at("127.0.0.2"),
+        ("vm = entry-1", "vm = entry-2".to_owned()),
+        ("seeds =", "seeds = 127.0.0.1:1".to_owned()),
+    ];
+    let cut_off_vm = EntryVm::start_with(unreachable_store, &lines);
+    cut_off_vm.wait_ready();
+    let row = format!("{}lagos-a", names::EVACUATION_KEY_PREFIX);
+    store.put_row(names::CONFIGURATION_TABLE, &row, b"planned work".to_vec());
+    let vms = [&vm, &cut_off_vm];
+    let is_evacuated = |vm: &EntryVm| status_of(vm).contains(r#""failure_domain":"lagos-a","known_for_ms""#);
+    wait_until("both VMs know the evacuation", || vms.iter().all(|vm| is_evacuated(vm)));
+    for (number, vm) in vms.iter().enumerate() {
+        let answer = post(vm, "/status/1", &format!("evacuated-{number}"));
+        assert_eq!(answer.status, 503);
+        assert!(answer.headers.contains_key("retry-after"));
+        let metrics = get(vm.address("metrics"), "/metrics").body.unwrap_or_default();
+        assert!(metrics.contains("boragepass_evacuated_domains 1"), "{metrics}");
+    }
+    assert_eq!(request_count(&requests), 0);
+    store.remove_row(names::CONFIGURATION_TABLE, &row);
+    wait_until("both VMs know that it ended", || !vms.iter().any(|vm| is_evacuated(vm)));
+    for (number, vm) in vms.iter().enumerate() {
+        assert_eq!(post(vm, "/status/1", &format!("taken-back-{number}")).status, 200);
+    }
+}
--- a/crates/boragepass_entry/tests/peer_wire.rs
+++ b/crates/boragepass_entry/tests/peer_wire.rs
@@ -6,9 +6,9 @@
 use boragepass_entry::Sections;
 use boragepass_entry::peer_wire::{WireFrame, WireState, decode, encode};
 use boragepass_path::{
-    ConfigurationVersion, ContentCrashes, DownReport, Endpoint, EndpointLimitReport, EndpointLoad, Heartbeat,
-    PeerMessage, PieceOutcome, PieceRequest, PieceRequestId, PieceResult, PoolLoad, ProcessStatement, ResultHandle,
-    SharedEndpoint, StageInputs, StoreVersion, VmRecord, VmState,
+    ConfigurationVersion, ContentCrashes, DownReport, Endpoint, EndpointLimitReport, EndpointLoad, Evacuations,
+    Heartbeat, PeerMessage, PieceOutcome, PieceRequest, PieceRequestId, PieceResult, PoolLoad, ProcessStatement,
+    ResultHandle, SharedEndpoint, StageInputs, StoreVersion, VmRecord, VmState,
 };
 use boragepass_types::{Hash64, Incarnation, Millicores, RequestRate, SpanMs, StoreEra};
 
@@ -58,6 +58,7 @@
         cleared_contents: vec![Hash64(5)],
         known_vms: vec![(id("vm-2"), address(7_002))],
         process: None,
+        evacuations: None,
     }
 }
 
@@ -158,7 +159,22 @@
 
 fn sections() -> Sections {
     let process = ProcessStatement { peer_revision: 1, settings_digest: Hash64(2), settings_reads: 3 };
-    Sections { process: Some(process) }
+    Sections { process: Some(process), evacuations: None }
+}
+
+/// Guards against a set that another VM reads differently, which would use an evacuated domain or leave a sound one.
+#[test]
+fn evacuations_are_read_as_they_were_sent() {
+    for domains in [vec![], vec!["a-1", "region-b-2"]] {
+        let domains = domains.into_iter().map(id).collect();
+        let evacuations = Evacuations { version: StoreVersion { era: StoreEra(2), number: 70_000 }, domains };
+        let sent = Sections { process: None, evacuations: Some(evacuations) };
+        let (_, frame) = frames().swap_remove(0);
+        let (without, bytes) = (encode(&frame, &Sections::default()), encode(&frame, &sent));
+        assert!(bytes.starts_with(&without), "a build that does not know the section reads the frame alone");
+        assert_eq!(decode(&bytes).expect("a whole section").1, sent);
+        (without.len() + 1..bytes.len()).for_each(|len| assert!(decode(&bytes[..len]).is_err(), "{len} bytes"));
+    }
 }
 
 #[test]
--- a/crates/boragepass_fakes/src/path_fleet/fleet/mod.rs
+++ b/crates/boragepass_fakes/src/path_fleet/fleet/mod.rs
@@ -4,6 +4,7 @@
 //! checks what clients and endpoints observe.
 
 mod clients;
+mod evacuation;
 mod harmful_part;
 mod partition;
 mod relays;
@@ -19,9 +20,9 @@
 
 use boragepass_path::{
     Arrival, Batching, CallFailure, CallNumber, CallOutcome, ColdBounds, Effect, Endpoint, EndpointSignals,
-    EndpointUpdate, Event, EventId, PathSettings, PeerMessage, PieceOutcome, Progress, PromptPart, RecordedVersions,
-    Repeatability, ReplyHead, RequestNumber, RequestPath, RetryLimits, SendFailure, SendNumber, StoreVersion, VmRecord,
-    VmState,
+    EndpointUpdate, Evacuations, Event, EventId, PathSettings, PeerMessage, PieceOutcome, Progress, PromptPart,
+    RecordedVersions, Repeatability, ReplyHead, RequestNumber, RequestPath, RetryLimits, SendFailure, SendNumber,
+    StoreVersion, VmRecord, VmState,
 };
 use boragepass_types::{
     EndpointId, FailureDomain, Hash64, Incarnation, Millicores, RequestRate, SpanMs, StoreEra, TimeMs, VmId,
@@ -843,6 +844,9 @@
         };
         let configuration = path.configuration().cloned();
         let update = EndpointUpdate::PeerSnapshot(path.shared_endpoints().collect(), path.endpoints_version());
+        if let Some(evacuations) = path.evacuations().cloned() {
+            self.deliver(to, REGION_DELAY_MS, Event::EvacuationsShared(evacuations));
+        }
         if let Some(configuration) = configuration {
             self.deliver(to, REGION_DELAY_MS, Event::ConfigurationReceived(configuration));
         }
@@ -904,6 +908,7 @@
         if let Some(endpoint) = self.endpoints.get_mut(id) {
             endpoint.arrivals += 1;
         }
+        self.check_evacuation(vm, id, client_id);
         if self.was_recently_paused(vm) {
             return;
         }
--- a/crates/boragepass_fakes/src/path_fleet/fleet/store.rs
+++ b/crates/boragepass_fakes/src/path_fleet/fleet/store.rs
@@ -12,10 +12,12 @@
 #[derive(Debug)]
 pub(super) struct Store {
     entries: BTreeMap<EndpointId, Endpoint>,
-    version: u64,
+    pub(super) version: u64,
     era: StoreEra,
     /// Software versions of pools, as a VM recorded them, and the version of that row; zero if there is none.
     pool_versions: (u64, RecordedVersions),
+    /// Failure domains that the operator evacuates.
+    pub(super) evacuated: BTreeSet<FailureDomain>,
     /// What the store can be restored from.
     copy: StoreCopy,
     restored_at: Option<TimeMs>,
@@ -27,6 +29,7 @@
     version: u64,
     entries: BTreeMap<EndpointId, Endpoint>,
     pool_versions: (u64, RecordedVersions),
+    evacuated: BTreeSet<FailureDomain>,
 }
 
 impl Store {
@@ -34,14 +37,24 @@
         let entries: BTreeMap<_, _> =
             endpoints.iter().map(|endpoint| (endpoint.id.clone(), endpoint.clone())).collect();
         let pool_versions = (0, RecordedVersions::default());
-        let copy = StoreCopy { version: 1, entries: entries.clone(), pool_versions: pool_versions.clone() };
-        Self { copy, entries, version: 1, era: StoreEra(1), pool_versions, restored_at: None }
+        let evacuated = BTreeSet::new();
+        let copy = StoreCopy {
+            version: 1,
+            entries: entries.clone(),
+            pool_versions: pool_versions.clone(),
+            evacuated: evacuated.clone(),
+        };
+        Self { copy, entries, version: 1, era: StoreEra(1), pool_versions, evacuated, restored_at: None }
     }
 
     fn version(&self) -> StoreVersion {
         StoreVersion { era: self.era, number: self.version }
     }
 
+    pub(super) fn evacuations(&self) -> Evacuations {
+        Evacuations { version: self.version(), domains: self.evacuated.clone() }
+    }
+
     /// Whether the store was restored so recently that VMs need not know yet what it lost.
     pub(super) fn was_restored_lately(&self, now: TimeMs) -> bool {
         self.restored_at.is_some_and(|at| now.since(at).0 < CONTACT_MS + DRAIN_GRACE_MS)
@@ -58,9 +71,12 @@
         let endpoints = self.store.entries.values().cloned().collect();
         let update = EndpointUpdate::Snapshot(endpoints, self.store.version());
         let records = self.vm_records();
-        for event in
-            [Event::ConfigurationReceived(configuration), Event::EndpointsUpdated(update), Event::VmsListed(records)]
-        {
+        for event in [
+            Event::EvacuationsUpdated(self.store.evacuations()),
+            Event::ConfigurationReceived(configuration),
+            Event::EndpointsUpdated(update),
+            Event::VmsListed(records),
+        ] {
             self.deliver(vm, STORE_DELAY_MS, event);
         }
     }
@@ -167,12 +183,15 @@
             version: self.store.version,
             entries: self.store.entries.clone(),
             pool_versions: self.store.pool_versions.clone(),
+            evacuated: self.store.evacuated.clone(),
         };
     }
 
     /// Restores the store from its copy, in a new era. The endpoints that live write again what it lost.
     pub fn restore_store(&mut self) {
-        let StoreCopy { version, entries, pool_versions } = self.store.copy.clone();
+        let StoreCopy { version, entries, pool_versions, evacuated } = self.store.copy.clone();
+        let evacuated_before = std::mem::replace(&mut self.store.evacuated, evacuated);
+        self.restore_evacuations(&evacuated_before);
         self.store.entries = entries;
         self.store.version = version;
         self.store.pool_versions = pool_versions;
--- a/crates/boragepass_fakes/src/path_fleet/ledger.rs
+++ b/crates/boragepass_fakes/src/path_fleet/ledger.rs
@@ -5,6 +5,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use super::evacuations::EvacuationRecord;
 use super::partitions::{FirstTry, Partitions, are_served_worse};
 use boragepass_path::{EventId, PromptPart, Repeatability};
 use boragepass_types::{EndpointId, Hash64, PoolId, SoftwareVersion, SpanMs, TimeMs};
@@ -120,6 +121,8 @@
     pub(super) partitions: Partitions,
     /// Brittle endpoints and how often they fell over, by pool.
     pub(super) falls: BTreeMap<PoolId, (u32, u32)>,
+    /// Evacuated failure domains and what reached their endpoints.
+    pub evacuations: EvacuationRecord,
     violations: Vec<Violation>,
     /// Attempts that take up a stream again.
     pub resumed_streams: u32,
--- a/crates/boragepass_fakes/src/path_fleet/mod.rs
+++ b/crates/boragepass_fakes/src/path_fleet/mod.rs
@@ -6,6 +6,7 @@
 mod brittle;
 mod deployment;
 mod endpoint;
+mod evacuations;
 mod fleet;
 mod leaving;
 mod ledger;
@@ -14,5 +15,6 @@
 mod rate_limit;
 
 pub use deployment::{Deployment, RequestKind, Site};
+pub use evacuations::EvacuationRecord;
 pub use fleet::{EndpointFault, EndpointLinks, PathFleet};
 pub use ledger::{Ending, Ledger, Outcomes, Violation};
--- a/crates/boragepass_fakes/tests/path_faults.rs
+++ b/crates/boragepass_fakes/tests/path_faults.rs
@@ -2,19 +2,21 @@
 //!
 //! Several VMs serve a site in virtual time while endpoints crash, restart, stop responding, slow down, lose
 //! answers, drain and announce their leaving, VMs are killed one by one or all at once, stopped, paused and cut off from the store or from all
-//! endpoints, and the store loses entries and is restored from a copy. The oracle is
+//! endpoints, the store loses entries and is restored from a copy, and operators evacuate failure domains. The oracle is
 //! the model's ledger of what clients and endpoints saw; it knows no decisions of the VMs.
 
 #![allow(clippy::unwrap_used, reason = "a test fails where it panics")]
 
 use boragepass_fakes::path_fleet::{Deployment, EndpointFault, EndpointLinks, PathFleet, Site};
-use boragepass_types::{EndpointId, RequestRate};
+use boragepass_types::{EndpointId, FailureDomain, RequestRate};
 use proptest::prelude::{BoxedStrategy, Just, Strategy, prop_oneof};
 use proptest::test_runner::{Config, RngSeed};
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
 
 const VMS: usize = 6;
 const ENDPOINTS: usize = 25;
+/// At least the number of failure domains of the site.
+const DOMAINS: usize = 6;
 const STREAM_KINDS: usize = 3;
 /// Time in which all requests end: the longest route timeout and a second.
 const ALL_ENDED_MS: u64 = 13_000;
@@ -47,6 +49,8 @@
     PartitionVms { first: usize, count: usize, links: EndpointLinks },
     HealVms,
     RestoreStore,
+    Evacuate { domain: usize },
+    TakeBack { domain: usize },
     Advance { ms: u64 },
 }
 
@@ -111,6 +115,8 @@
                 .prop_map(|(first, count, links)| Step::PartitionVms { first, count, links }),
             2 => Just(Step::HealVms),
             1 => Just(Step::RestoreStore),
+            2 => (0..DOMAINS).prop_map(|domain| Step::Evacuate { domain }),
+            1 => (0..DOMAINS).prop_map(|domain| Step::TakeBack { domain }),
             6 => (10_u64..2_500).prop_map(|ms| Step::Advance { ms }),
         ]
         .boxed()
@@ -121,6 +127,11 @@
     }
 }
 
+fn domain_of(fleet: &PathFleet, domain: usize) -> FailureDomain {
+    let domains = &fleet.deployment.domains;
+    domains[domain % domains.len()].0.clone()
+}
+
 struct FaultTest {
     fleet: PathFleet,
 }
@@ -194,6 +205,14 @@
             }
             Step::HealVms => fleet.set_endpoint_links(&(0..VMS).collect::<Vec<_>>(), EndpointLinks::Up),
             Step::RestoreStore => fleet.restore_store(),
+            Step::Evacuate { domain } => {
+                let domain = domain_of(fleet, domain);
+                fleet.evacuate(&domain);
+            }
+            Step::TakeBack { domain } => {
+                let domain = domain_of(fleet, domain);
+                fleet.take_back(&domain);
+            }
             Step::Advance { ms } => fleet.run_for(ms),
         }
         test.check();
--- a/crates/boragepass_fakes/tests/path_peers.rs
+++ b/crates/boragepass_fakes/tests/path_peers.rs
@@ -8,7 +8,7 @@
 use boragepass_fakes::path_fleet::{Deployment, Site};
 use boragepass_path::{
     ApiKey, Arrival, Batching, ColdBounds, ConfigurationVersion, ContentCrashes, Effect, Endpoint, EndpointSignals,
-    EndpointUpdate, Event, Heartbeat, PathSettings, PeerMessage, ProcessStatement, Progress, PromptPart,
+    EndpointUpdate, Evacuations, Event, Heartbeat, PathSettings, PeerMessage, ProcessStatement, Progress, PromptPart,
     RecordedVersions, ReplyHead, RequestNumber, RequestPath, RetryLimits, SendFailure, SharedEndpoint, StoreVersion,
     VmRecord, VmState,
 };
@@ -56,6 +56,7 @@
         cleared_contents: Vec::new(),
         known_vms: Vec::new(),
         process: None,
+        evacuations: None,
         vm,
     };
     let (from, incarnation) = (heartbeat.vm.vm.clone(), heartbeat.vm.incarnation);
@@ -101,7 +102,7 @@
     request_path_of(vm_record(0, 120), deployment)
 }
 
-fn request_path_of(local_record: VmRecord, deployment: &Deployment) -> RequestPath {
+fn starting_path_of(local_record: VmRecord, deployment: &Deployment) -> RequestPath {
     let settings = PathSettings {
         vm: local_record.vm,
         incarnation: local_record.incarnation,
@@ -118,7 +119,12 @@
         batching: Batching::Led,
         seed: 1,
     };
-    let mut path = RequestPath::new(NOW, settings);
+    RequestPath::new(NOW, settings)
+}
+
+fn request_path_of(local_record: VmRecord, deployment: &Deployment) -> RequestPath {
+    let mut path = starting_path_of(local_record, deployment);
+    path.handle(NOW, Event::EvacuationsUpdated(Evacuations::default()));
     path.handle(NOW, Event::ConfigurationReceived(Arc::new(deployment.configuration(1))));
     path.handle(NOW, Event::EndpointsUpdated(EndpointUpdate::Snapshot(deployment.endpoints.clone(), version(1))));
     path
@@ -657,3 +663,67 @@
     assert!(in_region + remote + other_remote < 150.0, "{in_region} + {remote} + {other_remote} datagrams a second");
     assert!(remote + other_remote < in_region, "{remote} + {other_remote} of other regions, {in_region} of the own");
 }
+
+/// Guards against answers that name VMs of other regions which ended more than 8 s ago: their heartbeats are so rare in a
+/// large fleet that they count as dead only later.
+#[test]
+fn addresses_name_no_vm_of_another_region_that_was_not_heard_for_eight_seconds() {
+    let mut path = request_path_in_large_fleet();
+    let (named, ended) = (vm_record(1, 120), vm_record(4, 120));
+    path.handle(NOW + SpanMs(6_000), stating_heartbeat(named.clone(), "region-b"));
+    let region_b: Region = "region-b".parse().expect("a valid name");
+    let addresses = |after_ms: u64| path.addresses(NOW + SpanMs(after_ms), Some(&region_b), None);
+    assert!(addresses(7_000).contains(&ended.client_address));
+    assert!(path.serving_vms(NOW + SpanMs(8_000)).contains(&ended.vm), "it does not count as dead yet");
+    assert_eq!(addresses(8_000), [named.client_address]);
+}
+
+fn evacuations(number: u64, domains: &[&str]) -> Evacuations {
+    let domains = domains.iter().map(|domain| domain.parse().expect("a valid name")).collect();
+    Evacuations { version: version(number), domains }
+}
+
+fn evacuating_heartbeat(evacuations: Evacuations) -> Event {
+    let Event::PeerMessageReceived { from, incarnation, message: PeerMessage::Heartbeat(mut heartbeat) } =
+        heartbeat(vm_record(1, 120))
+    else {
+        panic!("the event is a heartbeat");
+    };
+    heartbeat.evacuations = Some(evacuations);
+    Event::PeerMessageReceived { from, incarnation, message: PeerMessage::Heartbeat(heartbeat) }
+}
+
+/// Guards against a VM with an older set, or one of the store before it was restored, that takes a domain back.
+#[test]
+fn the_evacuations_of_the_highest_version_of_the_store_win() {
+    let mut path = request_path(&Deployment::of(Site::Gigdesk));
+    path.handle(NOW, Event::EvacuationsUpdated(evacuations(7, &["a-1"])));
+    path.handle(NOW, evacuating_heartbeat(evacuations(6, &[])));
+    path.handle(NOW, heartbeat(vm_record(1, 120)));
+    path.handle(NOW, Event::EvacuationsShared(evacuations(7, &["b-1"])));
+    assert_eq!(path.evacuations(), Some(&evacuations(7, &["a-1"])));
+    path.handle(NOW, evacuating_heartbeat(evacuations(8, &["b-1"])));
+    assert_eq!(path.evacuations(), Some(&evacuations(8, &["b-1"])));
+    let restored = StoreVersion { era: StoreEra(2), number: 3 };
+    path.handle(NOW, Event::EvacuationsShared(Evacuations { version: restored, domains: BTreeSet::new() }));
+    path.handle(NOW, evacuating_heartbeat(evacuations(9, &["a-1"])));
+    assert_eq!(path.evacuated_domains(NOW).count(), 0);
+}
+
+/// Guards against a VM that serves with configuration and endpoints of another VM before it knows the evacuations, and
+/// against one that never serves since all others are of the previous build.
+#[test]
+fn a_starting_vm_waits_for_the_evacuations_but_not_for_ever() {
+    let deployment = Deployment::of(Site::Gigdesk);
+    let is_ready = |effects: Vec<Effect>| effects.iter().any(|effect| matches!(effect, Effect::SetReady(true)));
+    let mut path = starting_path_of(vm_record(0, 120), &deployment);
+    let listed = || EndpointUpdate::PeerSnapshot(shared(&deployment.endpoints), version(1));
+    path.handle(NOW, Event::ConfigurationReceived(Arc::new(deployment.configuration(1))));
+    assert!(!is_ready(path.handle(NOW, Event::EndpointsUpdated(listed()))));
+    assert_eq!(answered_status(&path.handle(NOW, arrival(1))), Some(503));
+    let mut beside_previous_builds = starting_path_of(vm_record(0, 120), &deployment);
+    beside_previous_builds.handle(NOW, Event::ConfigurationReceived(Arc::new(deployment.configuration(1))));
+    beside_previous_builds.handle(NOW, Event::EndpointsUpdated(listed()));
+    assert!(is_ready(path.handle(NOW, evacuating_heartbeat(evacuations(7, &["a-1"])))));
+    assert!(is_ready(beside_previous_builds.handle(NOW + SpanMs(3_500), Event::Tick)));
+}
--- a/crates/boragepass_path/src/admission/refusal.rs
+++ b/crates/boragepass_path/src/admission/refusal.rs
@@ -31,6 +31,12 @@
     /// No endpoint of the pool can take the request.
     #[display("no endpoint")]
     NoEndpoint,
+    /// All endpoints of the pool are in evacuated failure domains.
+    #[display("endpoints evacuated")]
+    EndpointsEvacuated,
+    /// The VM starts and does not know yet which failure domains are evacuated.
+    #[display("evacuations not known yet")]
+    EvacuationsUnknown,
     /// No endpoint of the software version that began its stream serves.
     #[display("no endpoint of the stream's version")]
     NoEndpointOfVersion,
@@ -75,6 +81,8 @@
             | Self::LateAtStage
             | Self::StageFailed
             | Self::NoEndpoint
+            | Self::EndpointsEvacuated
+            | Self::EvacuationsUnknown
             | Self::NoEndpointOfVersion
             | Self::StreamVersionUnknown
             | Self::EndpointsFull
--- a/crates/boragepass_path/src/event.rs
+++ b/crates/boragepass_path/src/event.rs
@@ -214,8 +214,10 @@
     ConfigurationReceived(Arc<Configuration>),
     /// The list of endpoints changed, as the store or another VM reports it.
     EndpointsUpdated(EndpointUpdate),
-    /// The failure domains that the operators evacuate were read, from the store or another VM.
+    /// The failure domains that the operators evacuate were read in the store.
     EvacuationsUpdated(Evacuations),
+    /// Another VM shared the failure domains that the operators evacuate, with its configuration and endpoints.
+    EvacuationsShared(Evacuations),
     /// The versions of pools that the store keeps were read; empty if it has none.
     VersionsRecorded(RecordedVersions),
     /// Whether the store answers this VM.
--- a/crates/boragepass_path/src/fleet/members.rs
+++ b/crates/boragepass_path/src/fleet/members.rs
@@ -270,6 +270,12 @@
         *vm == self.local_record.vm || self.members.get(vm).is_some_and(is_recent)
     }
 
+    /// Whether a VM is this one or sent a heartbeat within a time.
+    pub(crate) fn is_heard_within(&self, now: TimeMs, vm: &VmId, time: SpanMs) -> bool {
+        let is_heard = |member: &Member| member.last_heartbeat_at.is_some_and(|at| now.since(at) < time);
+        *vm == self.local_record.vm || self.members.get(vm).is_some_and(is_heard)
+    }
+
     pub(crate) fn record(&self, vm: &VmId) -> Option<&VmRecord> {
         if *vm == self.local_record.vm {
             return Some(&self.local_record);
--- a/crates/boragepass_path/src/message.rs
+++ b/crates/boragepass_path/src/message.rs
@@ -10,7 +10,7 @@
 use crate::configuration::ConfigurationVersion;
 use crate::event::PieceOutcome;
 use crate::fleet::VmRecord;
-use crate::placement::StoreVersion;
+use crate::placement::{Evacuations, StoreVersion};
 
 /// Id of a piece request, unique over all VMs and their restarts.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -187,6 +187,8 @@
     pub known_vms: Vec<(VmId, SocketAddr)>,
     /// What the VM's process runs; only a few heartbeats carry it.
     pub process: Option<ProcessStatement>,
+    /// Failure domains that the operators evacuate; `None` if the VM does not know them, or is of the previous build.
+    pub evacuations: Option<Evacuations>,
 }
 
 /// Message between VMs.
--- a/crates/boragepass_path/src/placement/endpoint_table.rs
+++ b/crates/boragepass_path/src/placement/endpoint_table.rs
@@ -13,6 +13,7 @@
 use boragepass_core::{EjectionCause, Health, ejection_cap};
 use boragepass_types::{EndpointId, FailureDomain, PoolId, SoftwareVersion, SpanMs, StoreEra, TimeMs, VmId};
 
+use super::KnownEvacuations;
 use super::engine_choice::PREFILL_TOKENS_PER_MS;
 use super::prompt_cache::PromptCache;
 use super::shared_statement::Statement;
@@ -256,6 +257,7 @@
     /// Endpoints that were removed a while ago. They are chosen for nothing.
     departed: BTreeMap<EndpointId, Departure>,
     average_service_ms: HashMap<PoolId, f64>,
+    pub(crate) evacuations: KnownEvacuations,
 }
 
 impl EndpointTable {
@@ -267,6 +269,7 @@
             store_returned_at: None,
             departed: BTreeMap::new(),
             average_service_ms: HashMap::new(),
+            evacuations: KnownEvacuations::default(),
         }
     }
 
@@ -295,9 +298,25 @@
         self.by_id.values().map(shared)
     }
 
-    /// Endpoints of a pool that are not draining, whatever their health.
+    /// Endpoints of a pool that are neither draining nor in an evacuated failure domain, whatever their health.
     pub(crate) fn serving<'a>(&'a self, pool: &'a PoolId) -> impl Iterator<Item = &'a KnownEndpoint> {
-        self.by_id.values().filter(move |known| known.endpoint.pool == *pool && known.takes_new_work())
+        let is_serving = |known: &KnownEndpoint| {
+            known.takes_new_work() && !self.evacuations.is_evacuated(&known.endpoint.failure_domain)
+        };
+        self.by_id.values().filter(move |known| known.endpoint.pool == *pool && is_serving(known))
+    }
+
+    /// Whether a pool has endpoints that would take new work, but all of them are in evacuated failure domains.
+    pub(crate) fn is_evacuated(&self, pool: &PoolId) -> bool {
+        self.serving(pool).next().is_none()
+            && self.by_id.values().any(|known| known.endpoint.pool == *pool && known.takes_new_work())
+    }
+
+    /// Endpoints outside of evacuated failure domains; all if there are none.
+    pub(crate) fn not_evacuated(&self) -> Vec<&KnownEndpoint> {
+        let is_evacuated = |known: &&KnownEndpoint| self.evacuations.is_evacuated(&known.endpoint.failure_domain);
+        let outside: Vec<_> = self.iter().filter(|known| !is_evacuated(known)).collect();
+        if outside.is_empty() { self.iter().collect() } else { outside }
     }
 
     /// Whether expired entries are kept: while the store is unreachable and for a grace period after.
@@ -360,9 +379,14 @@
         self.by_id.iter().filter(|(_, known)| known.statements.is_leaving()).map(|(id, _)| id)
     }
 
-    /// Listed endpoints that accept a request and have to be asked whether they are still leaving.
+    /// Listed endpoints that accept a request and have to be asked whether they are still leaving. The query takes a slot,
+    /// so those in evacuated failure domains are asked once they are taken back.
     pub(crate) fn leaving_to_be_asked(&mut self, now: TimeMs) -> impl Iterator<Item = &mut KnownEndpoint> {
-        self.by_id.values_mut().filter(move |known| known.statements.is_leaving_to_be_asked() && known.accepts(now))
+        let evacuations = &self.evacuations;
+        let is_evacuated = |known: &KnownEndpoint| evacuations.is_evacuated(&known.endpoint.failure_domain);
+        self.by_id.values_mut().filter(move |known| {
+            known.statements.is_leaving_to_be_asked() && known.accepts(now) && !is_evacuated(known)
+        })
     }
 
     fn missing_from<'a>(&self, endpoints: impl Iterator<Item = &'a Endpoint>) -> Vec<EndpointId> {
--- a/crates/boragepass_path/src/placement/mod.rs
+++ b/crates/boragepass_path/src/placement/mod.rs
@@ -20,7 +20,8 @@
 pub(crate) use engine_choice::{
     ChosenEndpoint, PREFILL_TOKENS_PER_MS, RequestRequirements, choose_endpoint, prefill_ms,
 };
-pub use evacuations::Evacuations;
+pub(crate) use evacuations::KnownEvacuations;
+pub use evacuations::{EvacuationSource, Evacuations};
 pub(crate) use rate_limit::sharing_vms_max;
 pub(crate) use region_choice::{PoolBacklogs, StageDemand};
 pub(crate) use rejection_limit::brittle_sharing_vms_max;
--- a/crates/boragepass_path/src/reducer/arrivals.rs
+++ b/crates/boragepass_path/src/reducer/arrivals.rs
@@ -90,6 +90,9 @@
         let Some(configuration) = self.configuration.clone() else {
             return Err((RefusalReason::NoConfiguration, Some(NOT_READY_RETRY_AFTER)));
         };
+        if self.endpoint_table.evacuations.is_awaited(now) {
+            return Err((RefusalReason::EvacuationsUnknown, Some(NOT_READY_RETRY_AFTER)));
+        }
         let matching_route = configuration.route(&arrival.host, &arrival.path);
         let route = matching_route.map_err(|_| (RefusalReason::NoRoute, None))?.clone();
         let client = client_workspace(&configuration, &route, arrival).ok_or((RefusalReason::UnknownKey, None))?;
--- a/crates/boragepass_path/src/reducer/mod.rs
+++ b/crates/boragepass_path/src/reducer/mod.rs
@@ -4,11 +4,12 @@
 //! arrival and admission (`arrivals`), stages of this VM's requests (`stage_flow`), pools that this VM leads
 //! (`leading`), sends to endpoints (`sends`), contents that crash them (`crashes`), software versions that begin
 //! streams (`stream_versions`) and those that pools had (`version_record`), what endpoints state in replies (`signals`), the loss of all links to endpoints
-//! (`reach`), requests relayed to other VMs (`relays`), ends of requests (`endings`), and other VMs (`peers`).
+//! (`reach`), evacuated failure domains (`evacuations`), requests relayed to other VMs (`relays`), ends of requests (`endings`), and other VMs (`peers`).
 
 mod arrivals;
 mod crashes;
 mod endings;
+mod evacuations;
 mod leading;
 mod peers;
 mod reach;
@@ -34,7 +35,8 @@
 use crate::fleet::{Fleet, VmState, VmSummary};
 use crate::message::PieceRequestId;
 use crate::placement::{
-    Endpoint, EndpointReach, EndpointTable, EndpointUpdate, PoolBacklogs, SharedEndpoint, StoreVersion, VersionHistory,
+    Endpoint, EndpointReach, EndpointTable, EndpointUpdate, EvacuationSource, PoolBacklogs, SharedEndpoint,
+    StoreVersion, VersionHistory,
 };
 use crate::record::Record;
 use crate::request::{CallNumber, RequestNumber, RequestState, SendNumber, StreamVersions};
@@ -167,7 +169,8 @@
             Event::CallEnded(call, outcome) => self.on_call_ended(now, call, outcome),
             Event::ConfigurationReceived(configuration) => self.on_configuration(now, configuration),
             Event::EndpointsUpdated(update) => self.on_endpoints_updated(now, update),
-            Event::EvacuationsUpdated(_) => {}
+            Event::EvacuationsUpdated(read) => self.on_evacuations(now, read, EvacuationSource::Store),
+            Event::EvacuationsShared(read) => self.on_evacuations(now, read, EvacuationSource::OtherVm),
             Event::VersionsRecorded(recorded) => self.on_versions_recorded(now, recorded),
             Event::StoreReachable(is_reachable) => {
                 self.endpoint_table.on_store_reachability(now, is_reachable);
@@ -265,6 +268,7 @@
                     // The list's version stays the same, so other VMs would not ask for the change.
                     self.schedule_state_share(now);
                 }
+                self.update_readiness(now);
                 self.query_doubted_statements(now);
                 self.crash_tracker.sweep(now);
                 self.stream_versions.sweep(now);
@@ -348,10 +352,11 @@
         self.update_readiness(now);
     }
 
-    /// Starts serving once both configuration and endpoints are known.
+    /// Starts serving once configuration, endpoints and evacuated failure domains are known.
     fn update_readiness(&mut self, now: TimeMs) {
         let has_required_state = self.configuration.is_some() && !self.endpoint_table.is_empty();
-        if self.fleet.local_record.state == VmState::Starting && has_required_state {
+        let is_startable = self.fleet.local_record.state == VmState::Starting && has_required_state;
+        if is_startable && !self.awaits_evacuations(now) {
             self.fleet.local_record.state = VmState::Serving;
             self.effects.push(Effect::SetReady(true));
             self.log(Record::new("serving").number("endpoints", self.endpoint_table.iter().count()));
--- a/crates/boragepass_path/src/reducer/peers.rs
+++ b/crates/boragepass_path/src/reducer/peers.rs
@@ -8,6 +8,7 @@
 use crate::effect::Effect;
 use crate::fleet::{MembershipChange, Reach, is_store_follower};
 use crate::message::{Heartbeat, PeerMessage};
+use crate::placement::EvacuationSource;
 use crate::record::Record;
 use crate::timers::Timer;
 
@@ -56,6 +57,9 @@
             MembershipChange::Unchanged => {}
         }
         self.fleet.add_known_vms(heartbeat.known_vms);
+        if let Some(evacuations) = heartbeat.evacuations {
+            self.on_evacuations(now, evacuations, EvacuationSource::OtherVm);
+        }
         if reached_endpoints != reach.endpoints {
             self.log(Record::new("VM reaches endpoints").text("vm", &vm).text("reaches", reach.endpoints));
             self.update_limit_shares(now);
@@ -169,6 +173,7 @@
             cleared_contents: self.crash_tracker.cleared_reports(now),
             known_vms: self.fleet.sample_live_vms(now),
             process: self.fleet.process_statement(),
+            evacuations: self.evacuations().cloned(),
         };
         for pool_load in heartbeat.led_pools.clone() {
             self.pool_backlogs.on_report(now, pool_load);
--- a/crates/boragepass_path/src/reducer/reach.rs
+++ b/crates/boragepass_path/src/reducer/reach.rs
@@ -43,7 +43,9 @@
 
     /// Random endpoints, of as many pools and failure domains as possible.
     fn probe_targets(&mut self) -> Vec<SendTarget> {
-        let mut shuffled: Vec<_> = self.endpoint_table.iter().map(|known| &known.endpoint).collect();
+        // Endpoints of an evacuated domain may be switched off, which says nothing about the links of this VM.
+        let mut shuffled: Vec<_> =
+            self.endpoint_table.not_evacuated().into_iter().map(|known| &known.endpoint).collect();
         shuffled.shuffle(&mut self.rng);
         let mut taken: BTreeMap<_, usize> = BTreeMap::new();
         let mut ranked: Vec<_> = shuffled
--- a/crates/boragepass_path/src/reducer/sends.rs
+++ b/crates/boragepass_path/src/reducer/sends.rs
@@ -87,7 +87,7 @@
         if serving.any(|known| known.limits_requests(now) || known.is_brittle()) {
             RefusalReason::LimitedByEndpoints
         } else if state.tried_endpoints.is_empty() {
-            RefusalReason::NoEndpoint
+            self.no_endpoint_reason(&state.pool)
         } else {
             RefusalReason::EndpointsFull
         }
--- a/crates/boragepass_path/src/reducer/stage_flow.rs
+++ b/crates/boragepass_path/src/reducer/stage_flow.rs
@@ -69,7 +69,8 @@
         };
         let chosen = self.pool_backlogs.choose(now, &self.endpoint_table, &self.settings, &demand);
         let Some((region, endpoints)) = chosen else {
-            self.fail_request(now, request, RefusalReason::NoEndpoint);
+            let reason = self.no_endpoint_reason(&spec.pool);
+            self.fail_request(now, request, reason);
             return false;
         };
         self.pool_backlogs.record_piece_request(now, &demand, &region, endpoints);
