Versions of begun streams are written to the store, so that streams go on after a loss of all VMs

Change: the VM that records the versions of pools also collects the versions of begun streams and writes them about every 500 ms as one row of the table stream-versions: 10 bytes for each stream. VMs send it the streams of pools that had several versions, and again after the collector changed. A VM reads the table at its start if a pool had several versions, and while a request waits for a version that no holder knows, at most once a second. A digest that streams of different versions share counts as unknown. Writes name the row version that they replace; after a write without a reply the table is read, and what it lacks is written again.

A fleet with one version makes no calls.

--- a/crates/boragepass_entry/src/driver.rs
+++ b/crates/boragepass_entry/src/driver.rs
@@ -25,6 +25,7 @@
 use crate::peers::Peers;
 use crate::sends::{self, Reply};
 use crate::stage_calls;
+use crate::stream_version_rows::StreamVersionCall;
 use crate::version_rows::VersionCall;
 
 /// Longest sleep of the timer loop when no timer is set.
@@ -82,6 +83,8 @@
     registration_channel: (Sender<()>, Receiver<()>),
     /// What to do with the versions of pools that the store keeps.
     version_call_channel: (Sender<VersionCall>, Receiver<VersionCall>),
+    /// What to do with the versions of begun streams that the store keeps.
+    stream_version_call_channel: (Sender<StreamVersionCall>, Receiver<StreamVersionCall>),
     /// Dropped when clients' connections have to close after the response in progress.
     connection_shutdown_sender: RefCell<Option<Sender<()>>>,
     pub(crate) connection_shutdown: Receiver<()>,
@@ -109,6 +112,8 @@
             follows_store: Cell::new(true),
             registration_channel: bounded(1),
             version_call_channel: bounded(1),
+            // One read and one write.
+            stream_version_call_channel: bounded(2),
             connection_shutdown_sender: RefCell::new(Some(connection_shutdown_sender)),
             connection_shutdown,
             exit_channel: bounded(1),
@@ -151,6 +156,11 @@
         self.version_call_channel.1.recv().await.ok()
     }
 
+    /// Waits for the next call that concerns the versions of begun streams.
+    pub(crate) async fn next_stream_version_call(&self) -> Option<StreamVersionCall> {
+        self.stream_version_call_channel.1.recv().await.ok()
+    }
+
     /// Passes a configuration, encoded as in the store, on to the request path. A newer one than that in force is
     /// also kept for other VMs.
     pub(crate) fn receive_configuration(self: &Rc<Self>, value: Bytes) {
@@ -241,6 +251,8 @@
             }
             Effect::ReadRecordedVersions => self.start_version_call(VersionCall::Read),
             Effect::RecordVersions(versions) => self.start_version_call(VersionCall::Replace(versions)),
+            Effect::ReadStreamVersions => self.start_stream_version_call(StreamVersionCall::Read),
+            Effect::RecordStreamVersions(row) => self.start_stream_version_call(StreamVersionCall::Write(row)),
             Effect::SetReady(is_ready) => self.is_ready.set(is_ready),
             Effect::CloseConnections => {
                 self.connection_shutdown_sender.borrow_mut().take();
@@ -259,6 +271,13 @@
         }
     }
 
+    fn start_stream_version_call(&self, call: StreamVersionCall) {
+        // The request path has at most one read and one write in progress, so the channel has room.
+        if self.stream_version_call_channel.0.try_send(call).is_err() {
+            self.record(&Record::new("call for stream versions dropped"));
+        }
+    }
+
     fn cancel_send(&self, send: SendNumber) {
         if let Some(running) = self.sends.borrow_mut().remove(&send) {
             running.task_abort.abort();
--- a/crates/boragepass_entry/src/lib.rs
+++ b/crates/boragepass_entry/src/lib.rs
@@ -21,6 +21,7 @@
 mod stage_calls;
 mod store_client;
 mod store_feed;
+mod stream_version_rows;
 mod version_rows;
 
 pub use http_io::HttpIo;
--- a/crates/boragepass_entry/tests/over_sockets.rs
+++ b/crates/boragepass_entry/tests/over_sockets.rs
@@ -475,6 +475,53 @@
     }
 }
 
+/// Engine of a version whose first reply breaks off within its second event.
+fn breaking_engine(version: &'static str) -> Endpoint {
+    let (address, _) = serve(move |got| {
+        let is_resumed = got.header(&names::LAST_EVENT_ID).is_some();
+        let begin = format!("id: 0\ndata: {version}\n\nid: 1\nda");
+        let rest = format!("id: 1\ndata: {version}\n\n");
+        Some(Reply::signed(got, if is_resumed { rest } else { begin }))
+    });
+    Endpoint { software_version: version.parse().ok(), ..endpoint(&format!("i-{version}"), "models", address) }
+}
+
+/// Rows that are not understood must not hide the others.
+#[test]
+fn streams_go_on_at_their_version_after_the_only_vm_was_killed() {
+    let store = Store::start();
+    store.put_row(names::CONFIGURATION_TABLE, names::CONFIGURATION_KEY, CONFIGURATION.into());
+    let rates = endpoint("i-rates", "rates", stage_endpoint().0);
+    for endpoint in [breaking_engine("v1"), breaking_engine("v2"), rates] {
+        store.put_row(names::ENDPOINT_TABLE, endpoint.id.as_str(), encode_endpoint(&endpoint));
+    }
+    let first_vm = EntryVm::start(store.address);
+    first_vm.wait_ready();
+    let streams: Vec<_> = (0..6).map(|number| format!("stream-{number}")).collect();
+    let begin = |stream: &String| {
+        assert!(post(&first_vm, "/reviews/7", stream).body.is_err(), "the stream breaks off");
+        let is_first = |line: &String| line.contains("\"software_version\":\"v1\"");
+        if first_vm.lines_of(stream).iter().any(is_first) { "v1" } else { "v2" }
+    };
+    let versions: Vec<_> = streams.iter().map(begin).collect();
+    wait_until("the streams are recorded", || !first_vm.lines_of("recording stream versions").is_empty());
+    std::thread::sleep(Duration::from_millis(300));
+    drop(first_vm);
+    store.put_row(names::STREAM_VERSIONS_TABLE, "00399", b"not a row".to_vec());
+    store.put_row(names::STREAM_VERSIONS_TABLE, "no-slot", b"[]\n".to_vec());
+    let next_vm = EntryVm::start(store.address);
+    next_vm.wait_ready();
+    wait_until("the table is read", || !next_vm.lines_of("stream versions read").is_empty());
+    assert_eq!(next_vm.lines_of("row of stream versions not understood").len(), 2);
+    for (stream, version) in streams.into_iter().zip(versions) {
+        let mut request = client_request("/reviews/7", &format!("next-{stream}"), "body");
+        request.headers_mut().insert(names::LAST_EVENT_ID, "0".parse().expect("a valid value"));
+        request.headers_mut().insert(names::FIRST_ATTEMPT_ID, stream.parse().expect("a valid value"));
+        let answer = send_request(next_vm.address("clients"), request);
+        assert_eq!(answer.body, Ok(format!("id: 1\ndata: {version}\n\n")));
+    }
+}
+
 /// Starts an endpoint that replies to each request with some bytes and then with others without end. It counts the
 /// connections that the VM closed.
 fn endless_endpoint(begin: &'static str, repeated: &'static [u8]) -> (SocketAddr, Arc<AtomicU32>) {
--- a/crates/boragepass_fakes/src/path_fleet/fleet/mod.rs
+++ b/crates/boragepass_fakes/src/path_fleet/fleet/mod.rs
@@ -11,6 +11,7 @@
 mod sends;
 mod stage_calls;
 mod store;
+mod stream_rows;
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, VecDeque};
@@ -812,6 +813,8 @@
             }
             Effect::ReadRecordedVersions => self.read_recorded_versions(vm, incarnation),
             Effect::RecordVersions(versions) => self.record_versions(vm, incarnation, versions),
+            Effect::ReadStreamVersions => self.read_stream_versions(vm),
+            Effect::RecordStreamVersions(row) => self.record_stream_versions(vm, row),
             Effect::Log(record) => *self.log_record_counts.entry(record.what).or_default() += 1,
             Effect::FollowStore(follows) => {
                 self.vms[vm].is_store_follower = follows;
--- a/crates/boragepass_fakes/src/path_fleet/fleet/store.rs
+++ b/crates/boragepass_fakes/src/path_fleet/fleet/store.rs
@@ -1,5 +1,6 @@
 //! The store: its list of endpoints, who gets its contents and changes, entries that lapse, and a restore from a copy.
 
+use super::stream_rows::StreamRows;
 use super::*;
 
 /// Longest time until endpoints that live have written the entries again that a restored store lost. The users' pages
@@ -12,10 +13,12 @@
 #[derive(Debug)]
 pub(super) struct Store {
     entries: BTreeMap<EndpointId, Endpoint>,
-    version: u64,
+    pub(super) version: u64,
     era: StoreEra,
     /// Software versions of pools, as a VM recorded them, and the version of that row; zero if there is none.
     pool_versions: (u64, RecordedVersions),
+    /// Versions of begun streams, as VMs recorded them.
+    pub(super) stream_rows: StreamRows,
     /// What the store can be restored from.
     copy: StoreCopy,
     restored_at: Option<TimeMs>,
@@ -27,6 +30,7 @@
     version: u64,
     entries: BTreeMap<EndpointId, Endpoint>,
     pool_versions: (u64, RecordedVersions),
+    stream_rows: StreamRows,
 }
 
 impl Store {
@@ -34,8 +38,21 @@
         let entries: BTreeMap<_, _> =
             endpoints.iter().map(|endpoint| (endpoint.id.clone(), endpoint.clone())).collect();
         let pool_versions = (0, RecordedVersions::default());
-        let copy = StoreCopy { version: 1, entries: entries.clone(), pool_versions: pool_versions.clone() };
-        Self { copy, entries, version: 1, era: StoreEra(1), pool_versions, restored_at: None }
+        let copy = StoreCopy {
+            version: 1,
+            entries: entries.clone(),
+            pool_versions: pool_versions.clone(),
+            stream_rows: StreamRows::default(),
+        };
+        Self {
+            copy,
+            stream_rows: StreamRows::default(),
+            entries,
+            version: 1,
+            era: StoreEra(1),
+            pool_versions,
+            restored_at: None,
+        }
     }
 
     fn version(&self) -> StoreVersion {
@@ -167,15 +184,17 @@
             version: self.store.version,
             entries: self.store.entries.clone(),
             pool_versions: self.store.pool_versions.clone(),
+            stream_rows: self.store.stream_rows.clone(),
         };
     }
 
     /// Restores the store from its copy, in a new era. The endpoints that live write again what it lost.
     pub fn restore_store(&mut self) {
-        let StoreCopy { version, entries, pool_versions } = self.store.copy.clone();
+        let StoreCopy { version, entries, pool_versions, stream_rows } = self.store.copy.clone();
         self.store.entries = entries;
         self.store.version = version;
         self.store.pool_versions = pool_versions;
+        self.store.stream_rows.restore(stream_rows);
         self.store.era = StoreEra(self.store.era.0 + 1);
         self.store.restored_at = Some(self.now);
         for vm in 0..self.vms.len() {
--- a/crates/boragepass_path/src/effect.rs
+++ b/crates/boragepass_path/src/effect.rs
@@ -10,7 +10,7 @@
 use crate::message::PeerMessage;
 use crate::placement::RecordedVersions;
 use crate::record::Record;
-use crate::request::{CallNumber, RequestNumber, SendNumber};
+use crate::request::{CallNumber, RequestNumber, SendNumber, StreamVersionRow};
 
 /// What an endpoint computes a piece from.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -160,6 +160,11 @@
     ReadRecordedVersions,
     /// Replaces the versions of pools that the store keeps, unless they changed since they were read; then reads them.
     RecordVersions(RecordedVersions),
+    /// Reads the versions of begun streams that the store keeps, once; always reports `StreamVersionsRead`.
+    ReadStreamVersions,
+    /// Writes a row of versions of begun streams if the row that it replaces still has the version that it states; always
+    /// reports `StreamVersionsRecorded`.
+    RecordStreamVersions(StreamVersionRow),
     /// Sets whether this VM reports itself as ready.
     SetReady(bool),
     /// Stops keeping client connections alive.
--- a/crates/boragepass_path/src/event.rs
+++ b/crates/boragepass_path/src/event.rs
@@ -9,7 +9,7 @@
 use crate::fleet::VmRecord;
 use crate::message::PeerMessage;
 use crate::placement::{EndpointUpdate, Evacuations, RecordedVersions};
-use crate::request::{CallNumber, RequestNumber, SendNumber};
+use crate::request::{CallNumber, RequestNumber, SendNumber, StreamVersionRow};
 
 /// Number of a server-sent event within a stream.
 pub type EventId = u64;
@@ -218,6 +218,10 @@
     EvacuationsUpdated(Evacuations),
     /// The versions of pools that the store keeps were read; empty if it has none.
     VersionsRecorded(RecordedVersions),
+    /// A read of the versions of begun streams ended; `None` if it failed. Rows that cannot be decoded have no streams.
+    StreamVersionsRead(Option<Vec<StreamVersionRow>>),
+    /// A write of versions of begun streams ended: the new version of its row, or `None` if it failed or may have.
+    StreamVersionsRecorded(Option<u64>),
     /// Whether the store answers this VM.
     StoreReachable(bool),
     /// VMs that the store lists.
--- a/crates/boragepass_path/src/fleet/mod.rs
+++ b/crates/boragepass_path/src/fleet/mod.rs
@@ -18,4 +18,4 @@
 pub use members::{VmRecord, VmState, VmSummary};
 pub(crate) use relays::relay_vm;
 pub(crate) use stream_holders::stream_holders;
-pub(crate) use version_recorder::is_version_recorder;
+pub(crate) use version_recorder::{is_version_recorder, stream_collector};
--- a/crates/boragepass_path/src/lib.rs
+++ b/crates/boragepass_path/src/lib.rs
@@ -48,7 +48,7 @@
 pub use placement::{Endpoint, EndpointUpdate, Evacuations, RecordedVersions, SharedEndpoint, StoreVersion};
 pub use record::{Record, RecordValue};
 pub use reducer::RequestPath;
-pub use request::{CallNumber, RequestNumber, SendNumber};
+pub use request::{CallNumber, RequestNumber, SendNumber, StreamVersionRow, stream_digest};
 pub use settings::{Batching, ColdBounds, PathSettings, RetryLimits};
 pub use stages::{AvailableEndpoint, CallEnd, PieceRank, PieceTask, Pool, PoolCall};
 pub use store_poll::StorePoll;
--- a/crates/boragepass_path/src/placement/version_history.rs
+++ b/crates/boragepass_path/src/placement/version_history.rs
@@ -78,14 +78,24 @@
         if !is_recorded && !has_watched {
             return PastVersions::Unknown;
         }
-        let versions = self.last_listed_at.get(pool).into_iter().flatten();
-        let mut recent = versions.filter(|(_, at)| now.since(**at) < STREAM_RETENTION).map(|(version, _)| version);
+        let mut recent = self.recent_versions(now, pool);
         match (recent.next(), recent.next()) {
             (Some(version), None) => PastVersions::One(version),
             _ => PastVersions::Several,
         }
     }
 
+    /// Pools of which any version is known.
+    pub(crate) fn pools(&self) -> impl Iterator<Item = &PoolId> {
+        self.last_listed_at.keys()
+    }
+
+    /// Versions of a pool that were listed since the oldest stream began that a client may take up.
+    pub(crate) fn recent_versions(&self, now: TimeMs, pool: &PoolId) -> impl Iterator<Item = &BeginningVersion> {
+        let versions = self.last_listed_at.get(pool).into_iter().flatten();
+        versions.filter(move |(_, at)| now.since(**at) < STREAM_RETENTION).map(|(version, _)| version)
+    }
+
     /// What the store's row has to state; `None` if it does, or if the row was not read yet.
     pub(crate) fn unrecorded(&self, now: TimeMs) -> Option<RecordedVersions> {
         let recorded = self.recorded.as_ref()?;
--- a/crates/boragepass_path/src/reducer/mod.rs
+++ b/crates/boragepass_path/src/reducer/mod.rs
@@ -3,7 +3,7 @@
 //! This file holds the state, readiness, and the drain of a stopping process. The submodules hold the flows:
 //! arrival and admission (`arrivals`), stages of this VM's requests (`stage_flow`), pools that this VM leads
 //! (`leading`), sends to endpoints (`sends`), contents that crash them (`crashes`), software versions that begin
-//! streams (`stream_versions`) and those that pools had (`version_record`), what endpoints state in replies (`signals`), the loss of all links to endpoints
+//! streams (`stream_versions`), their record in the store (`stream_record`) and those that pools had (`version_record`), what endpoints state in replies (`signals`), the loss of all links to endpoints
 //! (`reach`), requests relayed to other VMs (`relays`), ends of requests (`endings`), and other VMs (`peers`).
 
 mod arrivals;
@@ -16,6 +16,7 @@
 mod sends;
 mod signals;
 mod stage_flow;
+mod stream_record;
 mod stream_versions;
 mod version_record;
 
@@ -42,6 +43,7 @@
 use crate::settings::PathSettings;
 use crate::stages::Pool;
 use crate::timers::{Timer, Timers};
+use stream_record::StreamRecording;
 use version_record::VersionRecording;
 
 /// Interval at which expired entries are dropped.
@@ -76,6 +78,7 @@
     stream_versions: StreamVersions,
     version_history: VersionHistory,
     version_recording: VersionRecording,
+    stream_recording: StreamRecording,
     requests: HashMap<RequestNumber, RequestState>,
     /// Requests by the number of their send in progress.
     sends: HashMap<SendNumber, RequestNumber>,
@@ -120,6 +123,7 @@
             stream_versions: StreamVersions::default(),
             version_history: VersionHistory::default(),
             version_recording: VersionRecording::new(now),
+            stream_recording: StreamRecording::default(),
             requests: HashMap::new(),
             sends: HashMap::new(),
             relays: HashMap::new(),
@@ -169,6 +173,8 @@
             Event::EndpointsUpdated(update) => self.on_endpoints_updated(now, update),
             Event::EvacuationsUpdated(_) => {}
             Event::VersionsRecorded(recorded) => self.on_versions_recorded(now, recorded),
+            Event::StreamVersionsRead(rows) => self.on_stream_versions_read(now, rows),
+            Event::StreamVersionsRecorded(row_version) => self.on_stream_versions_recorded(now, row_version),
             Event::StoreReachable(is_reachable) => {
                 self.endpoint_table.on_store_reachability(now, is_reachable);
                 self.fleet.can_reach_store = is_reachable;
@@ -270,6 +276,7 @@
                 self.stream_versions.sweep(now);
                 self.watch_versions(now);
                 self.update_version_record(now);
+                self.update_stream_record(now);
                 self.release_orphaned_piece_requests(now);
                 self.led_pools.values_mut().for_each(|pool| pool.sweep(now));
                 self.run_all_pools(now);
@@ -290,6 +297,7 @@
             // The copy may lack the row of this VM, and what it recorded of versions.
             self.effects.push(Effect::RegisterVm);
             self.version_recording = VersionRecording::new(now);
+            self.stream_recording.on_store_restored();
             self.log(Record::new("store was restored from a copy").text("version", version));
         }
         for endpoint in announced {
--- a/crates/boragepass_path/src/reducer/peers.rs
+++ b/crates/boragepass_path/src/reducer/peers.rs
@@ -33,7 +33,10 @@
                 }
             }
             PeerMessage::Release(piece_request) => self.on_piece_request_released(now, &piece_request),
-            PeerMessage::StreamVersion(stream, version) => self.on_stream_version(now, stream, version),
+            PeerMessage::StreamVersion(stream, version) => {
+                self.hold_stream(now, &stream, &version);
+                self.on_stream_version(now, stream, version);
+            }
             PeerMessage::StreamVersionQuery(stream) => self.on_stream_version_query(from, stream),
             PeerMessage::StateQuery => {
                 self.share_state(from);
--- a/crates/boragepass_path/src/reducer/stream_versions.rs
+++ b/crates/boragepass_path/src/reducer/stream_versions.rs
@@ -33,7 +33,7 @@
     ) -> Result<StreamVersion, (RefusalReason, Option<SpanMs>)> {
         let stream_version = match (&arrival.resume_after, &arrival.resumed_stream) {
             (None, _) => StreamVersion::NotBegun,
-            (Some(_), Some(stream)) => match self.stream_versions.get(stream) {
+            (Some(_), Some(stream)) => match self.known_stream_version(stream) {
                 Some(version) => StreamVersion::Begun(version.clone()),
                 None => StreamVersion::Asked(0),
             },
@@ -52,6 +52,11 @@
         }
     }
 
+    /// Version of a stream that this VM holds, or that the store's table named.
+    fn known_stream_version(&self, stream: &str) -> Option<&BeginningVersion> {
+        self.stream_versions.get(stream).or_else(|| self.stream_recording.recorded_version(stream))
+    }
+
     /// Binds a request to the version of the endpoint from which its client received the first event, and passes the
     /// version on to the stream's holders.
     pub(super) fn on_event_received(&mut self, now: TimeMs, request: RequestNumber) {
@@ -69,15 +74,17 @@
             return;
         };
         state.stream_version = StreamVersion::Begun(version.clone());
-        let stream = state.arrival.client_id.clone();
+        let (stream, pool) = (state.arrival.client_id.clone(), state.pool.clone());
         self.stream_versions.insert(now, stream.clone(), version.clone());
-        for vm in stream_holders(&self.fleet, now, &stream) {
-            self.send_peer_datagram(&vm, PeerMessage::StreamVersion(stream.clone(), version.clone()));
+        let holders = stream_holders(&self.fleet, now, &stream);
+        for vm in &holders {
+            self.send_peer_datagram(vm, PeerMessage::StreamVersion(stream.clone(), version.clone()));
         }
+        self.record_own_stream(now, pool, &stream, &version, &holders);
     }
 
-    /// Asks the holders for the version of the stream that a request resumes. If they do not know it, the request goes on
-    /// if its pool had only one version, and fails otherwise.
+    /// Asks the holders for the version of the stream that a request resumes, and reads the store's table if they do not
+    /// reply. If neither knows it, the request goes on if its pool had only one version, and fails otherwise.
     pub(super) fn query_stream_version(&mut self, now: TimeMs, request: RequestNumber) {
         let Some(state) = self.requests.get_mut(&request) else {
             return;
@@ -85,12 +92,18 @@
         let StreamVersion::Asked(queries) = &mut state.stream_version else {
             return;
         };
-        if *queries >= QUERIES_MAX {
-            self.go_on_at_only_version(now, request);
+        let earlier_queries = *queries;
+        *queries = earlier_queries.saturating_add(1).min(QUERIES_MAX);
+        let (pool, stream) = (state.pool.clone(), state.arrival.resumed_stream.clone());
+        let is_to_wait = earlier_queries > 0 && self.awaits_stream_versions(now, request);
+        if earlier_queries >= QUERIES_MAX {
+            if is_to_wait {
+                self.timers.set(now + QUERY_INTERVAL, Timer::StreamVersionQuery(request));
+            } else {
+                self.go_on_at_only_version(now, request);
+            }
             return;
         }
-        *queries += 1;
-        let (pool, stream) = (state.pool.clone(), state.arrival.resumed_stream.clone());
         self.read_versions_if_unknown(now, &pool);
         if let Some(stream) = stream {
             for vm in stream_holders(&self.fleet, now, &stream) {
@@ -165,7 +178,7 @@
         }
     }
 
-    fn send_peer_datagram(&mut self, vm: &VmId, message: PeerMessage) {
+    pub(super) fn send_peer_datagram(&mut self, vm: &VmId, message: PeerMessage) {
         if let Some(record) = self.fleet.record(vm) {
             self.effects.push(Effect::SendPeerDatagram(vm.clone(), record.peer_address, Box::new(message)));
         }
--- a/crates/boragepass_path/src/reducer/version_record.rs
+++ b/crates/boragepass_path/src/reducer/version_record.rs
@@ -51,6 +51,7 @@
     pub(super) fn on_versions_recorded(&mut self, now: TimeMs, recorded: RecordedVersions) {
         self.version_history.on_recorded(now, recorded);
         self.version_recording.is_call_in_progress = false;
+        self.read_stream_versions_at_start(now);
     }
 
     /// Reads the store's row again if it is not known which versions a pool had; it may not have named the pool before.
