--- a/crates/boragepass_fakes/src/path_fleet/fleet/store.rs
+++ b/crates/boragepass_fakes/src/path_fleet/fleet/store.rs
@@ -1,5 +1,6 @@
 //! The store: its list of endpoints, who gets its contents and changes, entries that lapse, and a restore from a copy.
 
+use super::stream_rows::StreamRows;
 use super::*;
 
 /// Longest time until endpoints that live have written the entries again that a restored store lost. The users' pages
@@ -18,6 +19,8 @@
     pool_versions: (u64, RecordedVersions),
     /// Failure domains that the operator evacuates.
     pub(super) evacuated: BTreeSet<FailureDomain>,
+    /// Versions of begun streams, as VMs recorded them.
+    pub(super) stream_rows: StreamRows,
     /// What the store can be restored from.
     copy: StoreCopy,
     restored_at: Option<TimeMs>,
@@ -30,6 +33,7 @@
     entries: BTreeMap<EndpointId, Endpoint>,
     pool_versions: (u64, RecordedVersions),
     evacuated: BTreeSet<FailureDomain>,
+    stream_rows: StreamRows,
 }
 
 impl Store {
@@ -43,8 +47,18 @@
             entries: entries.clone(),
             pool_versions: pool_versions.clone(),
             evacuated: evacuated.clone(),
+            stream_rows: StreamRows::default(),
         };
-        Self { copy, entries, version: 1, era: StoreEra(1), pool_versions, evacuated, restored_at: None }
+        Self {
+            copy,
+            stream_rows: StreamRows::default(),
+            entries,
+            version: 1,
+            era: StoreEra(1),
+            pool_versions,
+            evacuated,
+            restored_at: None,
+        }
     }
 
     fn version(&self) -> StoreVersion {
@@ -184,17 +198,19 @@
             entries: self.store.entries.clone(),
             pool_versions: self.store.pool_versions.clone(),
             evacuated: self.store.evacuated.clone(),
+            stream_rows: self.store.stream_rows.clone(),
         };
     }
 
     /// Restores the store from its copy, in a new era. The endpoints that live write again what it lost.
     pub fn restore_store(&mut self) {
-        let StoreCopy { version, entries, pool_versions, evacuated } = self.store.copy.clone();
+        let StoreCopy { version, entries, pool_versions, evacuated, stream_rows } = self.store.copy.clone();
         let evacuated_before = std::mem::replace(&mut self.store.evacuated, evacuated);
         self.restore_evacuations(&evacuated_before);
         self.store.entries = entries;
         self.store.version = version;
         self.store.pool_versions = pool_versions;
+        self.store.stream_rows.restore(stream_rows);
         self.store.era = StoreEra(self.store.era.0 + 1);
         self.store.restored_at = Some(self.now);
         for vm in 0..self.vms.len() {
--- a/crates/boragepass_path/src/lib.rs
+++ b/crates/boragepass_path/src/lib.rs
@@ -50,7 +50,7 @@
 };
 pub use record::{Record, RecordValue};
 pub use reducer::RequestPath;
-pub use request::{CallNumber, RequestNumber, SendNumber};
+pub use request::{CallNumber, RequestNumber, SendNumber, StreamVersionRow, stream_digest};
 pub use settings::{Batching, ColdBounds, PathSettings, RetryLimits};
 pub use stages::{AvailableEndpoint, CallEnd, PieceRank, PieceTask, Pool, PoolCall};
 pub use store_poll::StorePoll;
