Requests with home regions are served, staged, led and relayed only there

Cause: routes and workspaces may name home regions, and nothing decided by them. placement/homes.rs says where a request is allowed; the choice of endpoints, stage regions, pool leaders and relays asks it, and address answers by host. Requests that no home can serve are refused with a reason of their own. Requests that wait keep to a new configuration too.

--- a/crates/boragepass_entry/src/pages.rs
+++ b/crates/boragepass_entry/src/pages.rs
@@ -28,15 +28,18 @@
     }
 }
 
-/// Tells clients the addresses of VMs that serve, for the region and failure domain of their query.
+/// Tells clients the addresses of VMs that serve, for the host, region and failure domain of their query.
 pub(crate) fn addresses(driver: Rc<Driver>) -> impl Fn(&Request<Incoming>) -> Page {
     move |request| {
         if request.uri().path() != names::ADDRESSES_PATH {
             return Page::text(StatusCode::NOT_FOUND, "unknown path\n");
         }
         let query = AddressQuery::from_query(request.uri().query().unwrap_or_default());
-        let addresses =
-            driver.with_path(|path, now| path.addresses(now, query.region.as_ref(), query.failure_domain.as_ref()));
+        let (region, domain) = (query.region.as_ref(), query.failure_domain.as_ref());
+        let addresses = driver.with_path(|path, now| match &query.host {
+            Some(host) => path.host_addresses(now, host, region, domain),
+            None => path.addresses(now, region, domain),
+        });
         if addresses.is_empty() {
             return Page::text(StatusCode::SERVICE_UNAVAILABLE, "no VM is known to serve yet\n");
         }
--- a/crates/boragepass_entry/tests/over_sockets.rs
+++ b/crates/boragepass_entry/tests/over_sockets.rs
@@ -766,3 +766,61 @@
     let expected = vm.address("clients").to_string();
     assert!(addresses.body.unwrap_or_default().contains(&expected));
 }
+
+/// The first VM is in a home region of one route and the second in none. Guards against an address answer that ignores the
+/// host, and against a request that is sent to an endpoint outside of its home regions.
+#[test]
+fn clients_resolve_by_host_and_are_refused_without_an_endpoint_in_a_home_region() {
+    let (api_endpoint, api_requests) = serve(|got| Some(Reply::signed(got, "sound")));
+    let configuration = CONFIGURATION
+        .replace(r#""prefix": "/deposits/","#, r#""prefix": "/deposits/", "allowedRegions": ["oslo"],"#)
+        .replace(
+            r#""host": "gigs.example", "prefix": "/status/","#,
+            r#""host": "homes.example", "prefix": "/status/", "allowedRegions": ["lagos"],"#,
+        );
+    let endpoints = [endpoint("i-api", "api", api_endpoint)];
+    let peer_port = free_port();
+    let start = |ip: &str, changed: &[(&str, String)]| {
+        let peers = [
+            ("peers = 127.0.0.1:0", format!("peers = {ip}:{peer_port}")),
+            ("seeds =", "seeds = 127.0.0.1:1".to_owned()),
+        ];
+        EntryVm::start_with(store(&configuration, &endpoints), &[&peers, changed].concat())
+    };
+    let home_vm = start("127.0.0.1", &[]);
+    let other_vm = start(
+        "127.0.0.2",
+        &[
+            ("vm = entry-1", "vm = entry-2".to_owned()),
+            ("region = lagos", "region = oslo".to_owned()),
+            ("failure_domain = lagos-a", "failure_domain = oslo-a".to_owned()),
+            ("lagos-a = lagos", "lagos-a = lagos\noslo-a = oslo".to_owned()),
+        ],
+    );
+    [&home_vm, &other_vm].into_iter().for_each(EntryVm::wait_ready);
+    wait_until("the VMs hear each other", || {
+        status_of(&home_vm).contains("entry-2") && status_of(&other_vm).contains("entry-1")
+    });
+    let resolve = |vm: &EntryVm, query: &str| {
+        get(vm.address("addresses"), &format!("{}?{query}", names::ADDRESSES_PATH)).body.unwrap_or_default()
+    };
+    let (home, other) = (home_vm.address("clients").to_string(), other_vm.address("clients").to_string());
+    for vm in [&home_vm, &other_vm] {
+        wait_until("all VMs are named without a host", || {
+            let all = resolve(vm, "region=quito&zone=quito-a");
+            all.contains(&home) && all.contains(&other)
+        });
+        let of_home_host = resolve(vm, "name=homes.example&region=quito&zone=quito-a");
+        assert!(of_home_host.contains(&home) && !of_home_host.contains(&other), "{of_home_host}");
+        let of_own_region = resolve(vm, "name=homes.example&region=oslo&zone=oslo-a");
+        assert!(of_own_region.contains(&other) && !of_own_region.contains(&home), "{of_own_region}");
+    }
+    let refused = post(&home_vm, "/deposits/1", "r-home");
+    assert_eq!(refused.status, 503);
+    assert!(refused.headers.contains_key("retry-after"), "{:?}", refused.headers);
+    assert!(refused.body.unwrap_or_default().contains("no endpoint in a home region"));
+    assert_eq!(request_count(&api_requests), 0);
+    assert!(home_vm.lines_of("r-home").iter().any(|line| line.contains("refused by home regions")));
+    let metrics = get(home_vm.address("metrics"), "/metrics").body.unwrap_or_default();
+    assert!(metrics.contains(r#"boragepass_records_total{what="refused by home regions"} 1"#), "{metrics}");
+}
--- a/crates/boragepass_fakes/src/path_fleet/deployment.rs
+++ b/crates/boragepass_fakes/src/path_fleet/deployment.rs
@@ -51,6 +51,8 @@
     /// Value of an answer within the objective.
     pub worth: f64,
     pub(super) route: Route,
+    /// API key of its clients.
+    pub(super) key: &'static str,
     pub(super) stage_pieces: Vec<StagePieces>,
     /// Tokens of the part of the prompt that requests share; 0 for plain services.
     pub(super) shared_prompt_tokens: u64,
@@ -78,6 +80,8 @@
     /// Kinds of request that clients submit.
     pub kinds: Vec<RequestKind>,
     pub(super) services: Vec<Service>,
+    /// Workspace with home regions, if any.
+    pub(super) home_workspace: Option<Workspace>,
 }
 
 fn parse_name<T: std::str::FromStr>(text: &str) -> T
@@ -148,6 +152,7 @@
             rate_per_s: spec.rate_per_s,
             worth: spec.worth,
             route,
+            key: CLIENT_KEY,
             stage_pieces: spec.stages.iter().map(|(.., pieces)| *pieces).collect(),
             shared_prompt_tokens: spec.prompt_tokens.0,
             unique_prompt_tokens: spec.prompt_tokens.1,
@@ -443,6 +448,7 @@
             endpoints,
             kinds: kinds.into_iter().map(Into::into).collect(),
             services: services.collect(),
+            home_workspace: None,
         }
     }
 
@@ -461,7 +467,8 @@
             home_regions: Vec::new(),
         };
         let routes = self.kinds.iter().map(|kind| kind.route.clone()).collect();
-        Configuration::new(ConfigurationVersion(version), limits, routes, self.services.clone(), vec![workspace])
+        let workspaces = std::iter::once(workspace).chain(self.home_workspace.clone()).collect();
+        Configuration::new(ConfigurationVersion(version), limits, routes, self.services.clone(), workspaces)
     }
 
     /// Parameters of a pool, if it is a stage pool.
--- a/crates/boragepass_fakes/src/path_fleet/fleet/clients.rs
+++ b/crates/boragepass_fakes/src/path_fleet/fleet/clients.rs
@@ -16,7 +16,11 @@
         if self.load_factor <= 0.0 {
             return;
         }
-        if let Some(vm) = self.pick_serving_vm() {
+        let vm = match self.deployment.has_homes(kind) {
+            true => self.pick_vm_for_home_client(kind),
+            false => self.pick_serving_vm(),
+        };
+        if let Some(vm) = vm {
             self.submit_to_vm(vm, kind, None);
         }
     }
@@ -131,7 +135,7 @@
             is_relayed: false,
             host: spec.route.host.clone(),
             path: format!("/{}/x", spec.name).into(),
-            key: Some(boragepass_path::ApiKey(Arc::from(CLIENT_KEY))),
+            key: Some(boragepass_path::ApiKey(Arc::from(spec.key))),
             deadline_ms: Some(SpanMs(spec.deadline_ms)),
             prompt_tokens: prompt.iter().map(|part| part.tokens).sum(),
             prompt,
--- a/crates/boragepass_fakes/src/path_fleet/fleet/mod.rs
+++ b/crates/boragepass_fakes/src/path_fleet/fleet/mod.rs
@@ -5,6 +5,7 @@
 
 mod clients;
 mod harmful_part;
+mod homes;
 mod partition;
 mod relays;
 mod resumption;
@@ -30,7 +31,7 @@
 use rand::{Rng, SeedableRng};
 
 use super::brittle::{Brittleness, FALL_MS};
-use super::deployment::{CLIENT_KEY, Deployment, RequestKind};
+use super::deployment::{Deployment, RequestKind};
 use super::endpoint::{FakeEndpoint, QueuedCall, StageRun};
 use super::ledger::{Ending, Ledger, RequestRecord};
 use super::pause::PausingRejections;
@@ -322,6 +323,7 @@
             endpoint_clock_error_ms: 0,
             log_record_counts: BTreeMap::new(),
         };
+        fleet.record_homes();
         for vm in 0..fleet.vms.len() {
             fleet.start_vm(vm);
         }
@@ -738,6 +740,7 @@
                 }
             }
             Effect::Relay { send, request, target, .. } => {
+                self.check_relay_homes(vm, incarnation, request, target.address);
                 self.start_relay((vm, incarnation, send), request, target.address);
             }
             Effect::CancelSend(send) => {
@@ -827,6 +830,9 @@
         let Some(to) = self.vms.iter().position(|other| other.peer_address == address) else {
             return;
         };
+        if let PeerMessage::PieceRequest(piece_request) = &message {
+            self.check_leader_homes(vm, to, &piece_request.client_id.clone());
+        }
         let delay_ms = self.network_delay_ms(&self.vms[vm].domain, &self.vms[to].domain).max(1);
         let from = self.vms[vm].id.clone();
         let at = self.now + SpanMs(delay_ms);
--- a/crates/boragepass_fakes/src/path_fleet/fleet/resumption.rs
+++ b/crates/boragepass_fakes/src/path_fleet/fleet/resumption.rs
@@ -66,7 +66,11 @@
         else {
             return;
         };
-        let Some(vm) = self.pick_serving_vm() else {
+        let vm = match self.deployment.has_homes(kind) {
+            true => self.pick_vm_for_home_client(kind),
+            false => self.pick_serving_vm(),
+        };
+        let Some(vm) = vm else {
             if self.now.since(submitted_at).0 < self.deployment.kinds[kind].deadline_ms {
                 self.schedule(self.now + SpanMs(NO_VM_RETRY_DELAY_MS), Action::ResumeStream(stream.clone()));
             }
--- a/crates/boragepass_fakes/src/path_fleet/fleet/sends.rs
+++ b/crates/boragepass_fakes/src/path_fleet/fleet/sends.rs
@@ -23,6 +23,7 @@
         {
             self.ledger.record_violation(now, &client_id, "a request was sent on after its client had left");
         }
+        self.check_endpoint_homes(vm, id, &client_id, false);
         let delay_ms = self.endpoint_delay_ms(vm, id);
         let Some(endpoint) = self.endpoints.get(id) else {
             // Another endpoint has the address now.
--- a/crates/boragepass_fakes/src/path_fleet/fleet/stage_calls.rs
+++ b/crates/boragepass_fakes/src/path_fleet/fleet/stage_calls.rs
@@ -18,6 +18,7 @@
         let piece_costs = entries.iter().map(|entry| self.piece_cost(entry)).collect();
         for entry in &entries {
             self.check_piece_inputs(entry);
+            self.check_endpoint_homes(vm, id, &entry.client_id, true);
         }
         if let Some(entry) = entries.first() {
             self.check_endpoint_signals(vm, id, &entry.client_id);
--- a/crates/boragepass_fakes/src/path_fleet/fleet/store.rs
+++ b/crates/boragepass_fakes/src/path_fleet/fleet/store.rs
@@ -105,6 +105,7 @@
     pub fn change_configuration(&mut self) {
         self.configuration_version += 1;
         self.store.version += 1;
+        self.record_homes();
         let configuration = Arc::new(self.deployment.configuration(self.configuration_version));
         for vm in 0..self.vms.len() {
             if !self.vms[vm].is_cut_from_store && self.vms[vm].is_store_follower {
--- a/crates/boragepass_fakes/src/path_fleet/mod.rs
+++ b/crates/boragepass_fakes/src/path_fleet/mod.rs
@@ -7,6 +7,8 @@
 mod deployment;
 mod endpoint;
 mod fleet;
+mod home_deployment;
+mod homes;
 mod leaving;
 mod ledger;
 mod partitions;
@@ -15,4 +17,5 @@
 
 pub use deployment::{Deployment, RequestKind, Site};
 pub use fleet::{EndpointFault, EndpointLinks, PathFleet};
+pub use homes::HomeTallies;
 pub use ledger::{Ending, Ledger, Outcomes, Violation};
--- a/crates/boragepass_fakes/tests/path_faults.rs
+++ b/crates/boragepass_fakes/tests/path_faults.rs
@@ -16,6 +16,7 @@
 const VMS: usize = 6;
 const ENDPOINTS: usize = 25;
 const STREAM_KINDS: usize = 3;
+const KINDS: usize = 5;
 /// Time in which all requests end: the longest route timeout and a second.
 const ALL_ENDED_MS: u64 = 13_000;
 /// Time in which the fleet recovers once all faults are removed.
@@ -23,6 +24,9 @@
 /// Time after its deadline by which a request must have been answered.
 const ANSWER_SLACK_MS: u64 = 500;
 
+/// Home regions that a step gives to the route of a kind.
+const HOMES: [&[&str]; 5] = [&[], &["region-a"], &["region-b"], &["region-a", "region-b"], &["region-b", "region-c"]];
+
 /// One step of a test case.
 #[derive(Debug, Clone)]
 enum Step {
@@ -36,6 +40,7 @@
     PauseVm { vm: usize, ms: u64 },
     CutStore { vm: usize, is_cut: bool },
     ChangeConfiguration,
+    ChangeHomes { kind: usize, regions: usize },
     DropDatagrams { percent: u64 },
     AbandonRequests { percent: u64 },
     StartHarmfulRequests { kind: usize, part: u64, per_s: u64 },
@@ -121,11 +126,44 @@
     }
 }
 
+/// Reference model whose cases also change home regions. It is apart from [`AnySteps`], so that the cases of that one's
+/// seeds stay the same.
+struct AnyStepsWithHomes;
+
+impl ReferenceStateMachine for AnyStepsWithHomes {
+    type State = ();
+    type Transition = Step;
+
+    fn init_state() -> BoxedStrategy<Self::State> {
+        Just(()).boxed()
+    }
+
+    fn transitions(state: &Self::State) -> BoxedStrategy<Self::Transition> {
+        prop_oneof![
+            9 => AnySteps::transitions(state),
+            1 => (0..KINDS, 0..HOMES.len()).prop_map(|(kind, regions)| Step::ChangeHomes { kind, regions }),
+        ]
+        .boxed()
+    }
+
+    fn apply(state: Self::State, _transition: &Self::Transition) -> Self::State {
+        state
+    }
+}
+
 struct FaultTest {
     fleet: PathFleet,
 }
 
 impl FaultTest {
+    fn start(deployment: Deployment) -> Self {
+        let mut fleet = PathFleet::new(deployment, 1);
+        fleet.clients_resume_streams = true;
+        fleet.run_until(1_000);
+        fleet.set_load(1.0);
+        Self { fleet }
+    }
+
     fn check(&self) {
         if let Some(violation) = self.fleet.ledger.violations().first() {
             panic!("{violation}");
@@ -138,11 +176,7 @@
     type Reference = AnySteps;
 
     fn init_test(_state: &()) -> Self {
-        let mut fleet = PathFleet::new(Deployment::of(Site::Lampu), 1);
-        fleet.clients_resume_streams = true;
-        fleet.run_until(1_000);
-        fleet.set_load(1.0);
-        Self { fleet }
+        Self::start(Deployment::of(Site::Lampu))
     }
 
     fn apply(mut test: Self, _state: &(), step: Step) -> Self {
@@ -165,6 +199,10 @@
             Step::PauseVm { vm, ms } => fleet.pause_vm(vm, ms),
             Step::CutStore { vm, is_cut } => fleet.set_cut_from_store(vm, is_cut),
             Step::ChangeConfiguration => fleet.change_configuration(),
+            Step::ChangeHomes { kind, regions } => {
+                fleet.deployment.set_home_regions(kind, HOMES[regions]);
+                fleet.change_configuration();
+            }
             Step::DropDatagrams { percent } => fleet.datagram_loss = percent as f64 / 100.0,
             Step::AbandonRequests { percent } => fleet.abandon_share = percent as f64 / 100.0,
             Step::StartHarmfulRequests { kind, part, per_s } => {
@@ -213,6 +251,26 @@
     }
 }
 
+/// The same steps against a site with home regions.
+struct HomesTest(FaultTest);
+
+impl StateMachineTest for HomesTest {
+    type SystemUnderTest = Self;
+    type Reference = AnyStepsWithHomes;
+
+    fn init_test(_state: &()) -> Self {
+        Self(FaultTest::start(Deployment::with_homes(Site::Lampu)))
+    }
+
+    fn apply(test: Self, state: &(), step: Step) -> Self {
+        Self(<FaultTest as StateMachineTest>::apply(test.0, state, step))
+    }
+
+    fn teardown(test: Self, state: ()) {
+        FaultTest::teardown(test.0, state);
+    }
+}
+
 fn config() -> Config {
     let number =
         |name: &str, default: u64| std::env::var(name).ok().and_then(|value| value.parse().ok()).unwrap_or(default);
@@ -229,4 +287,7 @@
 
     #[test]
     fn guarantees_hold_under_any_faults(sequential 1..40 => FaultTest);
+
+    #[test]
+    fn guarantees_hold_with_home_regions_under_any_faults(sequential 1..40 => HomesTest);
 }
--- a/crates/boragepass_path/src/admission/refusal.rs
+++ b/crates/boragepass_path/src/admission/refusal.rs
@@ -31,6 +31,9 @@
     /// No endpoint of the pool can take the request.
     #[display("no endpoint")]
     NoEndpoint,
+    /// No endpoint in a home region of its route and workspace can serve it.
+    #[display("no endpoint in a home region")]
+    NoHomeEndpoint,
     /// No endpoint of the software version that began its stream serves.
     #[display("no endpoint of the stream's version")]
     NoEndpointOfVersion,
@@ -75,6 +78,7 @@
             | Self::LateAtStage
             | Self::StageFailed
             | Self::NoEndpoint
+            | Self::NoHomeEndpoint
             | Self::NoEndpointOfVersion
             | Self::StreamVersionUnknown
             | Self::EndpointsFull
--- a/crates/boragepass_path/src/fleet/mod.rs
+++ b/crates/boragepass_path/src/fleet/mod.rs
@@ -12,7 +12,7 @@
 mod version_recorder;
 
 pub(crate) use followers::is_store_follower;
-pub(crate) use leader::pool_leader;
+pub(crate) use leader::{home_pool_leader, pool_leader};
 pub(crate) use limit_sharing::limit_sharing_vms;
 pub(crate) use members::{Fleet, MembershipChange, Reach};
 pub use members::{VmRecord, VmState, VmSummary};
--- a/crates/boragepass_path/src/placement/endpoint_table.rs
+++ b/crates/boragepass_path/src/placement/endpoint_table.rs
@@ -13,6 +13,7 @@
 use boragepass_core::{EjectionCause, Health, ejection_cap};
 use boragepass_types::{EndpointId, FailureDomain, PoolId, SoftwareVersion, SpanMs, StoreEra, TimeMs, VmId};
 
+use super::AllowedPlaces;
 use super::engine_choice::PREFILL_TOKENS_PER_MS;
 use super::prompt_cache::PromptCache;
 use super::shared_statement::Statement;
@@ -235,6 +236,11 @@
         self.health.is_ejected(now)
     }
 
+    /// Whether it is ejected and this VM found it down within `span`.
+    pub(crate) fn was_found_down(&self, now: TimeMs, span: SpanMs) -> bool {
+        self.is_ejected(now) && self.own_found_down_at.is_some_and(|at| now.since(at) < span)
+    }
+
     /// Software version that its entry states; no value if it may have restarted since with another one.
     pub(crate) fn software_version(&self) -> Option<&BeginningVersion> {
         (!self.may_have_restarted).then_some(&self.endpoint.software_version)
@@ -514,18 +520,20 @@
         self.by_id.values_mut().filter(|known| known.statements.rate_limiter.limit().is_some() || known.is_brittle())
     }
 
-    /// Time until an endpoint of a pool that the stream may go on at, leaving out those in `excluded`, accepts a request
-    /// of this VM; `None` if that is known of none.
+    /// Time until an endpoint of a pool that the stream may go on at and that is in an allowed place, leaving out those in
+    /// `excluded`, accepts a request of this VM; `None` if that is known of none.
     pub(crate) fn accepts_in(
         &self,
         now: TimeMs,
         pool: &PoolId,
         excluded: &[EndpointId],
         stream_version: &StreamVersion,
+        places: AllowedPlaces<'_>,
     ) -> Option<SpanMs> {
         let candidates = self
             .serving(pool)
-            .filter(|known| !excluded.contains(&known.endpoint.id) && stream_version.allows(known.software_version()));
+            .filter(|known| !excluded.contains(&known.endpoint.id) && stream_version.allows(known.software_version()))
+            .filter(|known| places.allows_endpoint(known));
         candidates.filter_map(|known| known.accepts_in(now)).min()
     }
 
--- a/crates/boragepass_path/src/placement/engine_choice.rs
+++ b/crates/boragepass_path/src/placement/engine_choice.rs
@@ -8,7 +8,7 @@
 use boragepass_types::{EndpointId, FailureDomain, PoolId, TimeMs, rendezvous_weight};
 
 use super::eligibility::is_eligible;
-use super::{EndpointTable, KnownEndpoint};
+use super::{AllowedPlaces, EndpointTable, KnownEndpoint};
 use crate::event::{Arrival, PromptPart};
 use crate::request::StreamVersion;
 use crate::settings::PathSettings;
@@ -46,6 +46,8 @@
     /// Endpoints that the request was sent to already.
     pub(crate) excluded: &'a [EndpointId],
     pub(crate) stream_version: &'a StreamVersion,
+    /// Where its endpoint may be.
+    pub(crate) places: AllowedPlaces<'a>,
 }
 
 /// The endpoint chosen for a request.
@@ -83,7 +85,9 @@
     let key = part.id.to_string();
     let is_long = shared_tokens(requirements.prompt) >= LONG_SHARED_TOKENS;
     let is_eligible = |known: &&KnownEndpoint| is_long || known.endpoint.failure_domain == settings.failure_domain;
-    let is_usable = |known: &&KnownEndpoint| !known.is_ejected(now) && !known.limits_requests(now);
+    let is_usable = |known: &&KnownEndpoint| {
+        !known.is_ejected(now) && !known.limits_requests(now) && requirements.places.allows_endpoint(known)
+    };
     let candidates = table.serving(requirements.pool).filter(is_usable).filter(is_eligible);
     let mut weighted_endpoints: Vec<_> = candidates
         .map(|known| (rendezvous_weight(&key, known.endpoint.id.as_str()), known.endpoint.id.clone()))
--- a/crates/boragepass_path/src/placement/mod.rs
+++ b/crates/boragepass_path/src/placement/mod.rs
@@ -6,6 +6,7 @@
 mod endpoint_table;
 mod engine_choice;
 mod evacuations;
+mod homes;
 mod prompt_cache;
 mod rate_limit;
 mod region_choice;
@@ -21,6 +22,8 @@
     ChosenEndpoint, PREFILL_TOKENS_PER_MS, RequestRequirements, choose_endpoint, prefill_ms,
 };
 pub use evacuations::Evacuations;
+pub(crate) use homes::AllowedPlaces;
+pub use homes::Homes;
 pub(crate) use rate_limit::sharing_vms_max;
 pub(crate) use region_choice::{PoolBacklogs, StageDemand};
 pub(crate) use rejection_limit::brittle_sharing_vms_max;
--- a/crates/boragepass_path/src/placement/region_choice.rs
+++ b/crates/boragepass_path/src/placement/region_choice.rs
@@ -7,7 +7,7 @@
 
 use boragepass_types::{FailureDomain, PoolId, Region, SpanMs, TimeMs};
 
-use super::EndpointTable;
+use super::{EndpointTable, Homes};
 use crate::configuration::StagePool;
 use crate::message::PoolLoad;
 use crate::settings::{Distance, PathSettings};
@@ -51,6 +51,8 @@
     pub(crate) consumer_domain: &'a FailureDomain,
     /// Regions that failed this stage already.
     pub(crate) avoided_regions: &'a [Region],
+    /// Regions that are allowed.
+    pub(crate) homes: &'a Homes,
 }
 
 impl PoolBacklogs {
@@ -82,16 +84,17 @@
         }
     }
 
-    /// Shortest wait among the regions of a pool.
+    /// Shortest wait among the allowed regions of a pool.
     pub(crate) fn shortest_wait_ms(
         &self,
         now: TimeMs,
         table: &EndpointTable,
         settings: &PathSettings,
         pool: &PoolId,
+        homes: &Homes,
     ) -> Option<f64> {
         let waits =
-            endpoints_by_region(table, settings, pool).into_keys().map(|region| self.wait_ms(now, pool, region));
+            endpoints_by_region(table, settings, pool, homes).into_keys().map(|region| self.wait_ms(now, pool, region));
         waits.min_by(f64::total_cmp)
     }
 
@@ -115,7 +118,7 @@
         report.requested_ms += work_ms / endpoints.max(1) as f64;
     }
 
-    /// Chooses the cheapest region and returns it with its number of endpoints. Avoided regions are chosen only if
+    /// Chooses the cheapest allowed region and returns it with its number of endpoints. Avoided regions are chosen only if
     /// no other one has endpoints.
     pub(crate) fn choose(
         &self,
@@ -124,7 +127,7 @@
         settings: &PathSettings,
         demand: &StageDemand<'_>,
     ) -> Option<(Region, usize)> {
-        let regions = endpoints_by_region(table, settings, demand.pool);
+        let regions = endpoints_by_region(table, settings, demand.pool, demand.homes);
         let cost_ms = |region: &Region| self.cost_ms(now, settings, demand, region);
         let cheapest_region = |is_allowed: &dyn Fn(&Region) -> bool| {
             let candidates = regions.iter().filter(|(region, _)| is_allowed(region));
@@ -149,14 +152,16 @@
     }
 }
 
-/// Number of endpoints of a pool in each region.
+/// Number of endpoints of a pool in each allowed region.
 fn endpoints_by_region<'a>(
     table: &EndpointTable,
     settings: &'a PathSettings,
     pool: &PoolId,
+    homes: &Homes,
 ) -> BTreeMap<&'a Region, usize> {
     let mut regions = BTreeMap::new();
-    for known in table.serving(pool) {
+    let places = homes.places(settings);
+    for known in table.serving(pool).filter(|known| places.allows_endpoint(known)) {
         *regions.entry(settings.region_of(&known.endpoint.failure_domain)).or_insert(0) += 1;
     }
     regions
--- a/crates/boragepass_path/src/reducer/arrivals.rs
+++ b/crates/boragepass_path/src/reducer/arrivals.rs
@@ -1,8 +1,6 @@
 //! Arrival of a request: finds its route, workspace and pool, and admits it unless the forecast says that it
 //! would miss its deadline.
 
-use std::sync::Arc;
-
 use boragepass_types::{PoolId, SpanMs, TimeMs, WorkspaceId, rendezvous_weight};
 
 use super::RequestPath;
@@ -10,7 +8,7 @@
 use crate::configuration::{Configuration, Route};
 use crate::effect::{Answer, Effect};
 use crate::event::{Arrival, PromptPart};
-use crate::placement::{RequestRequirements, choose_endpoint};
+use crate::placement::{Homes, RequestRequirements, choose_endpoint};
 use crate::record::Record;
 use crate::request::{Phase, RequestNumber, RequestState, StreamVersion};
 use crate::stages::StageProgress;
@@ -57,6 +55,9 @@
                         )
                         .number("retry_after_ms", retry_after_ms.unwrap_or_default().0),
                 );
+                if reason == RefusalReason::NoHomeEndpoint {
+                    self.log_refused_arrival_homes(&arrival);
+                }
                 let answer = Answer { status: reason.status(), retry_after_ms, reason };
                 self.effects.push(Effect::Respond(request, answer));
             }
@@ -74,6 +75,9 @@
             .text("prompt_parts", prompt_part_ids(&arrival.prompt))
             .text("content", arrival.digest)
             .text("is_relayed", arrival.is_relayed);
+        if state.homes.is_restricted() {
+            record = record.text("homes", state.homes.names());
+        }
         if let Some(stream) = &arrival.resumed_stream {
             record = record.text("resumed_stream", stream);
         }
@@ -94,14 +98,20 @@
         let route = matching_route.map_err(|_| (RefusalReason::NoRoute, None))?.clone();
         let client = client_workspace(&configuration, &route, arrival).ok_or((RefusalReason::UnknownKey, None))?;
         let trial = self.admit_content(now, arrival)?;
-        let pool =
-            choose_pool(&route, &arrival.client_id).ok_or((RefusalReason::NoEndpoint, Some(NOT_READY_RETRY_AFTER)))?;
+        let homes = self.arriving_homes(&configuration, &route, arrival);
+        let pool = self
+            .choose_home_pool(&route, &arrival.client_id, &homes)
+            .ok_or((RefusalReason::NoEndpoint, Some(NOT_READY_RETRY_AFTER)))?;
         let stream_version = self.arriving_stream_version(now, arrival, &pool)?;
         let stages = StageProgress::new(&route.stages, &arrival.pieces);
         let time_left = arrival.deadline_ms.unwrap_or(route.timeout_ms).min(route.timeout_ms);
-        let forecast = self.forecast(now, &configuration, &pool, &stages, arrival);
+        let forecast = self.forecast(now, &configuration, &pool, &stages, arrival, &homes);
         // The VM that a partitioned one relays to makes the forecast.
-        if !self.is_to_be_relayed(now, arrival) && forecast.misses_deadline(time_left) {
+        let is_to_be_relayed = self.is_to_be_relayed(now, arrival, &homes);
+        if !is_to_be_relayed && self.is_refused_by_homes(now, &pool, &stages, &homes) {
+            return Err((RefusalReason::NoHomeEndpoint, Some(self.home_retry_after())));
+        }
+        if !is_to_be_relayed && forecast.misses_deadline(time_left) {
             let retry_after_ms = crate::admission::retry_after(forecast.excess_ms(time_left), &mut self.rng);
             return Err((RefusalReason::Overload, Some(retry_after_ms)));
         }
@@ -121,6 +131,7 @@
             rank: u16::from(client.priority) * RANKS_PER_WORKSPACE_PRIORITY
                 + u16::from(route.priority).min(RANKS_PER_WORKSPACE_PRIORITY - 1),
             workspace: client.workspace,
+            homes,
             configuration,
             pool,
             stages,
@@ -146,9 +157,16 @@
         pool: &PoolId,
         stages: &StageProgress,
         arrival: &Arrival,
+        homes: &Homes,
     ) -> Forecast {
         let stage_waits_ms = (0..stages.len()).filter(|stage| !stages.is_stage_done(*stage)).filter_map(|stage| {
-            self.pool_backlogs.shortest_wait_ms(now, &self.endpoint_table, &self.settings, &stages.spec(stage).pool)
+            self.pool_backlogs.shortest_wait_ms(
+                now,
+                &self.endpoint_table,
+                &self.settings,
+                &stages.spec(stage).pool,
+                homes,
+            )
         });
         let requirements = RequestRequirements {
             pool,
@@ -157,6 +175,7 @@
             input_bytes: &[],
             excluded: &[],
             stream_version: &StreamVersion::NotBegun,
+            places: homes.places(&self.settings),
         };
         let chosen_endpoint = choose_endpoint(&self.endpoint_table, &self.settings, now, &requirements);
         Forecast::from_backlog(Backlog {
@@ -217,15 +236,15 @@
     }
 }
 
-/// Chooses a pool of a route by weight. The choice is a hash of the request id, so a retried request gets the
+/// Chooses one of the weighted pools by weight. The choice is a hash of the request id, so a retried request gets the
 /// same pool.
-fn choose_pool(route: &Arc<Route>, client_id: &str) -> Option<PoolId> {
-    let total: u64 = route.weighted_pools.iter().map(|(_, weight)| u64::from(*weight)).sum();
+pub(super) fn choose_pool(weighted_pools: &[(PoolId, u32)], client_id: &str) -> Option<PoolId> {
+    let total: u64 = weighted_pools.iter().map(|(_, weight)| u64::from(*weight)).sum();
     if total == 0 {
-        return route.weighted_pools.first().map(|(pool, _)| pool.clone());
+        return weighted_pools.first().map(|(pool, _)| pool.clone());
     }
     let mut offset = rendezvous_weight("split", client_id) % total;
-    for (pool, weight) in &route.weighted_pools {
+    for (pool, weight) in weighted_pools {
         if offset < u64::from(*weight) {
             return Some(pool.clone());
         }
--- a/crates/boragepass_path/src/reducer/endings.rs
+++ b/crates/boragepass_path/src/reducer/endings.rs
@@ -35,7 +35,8 @@
         let capacity_in = match reason {
             // The client's next request may go to the endpoints that this one was sent to.
             RefusalReason::LimitedByEndpoints => {
-                self.endpoint_table.accepts_in(now, &state.pool, &[], &state.stream_version)
+                let places = state.homes.places(&self.settings);
+                self.endpoint_table.accepts_in(now, &state.pool, &[], &state.stream_version, places)
             }
             RefusalReason::CrashesEndpoints => match self.crash_tracker.verdict(now, &state.arrival) {
                 ContentVerdict::Refused(refused_for) => Some(refused_for),
@@ -53,6 +54,9 @@
             .number("left_ms", state.time_left(now).0);
         let is_refusal = reason.status() == 503;
         self.log(record);
+        if reason == RefusalReason::NoHomeEndpoint {
+            self.log_home_refusal(request);
+        }
         let retry_after_ms = is_refusal.then(|| retry_after(capacity_in, &mut self.rng));
         let answer = Answer { status: reason.status(), retry_after_ms, reason };
         self.effects.push(Effect::Respond(request, answer));
--- a/crates/boragepass_path/src/reducer/mod.rs
+++ b/crates/boragepass_path/src/reducer/mod.rs
@@ -2,13 +2,14 @@
 //!
 //! This file holds the state, readiness, and the drain of a stopping process. The submodules hold the flows:
 //! arrival and admission (`arrivals`), stages of this VM's requests (`stage_flow`), pools that this VM leads
-//! (`leading`), sends to endpoints (`sends`), contents that crash them (`crashes`), software versions that begin
+//! (`leading`), sends to endpoints (`sends`), home regions (`homes`), contents that crash them (`crashes`), software versions that begin
 //! streams (`stream_versions`) and those that pools had (`version_record`), what endpoints state in replies (`signals`), the loss of all links to endpoints
 //! (`reach`), requests relayed to other VMs (`relays`), ends of requests (`endings`), and other VMs (`peers`).
 
 mod arrivals;
 mod crashes;
 mod endings;
+mod homes;
 mod leading;
 mod peers;
 mod reach;
@@ -34,7 +35,8 @@
 use crate::fleet::{Fleet, VmState, VmSummary};
 use crate::message::PieceRequestId;
 use crate::placement::{
-    Endpoint, EndpointReach, EndpointTable, EndpointUpdate, PoolBacklogs, SharedEndpoint, StoreVersion, VersionHistory,
+    Endpoint, EndpointReach, EndpointTable, EndpointUpdate, Homes, PoolBacklogs, SharedEndpoint, StoreVersion,
+    VersionHistory,
 };
 use crate::record::Record;
 use crate::request::{CallNumber, RequestNumber, RequestState, SendNumber, StreamVersions};
@@ -42,6 +44,7 @@
 use crate::settings::PathSettings;
 use crate::stages::Pool;
 use crate::timers::{Timer, Timers};
+use homes::homes_of_host;
 use version_record::VersionRecording;
 
 /// Interval at which expired entries are dropped.
@@ -238,7 +241,22 @@
         if self.configuration.is_none() {
             return Vec::new();
         }
-        self.fleet.client_addresses(now, region, domain)
+        self.fleet.client_addresses(now, region, domain, &Homes::default())
+    }
+
+    /// Addresses for a client in a region and failure domain that sends requests to a host: those of its region, or of the
+    /// home regions of the host's routes, if any other VM must not get the requests; none before this VM has a configuration.
+    pub fn host_addresses(
+        &self,
+        now: TimeMs,
+        host: &str,
+        region: Option<&Region>,
+        domain: Option<&FailureDomain>,
+    ) -> Vec<SocketAddr> {
+        let Some(configuration) = &self.configuration else {
+            return Vec::new();
+        };
+        self.fleet.client_addresses(now, region, domain, &homes_of_host(configuration, host))
     }
 
     fn on_timer(&mut self, now: TimeMs, timer: Timer) {
@@ -346,6 +364,7 @@
         self.configuration = Some(configuration);
         self.schedule_state_share(now);
         self.update_readiness(now);
+        self.apply_new_homes(now);
     }
 
     /// Starts serving once both configuration and endpoints are known.
--- a/crates/boragepass_path/src/reducer/relays.rs
+++ b/crates/boragepass_path/src/reducer/relays.rs
@@ -11,6 +11,7 @@
 use crate::effect::{Effect, RelayTarget};
 use crate::event::{Arrival, Progress, ReplyHead, SendFailure};
 use crate::fleet::relay_vm;
+use crate::placement::Homes;
 use crate::record::Record;
 use crate::request::{Phase, RelayedSend, RequestNumber, SendNumber};
 
@@ -19,10 +20,10 @@
 
 impl RequestPath {
     /// Whether an arriving request goes to another VM.
-    pub(super) fn is_to_be_relayed(&self, now: TimeMs, arrival: &Arrival) -> bool {
+    pub(super) fn is_to_be_relayed(&self, now: TimeMs, arrival: &Arrival, homes: &Homes) -> bool {
         self.endpoint_reach.is_partitioned()
             && !arrival.is_relayed
-            && relay_vm(&self.fleet, now, &arrival.client_id, &[]).is_some()
+            && relay_vm(&self.fleet, now, &arrival.client_id, &[], homes).is_some()
     }
 
     /// Relays a request to another VM if this one reaches no endpoint; returns whether it did.
@@ -34,7 +35,7 @@
             return false;
         };
         let client_id = state.arrival.client_id.clone();
-        let vm = relay_vm(&self.fleet, now, &client_id, &state.relay_vms).map(|record| {
+        let vm = relay_vm(&self.fleet, now, &client_id, &state.relay_vms, &state.homes).map(|record| {
             let target = RelayTarget { vm: record.vm.clone(), address: record.relay_address };
             (record.vm.clone(), target)
         });
--- a/crates/boragepass_path/src/reducer/sends.rs
+++ b/crates/boragepass_path/src/reducer/sends.rs
@@ -48,7 +48,7 @@
             self.fail_request(now, request, RefusalReason::CrashesEndpoints);
             return;
         }
-        if self.relay_if_partitioned(now, request) {
+        if self.relay_if_partitioned(now, request) || self.leave_former_homes(now, request) {
             return;
         }
         let Some(state) = self.requests.get(&request).filter(|state| !matches!(state.phase, Phase::Answered)) else {
@@ -63,8 +63,10 @@
             input_bytes: &input_bytes,
             excluded: &state.tried_endpoints,
             stream_version: &state.stream_version,
+            places: state.homes.places(&self.settings),
         };
-        let Some(choice) = choose_endpoint(&self.endpoint_table, &self.settings, now, &requirements) else {
+        let choice = choose_endpoint(&self.endpoint_table, &self.settings, now, &requirements);
+        let Some(choice) = choice.filter(|_| !self.are_homes_down(now, &state.pool, &state.homes)) else {
             let reason = self.unsent_reason(now, state);
             if !self.waits_for_endpoint(now, request) {
                 self.fail_request(now, request, reason);
@@ -76,6 +78,9 @@
 
     /// Why no endpoint of its pool can take a request.
     fn unsent_reason(&self, now: TimeMs, state: &RequestState) -> RefusalReason {
+        if self.do_homes_exclude(now, state) {
+            return RefusalReason::NoHomeEndpoint;
+        }
         match &state.stream_version {
             StreamVersion::Begun(version) if !self.endpoint_table.serves_software_version(&state.pool, version) => {
                 return RefusalReason::NoEndpointOfVersion;
@@ -99,7 +104,11 @@
             return false;
         };
         let (excluded, stream_version) = (&state.tried_endpoints, &state.stream_version);
-        let Some(wait) = self.endpoint_table.accepts_in(now, &state.pool, excluded, stream_version) else {
+        if self.are_homes_down(now, &state.pool, &state.homes) {
+            return false;
+        }
+        let places = state.homes.places(&self.settings);
+        let Some(wait) = self.endpoint_table.accepts_in(now, &state.pool, excluded, stream_version, places) else {
             return false;
         };
         let wait = wait.max(ENDPOINT_WAIT_MIN);
@@ -228,10 +237,11 @@
             return;
         };
         let (tried_endpoints, may_be_offered) = (&state.tried_endpoints, state.may_be_offered());
-        let stream_version = &state.stream_version;
+        let (stream_version, places) = (&state.stream_version, state.homes.places(&self.settings));
         let has_alternative = self.endpoint_table.serving(&state.pool).any(|known_endpoint| {
             !tried_endpoints.contains(&known_endpoint.endpoint.id)
                 && stream_version.allows(known_endpoint.software_version())
+                && places.allows_endpoint(known_endpoint)
                 && !known_endpoint.is_ejected(now)
                 && known_endpoint.accepts(now)
         });
--- a/crates/boragepass_path/src/reducer/stage_flow.rs
+++ b/crates/boragepass_path/src/reducer/stage_flow.rs
@@ -7,7 +7,7 @@
 use crate::admission::RefusalReason;
 use crate::effect::Effect;
 use crate::event::PieceOutcome;
-use crate::fleet::pool_leader;
+use crate::fleet::home_pool_leader;
 use crate::message::{PeerMessage, PieceRequest, PieceRequestId, PieceResult, StageInputs};
 use crate::placement::{RequestRequirements, StageDemand, choose_endpoint, prefill_ms};
 use crate::record::Record;
@@ -66,16 +66,18 @@
             input_bytes: &input_bytes,
             consumer_domain: &consumer_domain,
             avoided_regions: state.stages.avoided_regions(stage),
+            homes: &state.homes,
         };
         let chosen = self.pool_backlogs.choose(now, &self.endpoint_table, &self.settings, &demand);
         let Some((region, endpoints)) = chosen else {
-            self.fail_request(now, request, RefusalReason::NoEndpoint);
+            let reason = self.unplaced_stage_reason(&spec.pool, &state.homes);
+            self.fail_request(now, request, reason);
             return false;
         };
         self.pool_backlogs.record_piece_request(now, &demand, &region, endpoints);
         let local_vm = self.settings.vm.clone();
         let leader = match self.settings.batching {
-            Batching::Led => pool_leader(&self.fleet, now, &spec.pool, &region),
+            Batching::Led => home_pool_leader(&self.fleet, now, &spec.pool, &region, &state.homes),
             Batching::Alone => None,
         };
         let leader = leader.filter(|leader| Some(leader) != avoided_leader);
@@ -148,6 +150,7 @@
             input_bytes: &[],
             excluded: &[],
             stream_version: &state.stream_version,
+            places: state.homes.places(&self.settings),
         };
         let choice = choose_endpoint(&self.endpoint_table, &self.settings, now, &requirements);
         let known_endpoint = choice.and_then(|choice| self.endpoint_table.get(&choice.endpoint));
@@ -194,7 +197,14 @@
         let leader = &sent_piece_request.leader;
         // If no VM reaches endpoints, the leader is the same as before.
         let is_unable = !self.fleet.does_reach_endpoints(leader)
-            && pool_leader(&self.fleet, now, &state.stages.spec(stage).pool, &sent_piece_request.region).as_ref()
+            && home_pool_leader(
+                &self.fleet,
+                now,
+                &state.stages.spec(stage).pool,
+                &sent_piece_request.region,
+                &state.homes,
+            )
+            .as_ref()
                 != Some(leader);
         let is_lost = *leader != self.settings.vm && (is_unresponsive || !self.fleet.is_live(now, leader));
         if is_lost || is_unable {
@@ -238,7 +248,7 @@
     /// Whether a request whose stages are in progress would miss its deadline by the forecast.
     fn will_miss_deadline(&self, now: TimeMs, state: &RequestState) -> bool {
         let stages = &state.stages;
-        let forecast = self.forecast(now, &state.configuration, &state.pool, stages, &state.arrival);
+        let forecast = self.forecast(now, &state.configuration, &state.pool, stages, &state.arrival, &state.homes);
         forecast.misses_deadline(state.time_left(now))
     }
 
@@ -260,7 +270,7 @@
         let current_wait_ms = self.pool_backlogs.wait_ms(now, &spec.pool, &sent_piece_request.region);
         let shortest_wait_ms = self
             .pool_backlogs
-            .shortest_wait_ms(now, &self.endpoint_table, &self.settings, &spec.pool)
+            .shortest_wait_ms(now, &self.endpoint_table, &self.settings, &spec.pool, &state.homes)
             .unwrap_or(current_wait_ms);
         current_wait_ms > shortest_wait_ms + REGION_MOVE_GAIN_MS
     }
@@ -350,7 +360,12 @@
             return;
         };
         state.stages.avoid_region(stage, sent_piece_request.region.clone());
-        if state.stages.avoided_regions(stage).len() >= REGIONS_PER_STAGE_MAX {
+        let avoided_count = state.stages.avoided_regions(stage).len();
+        if reason == RefusalReason::NoEndpoint && self.are_homes_avoided(request, stage) {
+            self.fail_request(now, request, RefusalReason::NoHomeEndpoint);
+            return;
+        }
+        if avoided_count >= REGIONS_PER_STAGE_MAX {
             self.fail_request(now, request, reason);
             return;
         }
--- a/crates/boragepass_path/src/request/state.rs
+++ b/crates/boragepass_path/src/request/state.rs
@@ -7,6 +7,7 @@
 use super::{BeginningVersion, SendNumber, StreamVersion};
 use crate::configuration::{Configuration, Route};
 use crate::event::{Arrival, EventId};
+use crate::placement::Homes;
 use crate::stages::StageProgress;
 
 /// Largest number of endpoints to which one request is offered, including those that reject it.
@@ -73,6 +74,8 @@
     pub(crate) route: Arc<Route>,
     pub(crate) configuration: Arc<Configuration>,
     pub(crate) workspace: Option<WorkspaceId>,
+    /// Regions in which it may be served.
+    pub(crate) homes: Homes,
     pub(crate) rank: u16,
     pub(crate) pool: PoolId,
     pub(crate) stages: StageProgress,
