A waiting request keeps to its former home regions rather than be relayed

Cause: the VM that a partitioned one relays to knows only the home regions of the configuration in force, so a request that came under a former one could be served outside of that one's homes. It is refused as not run instead.

--- a/crates/boragepass_path/src/reducer/arrivals.rs
+++ b/crates/boragepass_path/src/reducer/arrivals.rs
@@ -132,6 +132,7 @@
                 + u16::from(route.priority).min(RANKS_PER_WORKSPACE_PRIORITY - 1),
             workspace: client.workspace,
             homes,
+            has_former_homes: false,
             configuration,
             pool,
             stages,
--- a/crates/boragepass_path/src/reducer/homes.rs
+++ b/crates/boragepass_path/src/reducer/homes.rs
@@ -164,7 +164,9 @@
                 continue;
             };
             let workspace = state.arrival.key.as_ref().and_then(|key| configuration.workspace_of(key));
-            let homes = state.homes.and(&Homes::of(route, workspace));
+            let new_homes = Homes::of(route, workspace);
+            let homes = state.homes.and(&new_homes);
+            state.has_former_homes = homes != new_homes;
             if homes != state.homes {
                 state.homes = homes;
                 narrowed.push(*request);
--- a/crates/boragepass_path/src/reducer/relays.rs
+++ b/crates/boragepass_path/src/reducer/relays.rs
@@ -34,6 +34,11 @@
         let Some(state) = self.requests.get(&request).filter(|state| state.may_be_relayed()) else {
             return false;
         };
+        if state.has_former_homes {
+            // The other VM would know only the home regions of the configuration in force.
+            self.fail_request(now, request, RefusalReason::NoHomeEndpoint);
+            return true;
+        }
         let client_id = state.arrival.client_id.clone();
         let vm = relay_vm(&self.fleet, now, &client_id, &state.relay_vms, &state.homes).map(|record| {
             let target = RelayTarget { vm: record.vm.clone(), address: record.relay_address };
--- a/crates/boragepass_path/src/request/state.rs
+++ b/crates/boragepass_path/src/request/state.rs
@@ -76,6 +76,8 @@
     pub(crate) workspace: Option<WorkspaceId>,
     /// Regions in which it may be served.
     pub(crate) homes: Homes,
+    /// Whether `homes` differs from what this VM's configuration in force states for it.
+    pub(crate) has_former_homes: bool,
     pub(crate) rank: u16,
     pub(crate) pool: PoolId,
     pub(crate) stages: StageProgress,
