--- a/crates/boragepass_path/src/admission/refusal.rs
+++ b/crates/boragepass_path/src/admission/refusal.rs
@@ -37,6 +37,9 @@
     /// The VM starts and does not know yet which failure domains are evacuated.
     #[display("evacuations not known yet")]
     EvacuationsUnknown,
+    /// No endpoint in a home region of its route and workspace can serve it.
+    #[display("no endpoint in a home region")]
+    NoHomeEndpoint,
     /// No endpoint of the software version that began its stream serves.
     #[display("no endpoint of the stream's version")]
     NoEndpointOfVersion,
@@ -83,6 +86,7 @@
             | Self::NoEndpoint
             | Self::EndpointsEvacuated
             | Self::EvacuationsUnknown
+            | Self::NoHomeEndpoint
             | Self::NoEndpointOfVersion
             | Self::StreamVersionUnknown
             | Self::EndpointsFull
--- a/crates/boragepass_path/src/lib.rs
+++ b/crates/boragepass_path/src/lib.rs
@@ -46,7 +46,7 @@
     PieceRequestId, PieceResult, PoolLoad, ProcessStatement, ResultHandle, StageInputs,
 };
 pub use placement::{
-    Endpoint, EndpointUpdate, EvacuationSource, Evacuations, RecordedVersions, SharedEndpoint, StoreVersion,
+    Endpoint, EndpointUpdate, EvacuationSource, Evacuations, Homes, RecordedVersions, SharedEndpoint, StoreVersion,
 };
 pub use record::{Record, RecordValue};
 pub use reducer::RequestPath;
--- a/crates/boragepass_path/src/reducer/mod.rs
+++ b/crates/boragepass_path/src/reducer/mod.rs
@@ -12,6 +12,7 @@
 mod crashes;
 mod endings;
 mod evacuations;
+mod homes;
 mod leading;
 mod peers;
 mod reach;
@@ -38,7 +39,7 @@
 use crate::fleet::{Fleet, VmState, VmSummary};
 use crate::message::PieceRequestId;
 use crate::placement::{
-    Endpoint, EndpointReach, EndpointTable, EndpointUpdate, EvacuationSource, PoolBacklogs, SharedEndpoint,
+    Endpoint, EndpointReach, EndpointTable, EndpointUpdate, EvacuationSource, Homes, PoolBacklogs, SharedEndpoint,
     StoreVersion, VersionHistory,
 };
 use crate::record::Record;
@@ -47,6 +48,7 @@
 use crate::settings::PathSettings;
 use crate::stages::Pool;
 use crate::timers::{Timer, Timers};
+use homes::homes_of_host;
 use stream_record::StreamRecording;
 use version_record::VersionRecording;
 
@@ -249,7 +251,22 @@
         if self.configuration.is_none() {
             return Vec::new();
         }
-        self.fleet.client_addresses(now, region, domain)
+        self.fleet.client_addresses(now, region, domain, &Homes::default())
+    }
+
+    /// Addresses for a client in a region and failure domain that sends requests to a host: those of its region, or of the
+    /// home regions of the host's routes, if any other VM must not get the requests; none before this VM has a configuration.
+    pub fn host_addresses(
+        &self,
+        now: TimeMs,
+        host: &str,
+        region: Option<&Region>,
+        domain: Option<&FailureDomain>,
+    ) -> Vec<SocketAddr> {
+        let Some(configuration) = &self.configuration else {
+            return Vec::new();
+        };
+        self.fleet.client_addresses(now, region, domain, &homes_of_host(configuration, host))
     }
 
     fn on_timer(&mut self, now: TimeMs, timer: Timer) {
@@ -360,6 +377,7 @@
         self.configuration = Some(configuration);
         self.schedule_state_share(now);
         self.update_readiness(now);
+        self.apply_new_homes(now);
     }
 
     /// Starts serving once configuration, endpoints and evacuated failure domains are known.
