Cold endpoints get a shared, fixed rate from a few VMs

Cause: an endpoint that has just started tolerates coldRateS requests a second and crashes well above that, and each VM filled an endpoint that came back empty by itself.

Change: placement/cold_start.rs keeps the cold period of an endpoint (from its entry, its replies, other VMs, or assumed after it was found down) and this VM's token bucket; fleet/cold_sharing.rs chooses the sharing VMs from those that are known, dead ones included; stage pools are shared by the first three VMs in the order of leaders. While cold, an endpoint is the last choice if others serve within the objective. VMs pass on the time left in section 4 of heartbeats and of shared state; no frame changes. Log lines, gauge boragepass_cold_endpoints. The model's endpoints turn cold at a start, its ledger counts their requests from all VMs, and the property test draws cold returns and splits of the VMs.

--- a/crates/boragepass_entry/src/driver.rs
+++ b/crates/boragepass_entry/src/driver.rs
@@ -232,7 +232,7 @@
             Effect::SendPeerMessage(vm, address, message) => self.peers.send_message(&vm, address, &message),
             Effect::SendPeerDatagram(_, address, message) => self.peers.send_datagram(address, &message),
             Effect::ShareState { vm, address, with_configuration } => {
-                self.peers.share_state(&vm, address, &self.path.borrow(), with_configuration);
+                self.peers.share_state(self.clock.now(), &vm, address, &self.path.borrow(), with_configuration);
             }
             Effect::FollowStore(follows) => self.follows_store.set(follows),
             Effect::RegisterVm => {
--- a/crates/boragepass_entry/src/lib.rs
+++ b/crates/boragepass_entry/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod answer_body;
 mod client_server;
+mod cold_section;
 mod connections;
 mod driver;
 mod http_io;
--- a/crates/boragepass_entry/src/metrics.rs
+++ b/crates/boragepass_entry/src/metrics.rs
@@ -14,6 +14,7 @@
     refusals: IntCounterVec,
     latencies: HistogramVec,
     in_progress: IntGauge,
+    cold_endpoints: IntGauge,
     dropped_lines: IntGauge,
 }
 
@@ -30,14 +31,16 @@
             HistogramOpts::new("boragepass_time_seconds", "times by what ended").buckets(BUCKETS_S.to_vec());
         let latencies = HistogramVec::new(latency_options, &["what"])?;
         let in_progress = IntGauge::new("boragepass_requests_in_progress", "requests in progress")?;
+        let cold_endpoints = IntGauge::new("boragepass_cold_endpoints", "endpoints that are cold after their start")?;
         let dropped_lines = IntGauge::new("boragepass_log_lines_dropped", "lines of the log that were dropped")?;
         let registry = Registry::new();
         registry.register(Box::new(records.clone()))?;
         registry.register(Box::new(refusals.clone()))?;
         registry.register(Box::new(latencies.clone()))?;
         registry.register(Box::new(in_progress.clone()))?;
+        registry.register(Box::new(cold_endpoints.clone()))?;
         registry.register(Box::new(dropped_lines.clone()))?;
-        Ok(Self { registry, records, refusals, latencies, in_progress, dropped_lines })
+        Ok(Self { registry, records, refusals, latencies, in_progress, cold_endpoints, dropped_lines })
     }
 
     /// Counts a record by its kind and its reason, and observes the times it states.
@@ -57,8 +60,9 @@
     }
 
     /// Encodes all metrics as text.
-    pub(crate) fn encode(&self, in_progress: usize, dropped_lines: u64) -> Vec<u8> {
+    pub(crate) fn encode(&self, in_progress: usize, cold_endpoints: usize, dropped_lines: u64) -> Vec<u8> {
         self.in_progress.set(in_progress as i64);
+        self.cold_endpoints.set(cold_endpoints as i64);
         self.dropped_lines.set(dropped_lines as i64);
         let mut text = Vec::new();
         if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
--- a/crates/boragepass_entry/src/pages.rs
+++ b/crates/boragepass_entry/src/pages.rs
@@ -47,8 +47,9 @@
 /// Shows the metrics, on any path.
 pub(crate) fn metrics(driver: Rc<Driver>) -> impl Fn(&Request<Incoming>) -> Page {
     move |_| {
-        let in_progress = driver.with_path(|path, _| path.in_progress());
-        Page::text(StatusCode::OK, driver.metrics.encode(in_progress, driver.log.dropped_lines()))
+        let (in_progress, cold_endpoints) =
+            driver.with_path(|path, now| (path.in_progress(), path.cold_endpoints(now).len()));
+        Page::text(StatusCode::OK, driver.metrics.encode(in_progress, cold_endpoints, driver.log.dropped_lines()))
     }
 }
 
--- a/crates/boragepass_entry/src/peer_sections.rs
+++ b/crates/boragepass_entry/src/peer_sections.rs
@@ -4,21 +4,26 @@
 //! content's layout; another layout gets another tag. The build of the first landing with format 8 ignores all that
 //! follows a frame, so sections need no other format.
 
-use boragepass_path::ProcessStatement;
+use boragepass_path::{ColdReport, ProcessStatement};
 use boragepass_types::Hash64;
 
+use crate::cold_section::{decode_cold, encode_cold};
 use crate::peer_wire::PeerWireError;
 
 /// What the sender's process runs: revision of messages, digest of its settings, and number of times that it read them.
 const PROCESS_TAG: u16 = 1;
+/// Cold endpoints, in heartbeats and behind shared endpoints.
+const COLD_TAG: u16 = 4;
 const HEADER_BYTES: usize = 6;
 const PROCESS_BYTES: usize = 16;
 
 /// Sections that this build reads.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Sections {
     /// What the sender's process runs.
     pub process: Option<ProcessStatement>,
+    /// Cold endpoints.
+    pub cold_endpoints: Vec<ColdReport>,
 }
 
 impl Sections {
@@ -31,6 +36,12 @@
             bytes.extend(process.settings_digest.0.to_le_bytes());
             bytes.extend(process.settings_reads.to_le_bytes());
         }
+        if !self.cold_endpoints.is_empty() {
+            let content = encode_cold(&self.cold_endpoints);
+            bytes.extend(COLD_TAG.to_le_bytes());
+            bytes.extend((content.len() as u32).to_le_bytes());
+            bytes.extend(content);
+        }
     }
 
     /// Decodes all sections; unknown ones are skipped.
@@ -40,8 +51,10 @@
             let (header, rest) = bytes.split_first_chunk::<HEADER_BYTES>().ok_or_else(cut_off)?;
             let [tag_low, tag_high, len @ ..] = *header;
             let (content, rest) = rest.split_at_checked(u32::from_le_bytes(len) as usize).ok_or_else(cut_off)?;
-            if u16::from_le_bytes([tag_low, tag_high]) == PROCESS_TAG {
-                sections.process = Some(decode_process(content)?);
+            match u16::from_le_bytes([tag_low, tag_high]) {
+                PROCESS_TAG => sections.process = Some(decode_process(content)?),
+                COLD_TAG => sections.cold_endpoints = decode_cold(content)?,
+                _ => {}
             }
             bytes = rest;
         }
--- a/crates/boragepass_entry/src/peer_wire.rs
+++ b/crates/boragepass_entry/src/peer_wire.rs
@@ -303,6 +303,7 @@
                 .map(|(vm, address)| Ok((parse_field(&vm)?, address)))
                 .collect::<Result<_, PeerWireError>>()?,
             process: None,
+            cold_endpoints: Vec::new(),
         })
     }
 }
--- a/crates/boragepass_entry/src/peers.rs
+++ b/crates/boragepass_entry/src/peers.rs
@@ -12,7 +12,7 @@
 use async_std::task;
 use boragepass_path::{EndpointUpdate, Event, PeerMessage, Record, RequestPath};
 use boragepass_server::{Identity, Inbox, PeerLinks, Tasks, serve_peers};
-use boragepass_types::{AccessKey, Incarnation, VmId};
+use boragepass_types::{AccessKey, Incarnation, TimeMs, VmId};
 use bytes::Bytes;
 
 use crate::driver::Driver;
@@ -78,11 +78,13 @@
     pub(crate) fn send_datagram(&self, address: SocketAddr, message: &PeerMessage) {
         let mut last_encoded = self.last_encoded_datagram.borrow_mut();
         if last_encoded.as_ref().is_none_or(|(encoded_message, _)| encoded_message != message) {
-            let process = match message {
-                PeerMessage::Heartbeat(heartbeat) => heartbeat.process,
-                _ => None,
+            let sections = match message {
+                PeerMessage::Heartbeat(heartbeat) => {
+                    Sections { process: heartbeat.process, cold_endpoints: heartbeat.cold_endpoints.clone() }
+                }
+                _ => Sections::default(),
             };
-            *last_encoded = Some((message.clone(), encode(&self.datagram_frame(message), &Sections { process })));
+            *last_encoded = Some((message.clone(), encode(&self.datagram_frame(message), &sections)));
         }
         let Some((_, bytes)) = last_encoded.as_ref() else {
             return;
@@ -103,7 +105,14 @@
     }
 
     /// Sends another VM the known endpoints, and the configuration if `with_configuration` is set.
-    pub(crate) fn share_state(&self, vm: &VmId, address: SocketAddr, path: &RequestPath, with_configuration: bool) {
+    pub(crate) fn share_state(
+        &self,
+        now: TimeMs,
+        vm: &VmId,
+        address: SocketAddr,
+        path: &RequestPath,
+        with_configuration: bool,
+    ) {
         let state = WireState {
             configuration: self
                 .configuration
@@ -114,7 +123,8 @@
             endpoints: path.shared_endpoints().map(|shared| (&shared).into()).collect(),
             endpoints_version: path.endpoints_version().into(),
         };
-        self.links.send_encoded(vm, address, &encode(&WireFrame::State(state), &Sections::default()));
+        let sections = Sections { cold_endpoints: path.cold_endpoints(now), ..Sections::default() };
+        self.links.send_encoded(vm, address, &encode(&WireFrame::State(state), &sections));
     }
 }
 
@@ -168,12 +178,16 @@
         },
         WireFrame::State(state) => {
             apply_shared_state(driver, state);
+            if !sections.cold_endpoints.is_empty() {
+                driver.dispatch(Event::ColdEndpointsShared(sections.cold_endpoints));
+            }
             return;
         }
     };
     match (message, sender) {
         (Ok(PeerMessage::Heartbeat(mut heartbeat)), _) => {
             heartbeat.process = sections.process;
+            heartbeat.cold_endpoints = sections.cold_endpoints;
             let (from, incarnation) = (heartbeat.vm.vm.clone(), heartbeat.vm.incarnation);
             driver.dispatch(Event::PeerMessageReceived {
                 from,
--- a/crates/boragepass_entry/tests/over_sockets.rs
+++ b/crates/boragepass_entry/tests/over_sockets.rs
@@ -766,3 +766,53 @@
     let expected = vm.address("clients").to_string();
     assert!(addresses.body.unwrap_or_default().contains(&expected));
 }
+
+/// Starts a VM whose settings and configuration state cold starts of the pool `api`, and returns it with its store.
+fn vm_with_cold_starts(endpoints: &[Endpoint]) -> EntryVm {
+    let configuration = CONFIGURATION.replace(
+        r#""name": "api", "healthPath": "/healthz" "#,
+        r#""name": "api", "healthPath": "/healthz", "coldStartS": 5, "coldRateS": 2 "#,
+    );
+    assert!(configuration.contains("coldRateS"), "the fixture has the pool");
+    let cold_section = ("[stop]", "[cold]\noverage = 1.5\nslack = 5\n[stop]".to_owned());
+    let vm = EntryVm::start_with(store(&configuration, endpoints), &[cold_section]);
+    vm.wait_ready();
+    vm
+}
+
+fn cold_gauge(vm: &EntryVm) -> Option<u64> {
+    let text = get(vm.address("metrics"), "/metrics").body.unwrap_or_default();
+    text.lines().find_map(|line| line.strip_prefix("boragepass_cold_endpoints ")?.parse().ok())
+}
+
+/// An endpoint that comes up under a burst falls over if VMs that read its entry send it what they send others.
+#[test]
+fn an_endpoint_whose_entry_states_that_it_is_cold_gets_nothing_from_a_vm_that_just_started() {
+    let (cold_endpoint, cold_requests) = serve(|got| Some(Reply::signed(got, "cold")));
+    let entry = Endpoint { cold_left_ms: boragepass_types::SpanMs(3_000), ..endpoint("i-cold", "api", cold_endpoint) };
+    let vm = vm_with_cold_starts(&[entry]);
+    assert_eq!(cold_gauge(&vm), Some(1));
+    let answer = post(&vm, "/status/1", "r-1");
+    assert_eq!((answer.status, request_count(&cold_requests)), (503, 0));
+    assert!(answer.headers.contains_key("retry-after"));
+    wait_until("the endpoint is warm", || post(&vm, "/status/1", "r-2").status == 200);
+    assert_eq!(cold_gauge(&vm), Some(0));
+    assert!(!vm.lines_of("endpoint turned cold").is_empty());
+    // It is logged with the next heartbeat.
+    wait_until("it is logged as warm", || !vm.lines_of("endpoint turned warm").is_empty());
+}
+
+/// The entry may come late, so the header of the first reply has to stop the requests that follow.
+#[test]
+fn a_reply_that_states_that_its_endpoint_is_cold_stops_further_requests() {
+    let (cold_endpoint, cold_requests) = serve(|got| {
+        let mut reply = Reply::signed(got, "cold");
+        reply.headers.push((names::COLD_LEFT_MS, "3000".to_owned()));
+        Some(reply)
+    });
+    let vm = vm_with_cold_starts(&[endpoint("i-cold", "api", cold_endpoint)]);
+    assert_eq!(post(&vm, "/status/1", "r-1").status, 200);
+    assert_eq!(cold_gauge(&vm), Some(1));
+    assert_eq!(post(&vm, "/status/1", "r-2").status, 503);
+    assert_eq!(request_count(&cold_requests), 1);
+}
--- a/crates/boragepass_entry/tests/peer_wire.rs
+++ b/crates/boragepass_entry/tests/peer_wire.rs
@@ -6,9 +6,9 @@
 use boragepass_entry::Sections;
 use boragepass_entry::peer_wire::{WireFrame, WireState, decode, encode};
 use boragepass_path::{
-    ConfigurationVersion, ContentCrashes, DownReport, Endpoint, EndpointLimitReport, EndpointLoad, Heartbeat,
-    PeerMessage, PieceOutcome, PieceRequest, PieceRequestId, PieceResult, PoolLoad, ProcessStatement, ResultHandle,
-    SharedEndpoint, StageInputs, StoreVersion, VmRecord, VmState,
+    ColdReport, ConfigurationVersion, ContentCrashes, DownReport, Endpoint, EndpointLimitReport, EndpointLoad,
+    Heartbeat, PeerMessage, PieceOutcome, PieceRequest, PieceRequestId, PieceResult, PoolLoad, ProcessStatement,
+    ResultHandle, SharedEndpoint, StageInputs, StoreVersion, VmRecord, VmState,
 };
 use boragepass_types::{Hash64, Incarnation, Millicores, RequestRate, SpanMs, StoreEra};
 
@@ -58,6 +58,7 @@
         cleared_contents: vec![Hash64(5)],
         known_vms: vec![(id("vm-2"), address(7_002))],
         process: None,
+        cold_endpoints: Vec::new(),
     }
 }
 
@@ -158,7 +159,7 @@
 
 fn sections() -> Sections {
     let process = ProcessStatement { peer_revision: 1, settings_digest: Hash64(2), settings_reads: 3 };
-    Sections { process: Some(process) }
+    Sections { process: Some(process), ..Sections::default() }
 }
 
 #[test]
@@ -193,3 +194,20 @@
         assert!(decode(&bytes[..len]).is_err(), "{len} bytes");
     }
 }
+
+/// Cold endpoints follow the other sections and keep their layout; a cut-off one is an error.
+#[test]
+fn cold_endpoints_follow_in_a_section_of_their_own() {
+    let report = |name: &str, left_ms| ColdReport { endpoint: id(name), left_ms: SpanMs(left_ms) };
+    let sections = Sections { cold_endpoints: vec![report("e-1", 8_000), report("e-22", 1)], ..sections() };
+    let (_, frame) = frames().swap_remove(0);
+    let bytes = encode(&frame, &sections);
+    let without = encode(&frame, &self::sections()).len();
+    let content = [0x40, 0x1f, 0, 0, 3, 0, b'e', b'-', b'1', 1, 0, 0, 0, 4, 0, b'e', b'-', b'2', b'2'];
+    let header = [4, 0, content.len() as u8, 0, 0, 0];
+    assert_eq!(bytes[without..], [&header[..], &content[..]].concat());
+    assert_eq!(decode(&bytes).expect("a frame").1, sections);
+    for len in without + 1..bytes.len() {
+        assert!(decode(&bytes[..len]).is_err(), "{len} bytes");
+    }
+}
--- a/crates/boragepass_fakes/src/path_fleet/deployment.rs
+++ b/crates/boragepass_fakes/src/path_fleet/deployment.rs
@@ -6,8 +6,8 @@
 use std::sync::Arc;
 
 use boragepass_path::{
-    ApiKey, Configuration, ConfigurationVersion, Endpoint, HttpLimits, ModelPool, Repeatability, Route, Service,
-    ServiceKind, StagePool, StageSpec, Workspace,
+    ApiKey, ColdStart, Configuration, ConfigurationVersion, Endpoint, HttpLimits, ModelPool, Repeatability, Route,
+    Service, ServiceKind, StagePool, StageSpec, Workspace,
 };
 use boragepass_types::{EndpointId, FailureDomain, PoolId, Region, SpanMs};
 
@@ -446,6 +446,18 @@
         }
     }
 
+    /// Lets all pools state that their endpoints are cold for a time after their start.
+    #[must_use]
+    pub fn with_cold_starts(mut self, cold_start: ColdStart) -> Self {
+        self.services.iter_mut().for_each(|service| service.cold_start = Some(cold_start));
+        self
+    }
+
+    /// Cold starts of the endpoints of a pool.
+    pub(super) fn cold_start(&self, pool: &PoolId) -> Option<ColdStart> {
+        self.services.iter().find(|service| service.name == *pool)?.cold_start
+    }
+
     /// Configuration with a given version.
     pub fn configuration(&self, version: u64) -> Configuration {
         let limits = HttpLimits {
--- a/crates/boragepass_fakes/src/path_fleet/endpoint.rs
+++ b/crates/boragepass_fakes/src/path_fleet/endpoint.rs
@@ -9,6 +9,7 @@
 use boragepass_types::{Hash64, TimeMs};
 
 use super::brittle::Brittleness;
+use super::cold::Coldness;
 use super::leaving::LeavingAnnouncement;
 use super::pause::PausingRejections;
 use super::rate_limit::StatedLimit;
@@ -49,6 +50,8 @@
     pub(super) stated_limit: Option<StatedLimit>,
     pub(super) leaving: Option<LeavingAnnouncement>,
     pub(super) brittleness: Option<Brittleness>,
+    /// Cold periods; `None` if its pool states none.
+    pub(super) coldness: Option<Coldness>,
     pub(super) rejections: Option<PausingRejections>,
     /// Time at which the engine has prefilled all prompts so far; prompts are prefilled one after the other.
     prefill_free_at_ms: f64,
@@ -95,7 +98,7 @@
 }
 
 impl FakeEndpoint {
-    pub(super) fn new(endpoint: Endpoint, stage: Option<StagePool>) -> Self {
+    pub(super) fn new(endpoint: Endpoint, stage: Option<StagePool>, coldness: Option<Coldness>) -> Self {
         Self {
             endpoint,
             is_registered: true,
@@ -112,6 +115,7 @@
             stated_limit: None,
             leaving: None,
             brittleness: None,
+            coldness,
             rejections: None,
             prefill_free_at_ms: 0.0,
             prompt_cache: HashMap::new(),
@@ -151,6 +155,9 @@
         self.arrivals = 0;
         self.prefill_free_at_ms = 0.0;
         self.prompt_cache.clear();
+        if let Some(coldness) = &mut self.coldness {
+            coldness.begin(until);
+        }
         if let Some(stage) = &mut self.stage {
             stage.is_busy = false;
             stage.queued_calls.clear();
--- a/crates/boragepass_fakes/src/path_fleet/fleet/mod.rs
+++ b/crates/boragepass_fakes/src/path_fleet/fleet/mod.rs
@@ -4,6 +4,7 @@
 //! checks what clients and endpoints observe.
 
 mod clients;
+mod cold;
 mod harmful_part;
 mod partition;
 mod relays;
@@ -30,6 +31,7 @@
 use rand::{Rng, SeedableRng};
 
 use super::brittle::{Brittleness, FALL_MS};
+use super::cold::{Coldness, OVERAGE, SLACK};
 use super::deployment::{CLIENT_KEY, Deployment, RequestKind};
 use super::endpoint::{FakeEndpoint, QueuedCall, StageRun};
 use super::ledger::{Ending, Ledger, RequestRecord};
@@ -234,6 +236,8 @@
     is_submitting: bool,
     harmful_requests: Option<harmful_part::HarmfulRequests>,
     relays: relays::Relays,
+    /// VMs whose messages do not reach the others.
+    split_vms: BTreeSet<usize>,
     /// Share of datagrams between VMs that are lost.
     pub datagram_loss: f64,
     /// Whether clients take up streams that broke after an event.
@@ -262,7 +266,8 @@
     pub fn with_batching(deployment: Deployment, seed: u64, batching: Batching) -> Self {
         let endpoints = deployment.endpoints.iter().map(|endpoint| {
             let stage = deployment.stage_pool(&endpoint.pool);
-            (endpoint.id.clone(), FakeEndpoint::new(endpoint.clone(), stage))
+            let coldness = deployment.cold_start(&endpoint.pool).map(Coldness::new);
+            (endpoint.id.clone(), FakeEndpoint::new(endpoint.clone(), stage, coldness))
         });
         let endpoints = endpoints.collect();
         let store = store::Store::new(&deployment.endpoints);
@@ -313,6 +318,7 @@
             is_submitting: false,
             harmful_requests: None,
             relays: relays::Relays::default(),
+            split_vms: BTreeSet::new(),
             datagram_loss: 0.0,
             clients_resume_streams: false,
             break_notice_ms: resumption::RESET_NOTICE_MS,
@@ -405,7 +411,7 @@
             processor: VM_PROCESSOR,
             regions,
             retries: RetryLimits { ratio: 0.2, slack: 56.0, window_ms: SpanMs(10_000) },
-            cold_bounds: ColdBounds::default(),
+            cold_bounds: ColdBounds { overage: OVERAGE, slack: SLACK },
             stop_grace_ms: SpanMs(8_000),
             batching: self.batching,
             seed: vm.incarnation,
@@ -499,7 +505,12 @@
             EndpointFault::Crash { duration_ms, is_unresponsive } => {
                 endpoint.crash(now + SpanMs(duration_ms), is_unresponsive);
                 let generation = endpoint.generation;
+                let is_ever_cold = endpoint.coldness.is_some();
                 self.reset_connections(id, generation, is_unresponsive);
+                if is_ever_cold {
+                    // Its entry states for how long it is cold.
+                    self.schedule(now + SpanMs(duration_ms), Action::ReturnEngine(id.clone()));
+                }
             }
             EndpointFault::SlowDown(factor) => endpoint.slowness = factor,
             EndpointFault::LoseAnswers(share) => endpoint.lost_answer_share = share,
@@ -565,6 +576,7 @@
     pub fn clear_faults(&mut self) {
         self.datagram_loss = 0.0;
         self.abandon_share = 0.0;
+        self.split_vms.clear();
         for endpoint in self.endpoints.values_mut() {
             endpoint.slowness = 1.0;
             endpoint.lost_answer_share = 0.0;
@@ -827,6 +839,9 @@
         let Some(to) = self.vms.iter().position(|other| other.peer_address == address) else {
             return;
         };
+        if !self.are_linked(vm, to) {
+            return;
+        }
         let delay_ms = self.network_delay_ms(&self.vms[vm].domain, &self.vms[to].domain).max(1);
         let from = self.vms[vm].id.clone();
         let at = self.now + SpanMs(delay_ms);
@@ -838,15 +853,19 @@
         let Some(to) = self.vms.iter().position(|other| other.peer_address == address) else {
             return;
         };
-        let Some(path) = &self.vms[vm].request_path else {
+        let Some(path) = self.vms[vm].request_path.as_ref().filter(|_| self.are_linked(vm, to)) else {
             return;
         };
+        let cold = path.cold_endpoints(self.now);
         let configuration = path.configuration().cloned();
         let update = EndpointUpdate::PeerSnapshot(path.shared_endpoints().collect(), path.endpoints_version());
         if let Some(configuration) = configuration {
             self.deliver(to, REGION_DELAY_MS, Event::ConfigurationReceived(configuration));
         }
         self.deliver(to, REGION_DELAY_MS, Event::EndpointsUpdated(update));
+        if !cold.is_empty() {
+            self.deliver(to, REGION_DELAY_MS, Event::ColdEndpointsShared(cold));
+        }
     }
 
     /// What an endpoint states of itself in a reply that reaches a VM after `delay_ms`.
@@ -862,7 +881,8 @@
         });
         let is_leaving = endpoint.leaving.is_some();
         let rejections_max = endpoint.brittleness.as_ref().map(|brittleness| brittleness.rejections_max);
-        Some(EndpointSignals { rate_limit, rejections_max, is_leaving, ..EndpointSignals::default() })
+        let cold_left_ms = endpoint.coldness.as_ref().map(|coldness| coldness.left(now));
+        Some(EndpointSignals { rate_limit, rejections_max, is_leaving, cold_left_ms, ..EndpointSignals::default() })
     }
 
     /// Lets an endpoint answer a VM that asks what it states of itself.
@@ -904,6 +924,7 @@
         if let Some(endpoint) = self.endpoints.get_mut(id) {
             endpoint.arrivals += 1;
         }
+        self.check_coldness(id, client_id);
         if self.was_recently_paused(vm) {
             return;
         }
--- a/crates/boragepass_fakes/src/path_fleet/fleet/store.rs
+++ b/crates/boragepass_fakes/src/path_fleet/fleet/store.rs
@@ -135,6 +135,8 @@
             return;
         }
         endpoint.is_registered = true;
+        let cold_left_ms = endpoint.coldness.as_ref().map(|coldness| coldness.left(self.now));
+        endpoint.endpoint.cold_left_ms = cold_left_ms.unwrap_or_default();
         endpoint.removed_at = None;
         if endpoint.endpoint.is_draining {
             endpoint.drain_started_at.get_or_insert(self.now);
--- a/crates/boragepass_fakes/src/path_fleet/mod.rs
+++ b/crates/boragepass_fakes/src/path_fleet/mod.rs
@@ -4,6 +4,7 @@
 //! against a ledger of what clients and endpoints observed. All random choices come from one seed.
 
 mod brittle;
+mod cold;
 mod deployment;
 mod endpoint;
 mod fleet;
--- a/crates/boragepass_fakes/tests/path_faults.rs
+++ b/crates/boragepass_fakes/tests/path_faults.rs
@@ -8,7 +8,8 @@
 #![allow(clippy::unwrap_used, reason = "a test fails where it panics")]
 
 use boragepass_fakes::path_fleet::{Deployment, EndpointFault, EndpointLinks, PathFleet, Site};
-use boragepass_types::{EndpointId, RequestRate};
+use boragepass_path::ColdStart;
+use boragepass_types::{EndpointId, RequestRate, SpanMs};
 use proptest::prelude::{BoxedStrategy, Just, Strategy, prop_oneof};
 use proptest::test_runner::{Config, RngSeed};
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
@@ -47,6 +48,9 @@
     PartitionVms { first: usize, count: usize, links: EndpointLinks },
     HealVms,
     RestoreStore,
+    ChillEndpoint { endpoint: usize },
+    ReturnDomainCold { domain: usize, down_ms: u64 },
+    SplitVms { count: usize },
     Advance { ms: u64 },
 }
 
@@ -111,6 +115,10 @@
                 .prop_map(|(first, count, links)| Step::PartitionVms { first, count, links }),
             2 => Just(Step::HealVms),
             1 => Just(Step::RestoreStore),
+            1 => (0..ENDPOINTS).prop_map(|endpoint| Step::ChillEndpoint { endpoint }),
+            1 => (0_usize..3, 100_u64..3_000)
+                .prop_map(|(domain, down_ms)| Step::ReturnDomainCold { domain, down_ms }),
+            1 => (0..VMS).prop_map(|count| Step::SplitVms { count }),
             6 => (10_u64..2_500).prop_map(|ms| Step::Advance { ms }),
         ]
         .boxed()
@@ -138,7 +146,8 @@
     type Reference = AnySteps;
 
     fn init_test(_state: &()) -> Self {
-        let mut fleet = PathFleet::new(Deployment::of(Site::Lampu), 1);
+        let cold_start = ColdStart { duration_ms: SpanMs(4_000), rate: RequestRate(9_100) };
+        let mut fleet = PathFleet::new(Deployment::of(Site::Lampu).with_cold_starts(cold_start), 1);
         fleet.clients_resume_streams = true;
         fleet.run_until(1_000);
         fleet.set_load(1.0);
@@ -194,6 +203,17 @@
             }
             Step::HealVms => fleet.set_endpoint_links(&(0..VMS).collect::<Vec<_>>(), EndpointLinks::Up),
             Step::RestoreStore => fleet.restore_store(),
+            Step::ChillEndpoint { endpoint } => {
+                let ids = fleet.endpoint_ids();
+                fleet.chill_endpoint(&ids[endpoint % ids.len()]);
+            }
+            Step::ReturnDomainCold { domain, down_ms } => {
+                let domain = fleet.deployment.domains[domain].0.clone();
+                let in_domain = fleet.deployment.endpoints.iter().filter(|it| it.failure_domain == domain);
+                let ids: Vec<_> = in_domain.map(|endpoint| endpoint.id.clone()).collect();
+                fleet.return_cold(&ids, down_ms);
+            }
+            Step::SplitVms { count } => fleet.split_vms(&(0..count).collect::<Vec<_>>()),
             Step::Advance { ms } => fleet.run_for(ms),
         }
         test.check();
--- a/crates/boragepass_fakes/tests/path_peers.rs
+++ b/crates/boragepass_fakes/tests/path_peers.rs
@@ -56,6 +56,7 @@
         cleared_contents: Vec::new(),
         known_vms: Vec::new(),
         process: None,
+        cold_endpoints: Vec::new(),
         vm,
     };
     let (from, incarnation) = (heartbeat.vm.vm.clone(), heartbeat.vm.incarnation);
--- a/crates/boragepass_path/src/event.rs
+++ b/crates/boragepass_path/src/event.rs
@@ -7,7 +7,7 @@
 
 use crate::configuration::{ApiKey, Configuration};
 use crate::fleet::VmRecord;
-use crate::message::PeerMessage;
+use crate::message::{ColdReport, PeerMessage};
 use crate::placement::{EndpointUpdate, Evacuations, RecordedVersions};
 use crate::request::{CallNumber, RequestNumber, SendNumber};
 
@@ -184,6 +184,8 @@
 /// Input of the request path.
 #[derive(Debug, Clone)]
 pub enum Event {
+    /// Another VM passed on, with its endpoint list, which endpoints are cold.
+    ColdEndpointsShared(Vec<ColdReport>),
     /// A client's request was read in full.
     RequestArrived(Box<Arrival>),
     /// A client closed its connection before its answer was complete.
--- a/crates/boragepass_path/src/fleet/members.rs
+++ b/crates/boragepass_path/src/fleet/members.rs
@@ -277,6 +277,18 @@
         self.members.get(vm).map(|member| &member.record)
     }
 
+    /// Whether this VM knows of no other, not even an address.
+    pub(crate) fn knows_no_other(&self) -> bool {
+        self.members.is_empty() && self.seeds.is_empty()
+    }
+
+    /// VMs that were heard or listed within a time, dead ones too; this one included.
+    pub(crate) fn known(&self, now: TimeMs, within: SpanMs) -> impl Iterator<Item = &VmRecord> {
+        let last = |member: &Member| member.last_heartbeat_at.unwrap_or_default().max(member.last_named_at);
+        let others = self.members.values().filter(move |member| now.since(last(member)) < within);
+        std::iter::once(&self.local_record).chain(others.map(|member| &member.record))
+    }
+
     /// Live VMs that accept requests, this one included if it does.
     pub(crate) fn serving(&self, now: TimeMs) -> impl Iterator<Item = &VmRecord> {
         let others =
--- a/crates/boragepass_path/src/fleet/mod.rs
+++ b/crates/boragepass_path/src/fleet/mod.rs
@@ -2,6 +2,7 @@
 //! versions of streams, which records the versions of pools, and which addresses clients get.
 
 mod addresses;
+mod cold_sharing;
 mod followers;
 mod heartbeat_schedule;
 mod leader;
@@ -11,6 +12,7 @@
 mod stream_holders;
 mod version_recorder;
 
+pub(crate) use cold_sharing::{ColdSettling, LEADING_VMS_MAX, cold_leading_vms, cold_sharing_vms};
 pub(crate) use followers::is_store_follower;
 pub(crate) use leader::pool_leader;
 pub(crate) use limit_sharing::limit_sharing_vms;
--- a/crates/boragepass_path/src/lib.rs
+++ b/crates/boragepass_path/src/lib.rs
@@ -42,8 +42,8 @@
 };
 pub use fleet::{VmRecord, VmState, VmSummary};
 pub use message::{
-    ContentCrashes, DownReport, EndpointLimitReport, EndpointLoad, Heartbeat, PEER_REVISION, PeerMessage, PieceRequest,
-    PieceRequestId, PieceResult, PoolLoad, ProcessStatement, ResultHandle, StageInputs,
+    ColdReport, ContentCrashes, DownReport, EndpointLimitReport, EndpointLoad, Heartbeat, PEER_REVISION, PeerMessage,
+    PieceRequest, PieceRequestId, PieceResult, PoolLoad, ProcessStatement, ResultHandle, StageInputs,
 };
 pub use placement::{Endpoint, EndpointUpdate, Evacuations, RecordedVersions, SharedEndpoint, StoreVersion};
 pub use record::{Record, RecordValue};
--- a/crates/boragepass_path/src/message.rs
+++ b/crates/boragepass_path/src/message.rs
@@ -120,6 +120,15 @@
     pub age_ms: SpanMs,
 }
 
+/// Endpoint that is cold after its start.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ColdReport {
+    /// Endpoint.
+    pub endpoint: EndpointId,
+    /// Time for which it stays cold.
+    pub left_ms: SpanMs,
+}
+
 /// Process of an endpoint that a VM found down.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct DownReport {
@@ -187,6 +196,8 @@
     pub known_vms: Vec<(VmId, SocketAddr)>,
     /// What the VM's process runs; only a few heartbeats carry it.
     pub process: Option<ProcessStatement>,
+    /// Endpoints that replies to the VM show as cold.
+    pub cold_endpoints: Vec<ColdReport>,
 }
 
 /// Message between VMs.
--- a/crates/boragepass_path/src/placement/endpoint_table.rs
+++ b/crates/boragepass_path/src/placement/endpoint_table.rs
@@ -18,7 +18,7 @@
 use super::shared_statement::Statement;
 use super::statements::EndpointStatements;
 use crate::event::{PromptPart, ReportedLoad};
-use crate::message::{DownReport, EndpointLimitReport, EndpointLoad};
+use crate::message::{ColdReport, DownReport, EndpointLimitReport, EndpointLoad};
 use crate::request::{BeginningVersion, StreamVersion};
 
 /// Time in which live endpoints renew expired entries after the store is back, as the platform documents.
@@ -34,6 +34,8 @@
 const PEER_LOAD_AGE_MAX: SpanMs = SpanMs(2_500);
 /// Time in which an endpoint that restarted writes its new entry, while the store is reachable.
 const RESTART_ENTRY_TIME: SpanMs = SpanMs(5_000);
+/// Cold endpoints that a heartbeat names: 250 bytes, and VMs learn of most of them from their entries.
+const COLD_REPORTS_MAX: usize = 8;
 /// Weight of a new sample in the moving average of the service time.
 const SERVICE_TIME_EMA_WEIGHT: f64 = 0.1;
 
@@ -102,6 +104,16 @@
         }
     }
 
+    /// Entries in it as the store lists them; those from another VM do not state whether an endpoint is cold.
+    fn store_entries(&self) -> Vec<(EndpointId, u64, SpanMs)> {
+        let entry = |endpoint: &Endpoint| (endpoint.id.clone(), endpoint.started_at_unix_ms, endpoint.cold_left_ms);
+        match self {
+            Self::Snapshot(endpoints, _) => endpoints.iter().map(entry).collect(),
+            Self::Changed(endpoint, _) => vec![entry(endpoint)],
+            Self::PeerSnapshot(..) | Self::Removed(..) => Vec::new(),
+        }
+    }
+
     fn version(&self) -> StoreVersion {
         match self {
             Self::Snapshot(_, version)
@@ -202,11 +214,18 @@
         !self.endpoint.is_draining && !self.statements.is_leaving()
     }
 
-    /// Time until its rate limit and the pause that it asked for allow a request of this VM; `None` if that is not known.
+    /// Whether it is cold after its start.
+    pub(crate) fn is_cold(&self, now: TimeMs) -> bool {
+        self.statements.cold_limiter.is_cold(now)
+    }
+
+    /// Time until its rate limit, the pause that it asked for and its cold start allow a request of this VM; `None` if that
+    /// is not known.
     pub(crate) fn accepts_in(&self, now: TimeMs) -> Option<SpanMs> {
         let rate_allows_in = self.statements.rate_limiter.allows_in(now)?;
         let slots_allow_in = self.statements.rejection_limiter.allows_in(now, self.in_flight)?;
-        Some(rate_allows_in.max(slots_allow_in).max(self.statements.paused_until().since(now)))
+        let cold_allows_in = self.statements.cold_limiter.allows_in(now);
+        Some(rate_allows_in.max(slots_allow_in).max(cold_allows_in).max(self.statements.paused_until().since(now)))
     }
 
     /// Whether it asked this VM for a pause that is not over.
@@ -214,10 +233,11 @@
         now < self.statements.paused_until()
     }
 
-    /// Whether its rate limit and the pause that it asked for allow a request of this VM.
+    /// Whether its rate limit, the pause that it asked for and its cold start allow a request of this VM.
     pub(crate) fn accepts(&self, now: TimeMs) -> bool {
         !self.is_paused(now)
             && self.statements.rate_limiter.allows(now)
+            && self.statements.cold_limiter.allows(now)
             && self.statements.rejection_limiter.free_slots(now, self.in_flight) != Some(0)
     }
 
@@ -226,9 +246,9 @@
         self.statements.rejection_limiter.statement.value().is_some()
     }
 
-    /// Whether it states a rate limit or asked for a pause.
+    /// Whether it states a rate limit, asked for a pause or is cold.
     pub(crate) fn limits_requests(&self, now: TimeMs) -> bool {
-        self.is_paused(now) || self.statements.rate_limiter.limit().is_some()
+        self.is_paused(now) || self.statements.rate_limiter.limit().is_some() || self.is_cold(now)
     }
 
     pub(crate) fn is_ejected(&self, now: TimeMs) -> bool {
@@ -247,7 +267,7 @@
 }
 
 /// All endpoints on the list, and the average service time of each pool.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub(crate) struct EndpointTable {
     by_id: BTreeMap<EndpointId, KnownEndpoint>,
     pub(crate) version: StoreVersion,
@@ -288,6 +308,10 @@
         self.by_id.values()
     }
 
+    pub(crate) fn iter_mut(&mut self) -> impl Iterator<Item = &mut KnownEndpoint> {
+        self.by_id.values_mut()
+    }
+
     /// Endpoints as this VM shares them with others.
     pub(crate) fn shared(&self) -> impl Iterator<Item = SharedEndpoint> {
         let shared =
@@ -330,6 +354,7 @@
             self.store_returned_at = Some(now);
         }
         self.version = version;
+        let store_entries = update.store_entries();
         match update {
             EndpointUpdate::Snapshot(endpoints, _) => {
                 for id in self.missing_from(endpoints.iter()) {
@@ -352,6 +377,11 @@
             EndpointUpdate::Changed(endpoint, _) => self.insert_or_update(endpoint),
             EndpointUpdate::Removed(id, _) => self.remove(now, &id),
         }
+        for (id, started_at_unix_ms, cold_left) in store_entries {
+            if let Some(known) = self.by_id.get_mut(&id) {
+                known.statements.cold_limiter.on_entry(now, (started_at_unix_ms, cold_left));
+            }
+        }
         is_restored
     }
 
@@ -473,6 +503,7 @@
         if let Some(known) = self.by_id.get_mut(id) {
             known.found_down_at = Some(now);
             known.own_found_down_at = Some(now);
+            known.statements.cold_limiter.on_found_down(now, now, true);
             known.may_have_restarted |= self.is_store_unreachable;
         }
     }
@@ -497,11 +528,33 @@
             if let Some(known) = known.filter(|it| it.endpoint.started_at_unix_ms == started_at_unix_ms) {
                 let found_down_at = TimeMs(now.0.saturating_sub(age_ms.0));
                 known.found_down_at = known.found_down_at.max(Some(found_down_at));
+                known.statements.cold_limiter.on_found_down(now, found_down_at, false);
                 known.may_have_restarted |= self.is_store_unreachable;
             }
         }
     }
 
+    /// Endpoints that replies to this VM show as cold, those that stay cold longest first, for its heartbeat.
+    pub(crate) fn own_cold_reports(&self, now: TimeMs) -> Vec<ColdReport> {
+        let report = |known: &KnownEndpoint| {
+            let left_ms = known.statements.cold_limiter.own_left(now)?;
+            Some(ColdReport { endpoint: known.endpoint.id.clone(), left_ms })
+        };
+        let mut reports: Vec<_> = self.by_id.values().filter_map(report).collect();
+        reports.sort_by_key(|report| std::cmp::Reverse(report.left_ms));
+        reports.truncate(COLD_REPORTS_MAX);
+        reports
+    }
+
+    /// Records the cold endpoints that another VM passes on.
+    pub(crate) fn on_cold_reports(&mut self, now: TimeMs, reports: Vec<ColdReport>) {
+        for ColdReport { endpoint, left_ms } in reports {
+            if let Some(known) = self.by_id.get_mut(&endpoint) {
+                known.statements.cold_limiter.on_peer_report(now, left_ms);
+            }
+        }
+    }
+
     /// Records the load that an endpoint reported in a reply.
     pub(crate) fn on_report(&mut self, now: TimeMs, id: &EndpointId, load: ReportedLoad) {
         if let Some(known) = self.by_id.get_mut(id) {
--- a/crates/boragepass_path/src/placement/engine_choice.rs
+++ b/crates/boragepass_path/src/placement/engine_choice.rs
@@ -35,6 +35,12 @@
 /// Cost of an endpoint that rejected a request a moment ago because it is full.
 const FULL_MS: f64 = 2_000.0;
 
+/// Cost of a cold endpoint beside the time that the request has for its objective: any other one that serves in time is
+/// chosen first.
+const COLD_MS: f64 = 5.0;
+/// Time left for the objective in forecasts, longer than any: a cold endpoint is expected to be chosen last.
+pub(crate) const FORECAST_OBJECTIVE_LEFT_MS: f64 = 10_000.0;
+
 /// What a request needs from an endpoint.
 #[derive(Debug)]
 pub(crate) struct RequestRequirements<'a> {
@@ -46,6 +52,8 @@
     /// Endpoints that the request was sent to already.
     pub(crate) excluded: &'a [EndpointId],
     pub(crate) stream_version: &'a StreamVersion,
+    /// Time until the request misses its objective.
+    pub(crate) objective_left_ms: f64,
 }
 
 /// The endpoint chosen for a request.
@@ -161,7 +169,9 @@
         if known.is_full(now) {
             cost_ms += FULL_MS;
         }
-        ChosenEndpoint { endpoint: known.endpoint.id.clone(), cost_ms, uncached_tokens }
+        // Not part of the cost, from which the time that the request takes is forecast.
+        let cold_price_ms = if known.is_cold(now) { requirements.objective_left_ms + COLD_MS } else { 0.0 };
+        (cost_ms + cold_price_ms, ChosenEndpoint { endpoint: known.endpoint.id.clone(), cost_ms, uncached_tokens })
     });
-    priced.min_by(|a, b| a.cost_ms.total_cmp(&b.cost_ms))
+    priced.min_by(|(a, _), (b, _)| a.total_cmp(b)).map(|(_, choice)| choice)
 }
--- a/crates/boragepass_path/src/placement/mod.rs
+++ b/crates/boragepass_path/src/placement/mod.rs
@@ -1,6 +1,7 @@
 //! Known endpoints with their load and health, the choice of an endpoint for a request, and the choice
 //! of a region for the pieces of a stage.
 
+mod cold_start;
 mod eligibility;
 mod endpoint_reach;
 mod endpoint_table;
@@ -14,11 +15,12 @@
 mod statements;
 mod version_history;
 
+pub(crate) use cold_start::{Turn, cold_share_per_s, cold_sharing_vms_max};
 pub(crate) use endpoint_reach::{EndpointReach, PROBED_ENDPOINTS, RoundResult};
 pub use endpoint_table::{Endpoint, EndpointUpdate, SharedEndpoint, StoreVersion};
 pub(crate) use endpoint_table::{EndpointTable, KnownEndpoint};
 pub(crate) use engine_choice::{
-    ChosenEndpoint, PREFILL_TOKENS_PER_MS, RequestRequirements, choose_endpoint, prefill_ms,
+    ChosenEndpoint, FORECAST_OBJECTIVE_LEFT_MS, PREFILL_TOKENS_PER_MS, RequestRequirements, choose_endpoint, prefill_ms,
 };
 pub use evacuations::Evacuations;
 pub(crate) use rate_limit::sharing_vms_max;
--- a/crates/boragepass_path/src/placement/statements.rs
+++ b/crates/boragepass_path/src/placement/statements.rs
@@ -6,6 +6,7 @@
 
 use boragepass_types::{SpanMs, TimeMs};
 
+use super::cold_start::ColdLimiter;
 use super::rate_limit::RateLimiter;
 use super::rejection_limit::RejectionLimiter;
 
@@ -16,6 +17,7 @@
     paused_until: TimeMs,
     pub(crate) rate_limiter: RateLimiter,
     pub(crate) rejection_limiter: RejectionLimiter,
+    pub(crate) cold_limiter: ColdLimiter,
 }
 
 /// Whether an endpoint stated that it is leaving; the store may still list it as ready.
@@ -64,6 +66,12 @@
         }
     }
 
+    /// Counts a request or call that is sent.
+    pub(crate) fn on_send(&mut self, now: TimeMs) {
+        self.rate_limiter.take(now);
+        self.cold_limiter.take(now);
+    }
+
     /// Records that it wants no requests from this VM for a time.
     pub(crate) fn on_pause(&mut self, now: TimeMs, pause: SpanMs) {
         self.paused_until = self.paused_until.max(now + pause);
--- a/crates/boragepass_path/src/reducer/arrivals.rs
+++ b/crates/boragepass_path/src/reducer/arrivals.rs
@@ -157,6 +157,7 @@
             input_bytes: &[],
             excluded: &[],
             stream_version: &StreamVersion::NotBegun,
+            objective_left_ms: crate::placement::FORECAST_OBJECTIVE_LEFT_MS,
         };
         let chosen_endpoint = choose_endpoint(&self.endpoint_table, &self.settings, now, &requirements);
         Forecast::from_backlog(Backlog {
--- a/crates/boragepass_path/src/reducer/leading.rs
+++ b/crates/boragepass_path/src/reducer/leading.rs
@@ -107,7 +107,7 @@
             let Some(known_endpoint) = self.endpoint_table.get_mut(&call.endpoint) else {
                 continue;
             };
-            known_endpoint.statements.rate_limiter.take(now);
+            known_endpoint.statements.on_send(now);
             let target = SendTarget { endpoint: call.endpoint.clone(), address: known_endpoint.endpoint.address };
             self.calls.insert(call.call, pool_key.clone());
             self.timers.set(now + call.overdue_ms, Timer::CallOverdue(call.call));
@@ -156,6 +156,7 @@
                 endpoint: endpoint.clone(),
                 failure_domain: known_endpoint.endpoint.failure_domain.clone(),
                 is_ejected: known_endpoint.is_ejected(now) || known_endpoint.is_paused(now),
+                is_cold: known_endpoint.is_cold(now),
                 calls_left: limited_calls.into_iter().chain(free_slots).min(),
             }
         };
--- a/crates/boragepass_path/src/reducer/mod.rs
+++ b/crates/boragepass_path/src/reducer/mod.rs
@@ -2,11 +2,12 @@
 //!
 //! This file holds the state, readiness, and the drain of a stopping process. The submodules hold the flows:
 //! arrival and admission (`arrivals`), stages of this VM's requests (`stage_flow`), pools that this VM leads
-//! (`leading`), sends to endpoints (`sends`), contents that crash them (`crashes`), software versions that begin
+//! (`leading`), cold endpoints (`cold`), sends to endpoints (`sends`), contents that crash them (`crashes`), software versions that begin
 //! streams (`stream_versions`) and those that pools had (`version_record`), what endpoints state in replies (`signals`), the loss of all links to endpoints
 //! (`reach`), requests relayed to other VMs (`relays`), ends of requests (`endings`), and other VMs (`peers`).
 
 mod arrivals;
+mod cold;
 mod crashes;
 mod endings;
 mod leading;
@@ -31,7 +32,7 @@
 use crate::configuration::Configuration;
 use crate::effect::Effect;
 use crate::event::Event;
-use crate::fleet::{Fleet, VmState, VmSummary};
+use crate::fleet::{ColdSettling, Fleet, VmState, VmSummary};
 use crate::message::PieceRequestId;
 use crate::placement::{
     Endpoint, EndpointReach, EndpointTable, EndpointUpdate, PoolBacklogs, SharedEndpoint, StoreVersion, VersionHistory,
@@ -70,6 +71,7 @@
     pool_backlogs: PoolBacklogs,
     led_pools: BTreeMap<PoolKey, Pool>,
     retry_budget: RetryBudget,
+    cold_settling: ColdSettling,
     crash_tracker: CrashTracker,
     /// Endpoints that were found down while this VM's own links were in doubt.
     doubted_down_endpoints: Vec<EndpointId>,
@@ -115,6 +117,7 @@
             pool_backlogs: PoolBacklogs::default(),
             led_pools: BTreeMap::new(),
             retry_budget: RetryBudget::new(settings.retries),
+            cold_settling: ColdSettling::new(now),
             crash_tracker: CrashTracker::default(),
             doubted_down_endpoints: Vec::new(),
             stream_versions: StreamVersions::default(),
@@ -168,6 +171,7 @@
             Event::ConfigurationReceived(configuration) => self.on_configuration(now, configuration),
             Event::EndpointsUpdated(update) => self.on_endpoints_updated(now, update),
             Event::EvacuationsUpdated(_) => {}
+            Event::ColdEndpointsShared(reports) => self.on_cold_reports(now, reports),
             Event::VersionsRecorded(recorded) => self.on_versions_recorded(now, recorded),
             Event::StoreReachable(is_reachable) => {
                 self.endpoint_table.on_store_reachability(now, is_reachable);
@@ -246,6 +250,7 @@
             Timer::Heartbeat => {
                 self.update_store_following(now);
                 self.update_limit_shares(now);
+                self.update_cold_shares(now);
                 self.probe_endpoints_if_due(now);
                 self.send_next_heartbeats(now);
                 let interval = self.fleet.heartbeat_interval();
@@ -284,6 +289,7 @@
         let source = update.source();
         let is_restored = self.endpoint_table.update(now, update);
         self.log_list_change(&listed, source);
+        self.update_cold_terms(now);
         self.watch_versions(now);
         let version = self.endpoint_table.version;
         if is_restored {
@@ -344,6 +350,7 @@
             }
         }
         self.configuration = Some(configuration);
+        self.update_cold_terms(now);
         self.schedule_state_share(now);
         self.update_readiness(now);
     }
--- a/crates/boragepass_path/src/reducer/peers.rs
+++ b/crates/boragepass_path/src/reducer/peers.rs
@@ -67,6 +67,8 @@
             self.update_limit_shares(now);
         }
         self.endpoint_table.on_down_reports(now, heartbeat.down_endpoints);
+        self.cold_settling.on_heard(now);
+        self.on_cold_reports(now, heartbeat.cold_endpoints);
         if self.crash_tracker.on_peer_reports(now, &heartbeat.content_crashes, &heartbeat.cleared_contents) {
             self.end_harmful_requests(now);
         }
@@ -169,6 +171,7 @@
             cleared_contents: self.crash_tracker.cleared_reports(now),
             known_vms: self.fleet.sample_live_vms(now),
             process: self.fleet.process_statement(),
+            cold_endpoints: self.endpoint_table.own_cold_reports(now),
         };
         for pool_load in heartbeat.led_pools.clone() {
             self.pool_backlogs.on_report(now, pool_load);
--- a/crates/boragepass_path/src/reducer/sends.rs
+++ b/crates/boragepass_path/src/reducer/sends.rs
@@ -63,6 +63,7 @@
             input_bytes: &input_bytes,
             excluded: &state.tried_endpoints,
             stream_version: &state.stream_version,
+            objective_left_ms: state.objective_at.since(now).0 as f64,
         };
         let Some(choice) = choose_endpoint(&self.endpoint_table, &self.settings, now, &requirements) else {
             let reason = self.unsent_reason(now, state);
@@ -129,7 +130,7 @@
         known_endpoint.in_flight += 1;
         known_endpoint.own_pending_prefill_tokens += choice.uncached_tokens;
         let target = SendTarget { endpoint: choice.endpoint.clone(), address: known_endpoint.endpoint.address };
-        known_endpoint.statements.rate_limiter.take(now);
+        known_endpoint.statements.on_send(now);
         let rate_limit = known_endpoint.statements.rate_limiter.limit();
         let software_version = known_endpoint.software_version().cloned();
         let may_reuse = state.route.repeatability.is_repeatable() || known_endpoint.avoid_connection_reuse_until <= now;
--- a/crates/boragepass_path/src/reducer/signals.rs
+++ b/crates/boragepass_path/src/reducer/signals.rs
@@ -22,6 +22,9 @@
             }
             return;
         };
+        let was_cold = known_endpoint.is_cold(now);
+        known_endpoint.statements.cold_limiter.on_reply(now, signals.cold_left_ms);
+        let has_turned = was_cold != known_endpoint.is_cold(now);
         if let Some(pause) = signals.pause_ms {
             known_endpoint.statements.on_pause(now, pause);
         }
@@ -39,6 +42,9 @@
             let record = Record::new("endpoint states how many rejections it bears").text("endpoint", endpoint);
             self.log(record.text("rejections_per_s", rejections));
         }
+        if has_turned {
+            self.update_cold_shares(now);
+        }
         if has_new_limit || has_new_rejections {
             self.update_limit_shares(now);
         }
--- a/crates/boragepass_path/src/reducer/stage_flow.rs
+++ b/crates/boragepass_path/src/reducer/stage_flow.rs
@@ -148,6 +148,7 @@
             input_bytes: &[],
             excluded: &[],
             stream_version: &state.stream_version,
+            objective_left_ms: crate::placement::FORECAST_OBJECTIVE_LEFT_MS,
         };
         let choice = choose_endpoint(&self.endpoint_table, &self.settings, now, &requirements);
         let known_endpoint = choice.and_then(|choice| self.endpoint_table.get(&choice.endpoint));
--- a/crates/boragepass_path/src/stages/pool.rs
+++ b/crates/boragepass_path/src/stages/pool.rs
@@ -127,6 +127,8 @@
     pub failure_domain: FailureDomain,
     /// Whether it is ejected or asked for a pause; it gets calls only if the same holds for all others.
     pub is_ejected: bool,
+    /// Whether it is cold after its start; it gets a call only if no other one accepts it.
+    pub is_cold: bool,
     /// Calls that what it states of itself allows now; `None` if it states no limit.
     pub calls_left: Option<usize>,
 }
@@ -387,9 +389,10 @@
             };
             let free = free.filter(is_within_limit);
             let free = free.filter(|candidate| self.can_accept_call(now, &candidate.endpoint));
-            let Some(endpoint) =
-                free.min_by(|a, b| self.load_score(&a.endpoint).total_cmp(&self.load_score(&b.endpoint)))
-            else {
+            let Some(endpoint) = free.min_by(|a, b| {
+                let by_load = self.load_score(&a.endpoint).total_cmp(&self.load_score(&b.endpoint));
+                a.is_cold.cmp(&b.is_cold).then(by_load)
+            }) else {
                 break;
             };
             let endpoint = endpoint.clone();
