--- a/crates/boragepass_entry/src/pages.rs
+++ b/crates/boragepass_entry/src/pages.rs
@@ -50,10 +50,11 @@
 /// Shows the metrics, on any path.
 pub(crate) fn metrics(driver: Rc<Driver>) -> impl Fn(&Request<Incoming>) -> Page {
     move |_| {
-        let in_progress = driver.with_path(|path, _| path.in_progress());
-        let evacuated_domains = driver.with_path(|path, now| path.evacuated_domains(now).count());
+        let (in_progress, cold_endpoints, evacuated_domains) = driver.with_path(|path, now| {
+            (path.in_progress(), path.cold_endpoints(now).len(), path.evacuated_domains(now).count())
+        });
         driver.metrics.set_evacuated_domains(evacuated_domains);
-        Page::text(StatusCode::OK, driver.metrics.encode(in_progress, driver.log.dropped_lines()))
+        Page::text(StatusCode::OK, driver.metrics.encode(in_progress, cold_endpoints, driver.log.dropped_lines()))
     }
 }
 
--- a/crates/boragepass_entry/src/peer_sections.rs
+++ b/crates/boragepass_entry/src/peer_sections.rs
@@ -6,9 +6,10 @@
 
 use std::collections::BTreeSet;
 
-use boragepass_path::{Evacuations, ProcessStatement, StoreVersion};
+use boragepass_path::{ColdReport, Evacuations, ProcessStatement, StoreVersion};
 use boragepass_types::{Hash64, StoreEra};
 
+use crate::cold_section::{decode_cold, encode_cold};
 use crate::peer_wire::{PeerWireError, parse_field};
 
 /// What the sender's process runs: revision of messages, digest of its settings, and number of times that it read them.
@@ -16,6 +17,8 @@
 /// Evacuated failure domains: era and number of the store's version, the number of domains in 2 bytes, and each name
 /// behind its length in 2 bytes.
 const EVACUATIONS_TAG: u16 = 3;
+/// Cold endpoints, in heartbeats and behind shared endpoints.
+const COLD_TAG: u16 = 4;
 const HEADER_BYTES: usize = 6;
 const PROCESS_BYTES: usize = 16;
 
@@ -26,6 +29,8 @@
     pub process: Option<ProcessStatement>,
     /// Failure domains that the operators evacuate, as far as the sender knows.
     pub evacuations: Option<Evacuations>,
+    /// Cold endpoints.
+    pub cold_endpoints: Vec<ColdReport>,
 }
 
 impl Sections {
@@ -44,6 +49,12 @@
             bytes.extend((content.len() as u32).to_le_bytes());
             bytes.extend(content);
         }
+        if !self.cold_endpoints.is_empty() {
+            let content = encode_cold(&self.cold_endpoints);
+            bytes.extend(COLD_TAG.to_le_bytes());
+            bytes.extend((content.len() as u32).to_le_bytes());
+            bytes.extend(content);
+        }
     }
 
     /// Decodes all sections; unknown ones are skipped.
@@ -56,6 +67,7 @@
             match u16::from_le_bytes([tag_low, tag_high]) {
                 PROCESS_TAG => sections.process = Some(decode_process(content)?),
                 EVACUATIONS_TAG => sections.evacuations = Some(decode_evacuations(content)?),
+                COLD_TAG => sections.cold_endpoints = decode_cold(content)?,
                 _ => {}
             }
             bytes = rest;
--- a/crates/boragepass_entry/src/peer_wire.rs
+++ b/crates/boragepass_entry/src/peer_wire.rs
@@ -304,6 +304,7 @@
                 .collect::<Result<_, PeerWireError>>()?,
             process: None,
             evacuations: None,
+            cold_endpoints: Vec::new(),
         })
     }
 }
--- a/crates/boragepass_entry/src/peers.rs
+++ b/crates/boragepass_entry/src/peers.rs
@@ -12,7 +12,7 @@
 use async_std::task;
 use boragepass_path::{EndpointUpdate, Event, PeerMessage, Record, RequestPath};
 use boragepass_server::{Identity, Inbox, PeerLinks, Tasks, serve_peers};
-use boragepass_types::{AccessKey, Incarnation, VmId};
+use boragepass_types::{AccessKey, Incarnation, TimeMs, VmId};
 use bytes::Bytes;
 
 use crate::driver::Driver;
@@ -79,9 +79,11 @@
         let mut last_encoded = self.last_encoded_datagram.borrow_mut();
         if last_encoded.as_ref().is_none_or(|(encoded_message, _)| encoded_message != message) {
             let sections = match message {
-                PeerMessage::Heartbeat(heartbeat) => {
-                    Sections { process: heartbeat.process, evacuations: heartbeat.evacuations.clone() }
-                }
+                PeerMessage::Heartbeat(heartbeat) => Sections {
+                    process: heartbeat.process,
+                    evacuations: heartbeat.evacuations.clone(),
+                    cold_endpoints: heartbeat.cold_endpoints.clone(),
+                },
                 _ => Sections::default(),
             };
             *last_encoded = Some((message.clone(), encode(&self.datagram_frame(message), &sections)));
@@ -105,7 +107,14 @@
     }
 
     /// Sends another VM the known endpoints, and the configuration if `with_configuration` is set.
-    pub(crate) fn share_state(&self, vm: &VmId, address: SocketAddr, path: &RequestPath, with_configuration: bool) {
+    pub(crate) fn share_state(
+        &self,
+        now: TimeMs,
+        vm: &VmId,
+        address: SocketAddr,
+        path: &RequestPath,
+        with_configuration: bool,
+    ) {
         let state = WireState {
             configuration: self
                 .configuration
@@ -116,7 +125,11 @@
             endpoints: path.shared_endpoints().map(|shared| (&shared).into()).collect(),
             endpoints_version: path.endpoints_version().into(),
         };
-        let sections = Sections { evacuations: path.evacuations().cloned(), ..Sections::default() };
+        let sections = Sections {
+            evacuations: path.evacuations().cloned(),
+            cold_endpoints: path.cold_endpoints(now),
+            ..Sections::default()
+        };
         self.links.send_encoded(vm, address, &encode(&WireFrame::State(state), &sections));
     }
 }
@@ -174,6 +187,9 @@
                 driver.dispatch(Event::EvacuationsShared(evacuations));
             }
             apply_shared_state(driver, state);
+            if !sections.cold_endpoints.is_empty() {
+                driver.dispatch(Event::ColdEndpointsShared(sections.cold_endpoints));
+            }
             return;
         }
     };
@@ -181,6 +197,7 @@
         (Ok(PeerMessage::Heartbeat(mut heartbeat)), _) => {
             heartbeat.process = sections.process;
             heartbeat.evacuations = sections.evacuations;
+            heartbeat.cold_endpoints = sections.cold_endpoints;
             let (from, incarnation) = (heartbeat.vm.vm.clone(), heartbeat.vm.incarnation);
             driver.dispatch(Event::PeerMessageReceived {
                 from,
--- a/crates/boragepass_entry/tests/peer_wire.rs
+++ b/crates/boragepass_entry/tests/peer_wire.rs
@@ -6,9 +6,9 @@
 use boragepass_entry::Sections;
 use boragepass_entry::peer_wire::{WireFrame, WireState, decode, encode};
 use boragepass_path::{
-    ConfigurationVersion, ContentCrashes, DownReport, Endpoint, EndpointLimitReport, EndpointLoad, Evacuations,
-    Heartbeat, PeerMessage, PieceOutcome, PieceRequest, PieceRequestId, PieceResult, PoolLoad, ProcessStatement,
-    ResultHandle, SharedEndpoint, StageInputs, StoreVersion, VmRecord, VmState,
+    ColdReport, ConfigurationVersion, ContentCrashes, DownReport, Endpoint, EndpointLimitReport, EndpointLoad,
+    Evacuations, Heartbeat, PeerMessage, PieceOutcome, PieceRequest, PieceRequestId, PieceResult, PoolLoad,
+    ProcessStatement, ResultHandle, SharedEndpoint, StageInputs, StoreVersion, VmRecord, VmState,
 };
 use boragepass_types::{Hash64, Incarnation, Millicores, RequestRate, SpanMs, StoreEra};
 
@@ -59,6 +59,7 @@
         known_vms: vec![(id("vm-2"), address(7_002))],
         process: None,
         evacuations: None,
+        cold_endpoints: Vec::new(),
     }
 }
 
@@ -159,7 +160,7 @@
 
 fn sections() -> Sections {
     let process = ProcessStatement { peer_revision: 1, settings_digest: Hash64(2), settings_reads: 3 };
-    Sections { process: Some(process), evacuations: None }
+    Sections { process: Some(process), ..Sections::default() }
 }
 
 /// Guards against a set that another VM reads differently, which would use an evacuated domain or leave a sound one.
@@ -168,7 +169,7 @@
     for domains in [vec![], vec!["a-1", "region-b-2"]] {
         let domains = domains.into_iter().map(id).collect();
         let evacuations = Evacuations { version: StoreVersion { era: StoreEra(2), number: 70_000 }, domains };
-        let sent = Sections { process: None, evacuations: Some(evacuations) };
+        let sent = Sections { evacuations: Some(evacuations), ..Sections::default() };
         let (_, frame) = frames().swap_remove(0);
         let (without, bytes) = (encode(&frame, &Sections::default()), encode(&frame, &sent));
         assert!(bytes.starts_with(&without), "a build that does not know the section reads the frame alone");
@@ -209,3 +210,20 @@
         assert!(decode(&bytes[..len]).is_err(), "{len} bytes");
     }
 }
+
+/// Cold endpoints follow the other sections and keep their layout; a cut-off one is an error.
+#[test]
+fn cold_endpoints_follow_in_a_section_of_their_own() {
+    let report = |name: &str, left_ms| ColdReport { endpoint: id(name), left_ms: SpanMs(left_ms) };
+    let sections = Sections { cold_endpoints: vec![report("e-1", 8_000), report("e-22", 1)], ..sections() };
+    let (_, frame) = frames().swap_remove(0);
+    let bytes = encode(&frame, &sections);
+    let without = encode(&frame, &self::sections()).len();
+    let content = [0x40, 0x1f, 0, 0, 3, 0, b'e', b'-', b'1', 1, 0, 0, 0, 4, 0, b'e', b'-', b'2', b'2'];
+    let header = [4, 0, content.len() as u8, 0, 0, 0];
+    assert_eq!(bytes[without..], [&header[..], &content[..]].concat());
+    assert_eq!(decode(&bytes).expect("a frame").1, sections);
+    for len in without + 1..bytes.len() {
+        assert!(decode(&bytes[..len]).is_err(), "{len} bytes");
+    }
+}
--- a/crates/boragepass_fakes/tests/path_faults.rs
+++ b/crates/boragepass_fakes/tests/path_faults.rs
@@ -8,7 +8,8 @@
 #![allow(clippy::unwrap_used, reason = "a test fails where it panics")]
 
 use boragepass_fakes::path_fleet::{Deployment, EndpointFault, EndpointLinks, PathFleet, Site};
-use boragepass_types::{EndpointId, FailureDomain, RequestRate};
+use boragepass_path::ColdStart;
+use boragepass_types::{EndpointId, FailureDomain, RequestRate, SpanMs};
 use proptest::prelude::{BoxedStrategy, Just, Strategy, prop_oneof};
 use proptest::test_runner::{Config, RngSeed};
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
@@ -56,6 +57,9 @@
     RestoreStore,
     Evacuate { domain: usize },
     TakeBack { domain: usize },
+    ChillEndpoint { endpoint: usize },
+    ReturnDomainCold { domain: usize, down_ms: u64 },
+    SplitVms { count: usize },
     Advance { ms: u64 },
 }
 
@@ -122,6 +126,10 @@
             1 => Just(Step::RestoreStore),
             2 => (0..DOMAINS).prop_map(|domain| Step::Evacuate { domain }),
             1 => (0..DOMAINS).prop_map(|domain| Step::TakeBack { domain }),
+            1 => (0..ENDPOINTS).prop_map(|endpoint| Step::ChillEndpoint { endpoint }),
+            1 => (0_usize..3, 100_u64..3_000)
+                .prop_map(|(domain, down_ms)| Step::ReturnDomainCold { domain, down_ms }),
+            1 => (0..VMS).prop_map(|count| Step::SplitVms { count }),
             6 => (10_u64..2_500).prop_map(|ms| Step::Advance { ms }),
         ]
         .boxed()
@@ -187,7 +195,8 @@
     type Reference = AnySteps;
 
     fn init_test(_state: &()) -> Self {
-        Self::start(Deployment::of(Site::Lampu))
+        let cold_start = ColdStart { duration_ms: SpanMs(4_000), rate: RequestRate(9_100) };
+        Self::start(Deployment::of(Site::Lampu).with_cold_starts(cold_start))
     }
 
     fn apply(mut test: Self, _state: &(), step: Step) -> Self {
@@ -251,6 +260,17 @@
                 let domain = domain_of(fleet, domain);
                 fleet.take_back(&domain);
             }
+            Step::ChillEndpoint { endpoint } => {
+                let ids = fleet.endpoint_ids();
+                fleet.chill_endpoint(&ids[endpoint % ids.len()]);
+            }
+            Step::ReturnDomainCold { domain, down_ms } => {
+                let domain = fleet.deployment.domains[domain].0.clone();
+                let in_domain = fleet.deployment.endpoints.iter().filter(|it| it.failure_domain == domain);
+                let ids: Vec<_> = in_domain.map(|endpoint| endpoint.id.clone()).collect();
+                fleet.return_cold(&ids, down_ms);
+            }
+            Step::SplitVms { count } => fleet.split_vms(&(0..count).collect::<Vec<_>>()),
             Step::Advance { ms } => fleet.run_for(ms),
         }
         test.check();
--- a/crates/boragepass_fakes/tests/path_peers.rs
+++ b/crates/boragepass_fakes/tests/path_peers.rs
@@ -57,6 +57,7 @@
         known_vms: Vec::new(),
         process: None,
         evacuations: None,
+        cold_endpoints: Vec::new(),
         vm,
     };
     let (from, incarnation) = (heartbeat.vm.vm.clone(), heartbeat.vm.incarnation);
--- a/crates/boragepass_path/src/message.rs
+++ b/crates/boragepass_path/src/message.rs
@@ -120,6 +120,15 @@
     pub age_ms: SpanMs,
 }
 
+/// Endpoint that is cold after its start.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ColdReport {
+    /// Endpoint.
+    pub endpoint: EndpointId,
+    /// Time for which it stays cold.
+    pub left_ms: SpanMs,
+}
+
 /// Process of an endpoint that a VM found down.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct DownReport {
@@ -189,6 +198,8 @@
     pub process: Option<ProcessStatement>,
     /// Failure domains that the operators evacuate; `None` if the VM does not know them, or is of the previous build.
     pub evacuations: Option<Evacuations>,
+    /// Endpoints that replies to the VM show as cold.
+    pub cold_endpoints: Vec<ColdReport>,
 }
 
 /// Message between VMs.
--- a/crates/boragepass_path/src/reducer/arrivals.rs
+++ b/crates/boragepass_path/src/reducer/arrivals.rs
@@ -180,6 +180,7 @@
             excluded: &[],
             stream_version: &StreamVersion::NotBegun,
             places: homes.places(&self.settings),
+            objective_left_ms: crate::placement::FORECAST_OBJECTIVE_LEFT_MS,
         };
         let chosen_endpoint = choose_endpoint(&self.endpoint_table, &self.settings, now, &requirements);
         Forecast::from_backlog(Backlog {
--- a/crates/boragepass_path/src/reducer/homes.rs
+++ b/crates/boragepass_path/src/reducer/homes.rs
@@ -84,6 +84,7 @@
             input_bytes: &[],
             excluded: &state.tried_endpoints,
             stream_version: &state.stream_version,
+            objective_left_ms: crate::placement::FORECAST_OBJECTIVE_LEFT_MS,
             places: anywhere.places(&self.settings),
         };
         let is_version_known = !matches!(state.stream_version, StreamVersion::BegunUnknown);
--- a/crates/boragepass_path/src/reducer/mod.rs
+++ b/crates/boragepass_path/src/reducer/mod.rs
@@ -9,6 +9,7 @@
 //! requests (`endings`), and other VMs (`peers`).
 
 mod arrivals;
+mod cold;
 mod crashes;
 mod endings;
 mod evacuations;
@@ -36,7 +37,7 @@
 use crate::configuration::Configuration;
 use crate::effect::Effect;
 use crate::event::Event;
-use crate::fleet::{Fleet, VmState, VmSummary};
+use crate::fleet::{ColdSettling, Fleet, VmState, VmSummary};
 use crate::message::PieceRequestId;
 use crate::placement::{
     Endpoint, EndpointReach, EndpointTable, EndpointUpdate, EvacuationSource, Homes, PoolBacklogs, SharedEndpoint,
@@ -78,6 +79,7 @@
     pool_backlogs: PoolBacklogs,
     led_pools: BTreeMap<PoolKey, Pool>,
     retry_budget: RetryBudget,
+    cold_settling: ColdSettling,
     crash_tracker: CrashTracker,
     /// Endpoints that were found down while this VM's own links were in doubt.
     doubted_down_endpoints: Vec<EndpointId>,
@@ -124,6 +126,7 @@
             pool_backlogs: PoolBacklogs::default(),
             led_pools: BTreeMap::new(),
             retry_budget: RetryBudget::new(settings.retries),
+            cold_settling: ColdSettling::new(now),
             crash_tracker: CrashTracker::default(),
             doubted_down_endpoints: Vec::new(),
             stream_versions: StreamVersions::default(),
@@ -179,6 +182,7 @@
             Event::EndpointsUpdated(update) => self.on_endpoints_updated(now, update),
             Event::EvacuationsUpdated(read) => self.on_evacuations(now, read, EvacuationSource::Store),
             Event::EvacuationsShared(read) => self.on_evacuations(now, read, EvacuationSource::OtherVm),
+            Event::ColdEndpointsShared(reports) => self.on_cold_reports(now, reports),
             Event::VersionsRecorded(recorded) => self.on_versions_recorded(now, recorded),
             Event::StreamVersionsRead(rows) => self.on_stream_versions_read(now, rows),
             Event::StreamVersionsRecorded(row_version) => self.on_stream_versions_recorded(now, row_version),
@@ -274,6 +278,7 @@
             Timer::Heartbeat => {
                 self.update_store_following(now);
                 self.update_limit_shares(now);
+                self.update_cold_shares(now);
                 self.probe_endpoints_if_due(now);
                 self.send_next_heartbeats(now);
                 let interval = self.fleet.heartbeat_interval();
@@ -314,6 +319,7 @@
         let source = update.source();
         let is_restored = self.endpoint_table.update(now, update);
         self.log_list_change(&listed, source);
+        self.update_cold_terms(now);
         self.watch_versions(now);
         let version = self.endpoint_table.version;
         if is_restored {
@@ -375,6 +381,7 @@
             }
         }
         self.configuration = Some(configuration);
+        self.update_cold_terms(now);
         self.schedule_state_share(now);
         self.update_readiness(now);
         self.apply_new_homes(now);
--- a/crates/boragepass_path/src/reducer/sends.rs
+++ b/crates/boragepass_path/src/reducer/sends.rs
@@ -64,6 +64,7 @@
             excluded: &state.tried_endpoints,
             stream_version: &state.stream_version,
             places: state.homes.places(&self.settings),
+            objective_left_ms: state.objective_at.since(now).0 as f64,
         };
         let choice = choose_endpoint(&self.endpoint_table, &self.settings, now, &requirements);
         let Some(choice) = choice.filter(|_| !self.are_homes_down(now, &state.pool, &state.homes)) else {
@@ -138,7 +139,7 @@
         known_endpoint.in_flight += 1;
         known_endpoint.own_pending_prefill_tokens += choice.uncached_tokens;
         let target = SendTarget { endpoint: choice.endpoint.clone(), address: known_endpoint.endpoint.address };
-        known_endpoint.statements.rate_limiter.take(now);
+        known_endpoint.statements.on_send(now);
         let rate_limit = known_endpoint.statements.rate_limiter.limit();
         let software_version = known_endpoint.software_version().cloned();
         let may_reuse = state.route.repeatability.is_repeatable() || known_endpoint.avoid_connection_reuse_until <= now;
--- a/crates/boragepass_path/src/reducer/stage_flow.rs
+++ b/crates/boragepass_path/src/reducer/stage_flow.rs
@@ -151,6 +151,7 @@
             excluded: &[],
             stream_version: &state.stream_version,
             places: state.homes.places(&self.settings),
+            objective_left_ms: crate::placement::FORECAST_OBJECTIVE_LEFT_MS,
         };
         let choice = choose_endpoint(&self.endpoint_table, &self.settings, now, &requirements);
         let known_endpoint = choice.and_then(|choice| self.endpoint_table.get(&choice.endpoint));
