Checks of cold endpoints are as strict as planned, and the collector of a test knows the evacuated domains

The test of pools whose endpoints are all cold allowed 2 in 100 requests to fail. The test of stream versions from the table lacked the empty set of evacuations that a VM reads at its start: its VM refused as starting.

--- a/crates/boragepass_fakes/tests/path_cold.rs
+++ b/crates/boragepass_fakes/tests/path_cold.rs
@@ -96,8 +96,7 @@
         let cold = fleet.ledger.outcomes(kind, spec.objective_ms(), from, to);
         let warm = fleet.ledger.outcomes(kind, spec.objective_ms(), warm_from, warm_to);
         println!("{}: cold {cold:?}, warm {warm:?}", spec.name);
-        // A request whose stage results come just before its deadline begins a stream that the deadline breaks off.
-        assert!(cold.failed * 50 <= cold.requests, "{}: {cold:?}", spec.name);
+        assert_eq!(cold.failed, 0, "{}: {cold:?}", spec.name);
         assert!(cold.in_time + cold.late > 0, "{}: {cold:?}", spec.name);
         assert_eq!(warm.refused + warm.failed, 0, "{}: {warm:?}", spec.name);
     }
--- a/crates/boragepass_fakes/tests/path_stream_record.rs
+++ b/crates/boragepass_fakes/tests/path_stream_record.rs
@@ -5,8 +5,8 @@
 
 use boragepass_fakes::path_fleet::{Deployment, PathFleet, Site};
 use boragepass_path::{
-    ApiKey, Arrival, Batching, ColdBounds, Effect, EndpointUpdate, Event, PathSettings, PeerMessage, RecordedVersions,
-    RequestNumber, RequestPath, RetryLimits, StoreVersion, StreamVersionRow, stream_digest,
+    ApiKey, Arrival, Batching, ColdBounds, Effect, EndpointUpdate, Evacuations, Event, PathSettings, PeerMessage,
+    RecordedVersions, RequestNumber, RequestPath, RetryLimits, StoreVersion, StreamVersionRow, stream_digest,
 };
 use boragepass_types::{EndpointId, Hash64, Incarnation, Millicores, SpanMs, StoreEra, TimeMs, rendezvous_weight};
 
@@ -34,6 +34,7 @@
         seed: 1,
     };
     let mut path = RequestPath::new(NOW, settings);
+    path.handle(NOW, Event::EvacuationsUpdated(Evacuations::default()));
     path.handle(NOW, Event::ConfigurationReceived(Arc::new(deployment.configuration(1))));
     path.handle(NOW, endpoints(&deployment, 1));
     let mut by_pool: BTreeMap<_, BTreeSet<_>> = BTreeMap::new();
