Endpoint choice prices work by the learnt and stated speed of each endpoint

Cause: prefill was priced at 93 tokens per ms and service at the pool's average, whatever the endpoint.

Change: placement/endpoint_speed.rs estimates a pool's fixed time and prefill factor (Theil-Sen) and an endpoint's factor over it (median, drawn towards the pool) from requests that met no queue, and multiplies it by the stated slowness of the last 500 ms. The choice, the forecast, silence limits, pending prefill of other VMs and the wait for slots use it; GET /v1/status shows it. Without samples and statements all factors are exactly 1. The model has uneven endpoints and long prompts.

--- a/crates/boragepass_entry/src/pages.rs
+++ b/crates/boragepass_entry/src/pages.rs
@@ -63,12 +63,15 @@
 fn status_document(driver: &Driver) -> Value {
     driver.with_path(|path, now| {
         let endpoint = |endpoint: &Endpoint| {
+            let speed = path.endpoint_speed(now, &endpoint.id);
             json!({
                 "id": endpoint.id.as_str(),
                 "pool": endpoint.pool.as_str(),
                 "failure_domain": endpoint.failure_domain.as_str(),
                 "address": endpoint.address.to_string(),
                 "is_draining": endpoint.is_draining,
+                "work_factor": speed.work_factor,
+                "prefill_tokens_per_ms": speed.prefill_tokens_per_ms(),
             })
         };
         let vm = |summary: &VmSummary| {
--- a/crates/boragepass_fakes/src/path_fleet/deployment.rs
+++ b/crates/boragepass_fakes/src/path_fleet/deployment.rs
@@ -11,6 +11,8 @@
 };
 use boragepass_types::{EndpointId, FailureDomain, PoolId, Region, SpanMs};
 
+use super::uneven::Unevenness;
+
 /// API key of all clients.
 pub(super) const CLIENT_KEY: &str = "client-key";
 const HOST: &str = "site.example";
@@ -78,6 +80,8 @@
     /// Kinds of request that clients submit.
     pub kinds: Vec<RequestKind>,
     pub(super) services: Vec<Service>,
+    /// Set if endpoints differ in speed and some prompts are long.
+    pub unevenness: Option<Unevenness>,
 }
 
 fn parse_name<T: std::str::FromStr>(text: &str) -> T
@@ -443,6 +447,7 @@
             endpoints,
             kinds: kinds.into_iter().map(Into::into).collect(),
             services: services.collect(),
+            unevenness: None,
         }
     }
 
--- a/crates/boragepass_fakes/src/path_fleet/endpoint.rs
+++ b/crates/boragepass_fakes/src/path_fleet/endpoint.rs
@@ -5,13 +5,14 @@
 use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
 
-use boragepass_path::{CallEntry, Endpoint, PieceInputs, PieceOutcome, PromptPart, StagePool};
+use boragepass_path::{CallEntry, Endpoint, PieceInputs, PieceOutcome, PromptPart, ReportedLoad, StagePool};
 use boragepass_types::{Hash64, TimeMs};
 
 use super::brittle::Brittleness;
 use super::leaving::LeavingAnnouncement;
 use super::pause::PausingRejections;
 use super::rate_limit::StatedLimit;
+use super::uneven::Unevenness;
 
 /// Prompt tokens that a model engine prefills per millisecond.
 const PREFILL_TOKENS_PER_MS: f64 = 93.0;
@@ -34,6 +35,8 @@
     pub(super) is_unresponsive: bool,
     /// Factor by which all work takes longer.
     pub(super) slowness: f64,
+    /// Set if it differs in speed from the others.
+    pub(super) unevenness: Option<Unevenness>,
     /// Share of the requests and calls whose answer is lost.
     pub(super) lost_answer_share: f64,
     /// Share of the requests that are answered with an error.
@@ -102,6 +105,7 @@
             down_until: TimeMs(0),
             is_unresponsive: false,
             slowness: 1.0,
+            unevenness: None,
             lost_answer_share: 0.0,
             error_answer_share: 0.0,
             generation: 0,
@@ -165,13 +169,33 @@
         self.prompt_cache.extend(prompt.iter().map(|part| (part.id, part.tokens)));
         let uncached_tokens = tokens.saturating_sub(cached_tokens);
         let prefill_start_ms = self.prefill_free_at_ms.max(now.0 as f64);
-        let prefill_end_ms = prefill_start_ms + uncached_tokens as f64 / PREFILL_TOKENS_PER_MS * self.slowness;
+        let slowness = self.slowness_at(now);
+        let usual_ms = match self.unevenness {
+            Some(_) => Unevenness::prefill_ms(tokens, uncached_tokens),
+            None => uncached_tokens as f64 / PREFILL_TOKENS_PER_MS,
+        };
+        let prefill_end_ms = prefill_start_ms + usual_ms * slowness;
         self.prefill_free_at_ms = prefill_end_ms;
-        (TimeMs((prefill_end_ms + FIRST_EVENT_DELAY_MS * self.slowness) as u64), uncached_tokens)
+        (TimeMs((prefill_end_ms + FIRST_EVENT_DELAY_MS * slowness) as u64), uncached_tokens)
     }
 
-    pub(super) fn event_gap_ms(&self) -> u64 {
-        ((EVENT_GAP_MS + EVENT_GAP_MS_PER_REQUEST * self.running_requests as f64) * self.slowness) as u64
+    /// Factor by which work takes longer now.
+    pub(super) fn slowness_at(&self, now: TimeMs) -> f64 {
+        self.slowness * self.unevenness.map_or(1.0, |_| Unevenness::slowness(&self.endpoint.id, now))
+    }
+
+    /// Load that it states in replies, if it states its slowness.
+    pub(super) fn stated_load(&self, now: TimeMs) -> Option<ReportedLoad> {
+        self.unevenness.filter(|unevenness| unevenness.is_stated).map(|_| ReportedLoad {
+            running: self.running_requests as u32,
+            waiting: 0,
+            slots: self.endpoint.slots,
+            slowness_percent: Some((self.slowness_at(now) * 100.0) as u32),
+        })
+    }
+
+    pub(super) fn event_gap_ms(&self, now: TimeMs) -> u64 {
+        ((EVENT_GAP_MS + EVENT_GAP_MS_PER_REQUEST * self.running_requests as f64) * self.slowness_at(now)) as u64
     }
 }
 
--- a/crates/boragepass_fakes/src/path_fleet/fleet/clients.rs
+++ b/crates/boragepass_fakes/src/path_fleet/fleet/clients.rs
@@ -1,6 +1,7 @@
 //! Clients: when they submit requests, what they contain, and when clients disconnect.
 
 use super::*;
+use crate::path_fleet::uneven::Unevenness;
 
 impl PathFleet {
     /// Schedules the next request of a kind, after an exponentially distributed gap.
@@ -109,8 +110,9 @@
         let shared_prompt =
             shared_prompt.unwrap_or_else(|| self.client_rng.random_range(0..spec.shared_prompt_count.max(1)));
         let mut vary_tokens = |mean: u64| (mean as f64 * self.client_rng.random_range(0.4..1.6)) as u64;
-        let unique =
-            PromptPart { id: Hash64::of(client_id.as_bytes()), tokens: vary_tokens(spec.unique_prompt_tokens) };
+        let additional_tokens = self.deployment.unevenness.map_or(0, |_| Unevenness::additional_tokens(client_id));
+        let unique_tokens = vary_tokens(spec.unique_prompt_tokens) + additional_tokens;
+        let unique = PromptPart { id: Hash64::of(client_id.as_bytes()), tokens: unique_tokens };
         let shared_id = Hash64::of(format!("{}/{shared_prompt}", spec.name).as_bytes());
         let shared = PromptPart { id: shared_id, tokens: spec.shared_prompt_tokens };
         let prompt = if spec.unique_prompt_tokens > 0 { vec![shared, unique] } else { Vec::new() };
--- a/crates/boragepass_fakes/src/path_fleet/fleet/mod.rs
+++ b/crates/boragepass_fakes/src/path_fleet/fleet/mod.rs
@@ -262,7 +262,9 @@
     pub fn with_batching(deployment: Deployment, seed: u64, batching: Batching) -> Self {
         let endpoints = deployment.endpoints.iter().map(|endpoint| {
             let stage = deployment.stage_pool(&endpoint.pool);
-            (endpoint.id.clone(), FakeEndpoint::new(endpoint.clone(), stage))
+            let mut fake = FakeEndpoint::new(endpoint.clone(), stage);
+            fake.unevenness = deployment.unevenness.filter(|_| fake.stage.is_none());
+            (endpoint.id.clone(), fake)
         });
         let endpoints = endpoints.collect();
         let store = store::Store::new(&deployment.endpoints);
@@ -862,7 +864,8 @@
         });
         let is_leaving = endpoint.leaving.is_some();
         let rejections_max = endpoint.brittleness.as_ref().map(|brittleness| brittleness.rejections_max);
-        Some(EndpointSignals { rate_limit, rejections_max, is_leaving, ..EndpointSignals::default() })
+        let load = endpoint.stated_load(now);
+        Some(EndpointSignals { load, rate_limit, rejections_max, is_leaving, ..EndpointSignals::default() })
     }
 
     /// Lets an endpoint answer a VM that asks what it states of itself.
--- a/crates/boragepass_fakes/src/path_fleet/fleet/sends.rs
+++ b/crates/boragepass_fakes/src/path_fleet/fleet/sends.rs
@@ -135,7 +135,7 @@
         self.ledger.on_run(now, &client_id, &id);
         if spec.unique_prompt_tokens == 0 {
             let requests_per_slot = endpoint.running_requests as f64 / f64::from(endpoint.endpoint.slots.max(1));
-            let service_ms = (spec.service_ms as f64 * endpoint.slowness * requests_per_slot.max(1.0)) as u64;
+            let service_ms = (spec.service_ms as f64 * endpoint.slowness_at(now) * requests_per_slot.max(1.0)) as u64;
             let is_error = self.rng.random::<f64>() < endpoint.error_answer_share;
             self.schedule(now + SpanMs(service_ms), Action::FinishPlainRun(key, id, generation, is_error));
             return;
@@ -217,7 +217,7 @@
             return;
         }
         let reply_delay_ms = self.endpoint_delay_ms(vm, &id);
-        let gap_ms = self.endpoints.get(&id).map_or(20, FakeEndpoint::event_gap_ms).max(1);
+        let gap_ms = self.endpoints.get(&id).map_or(20, |endpoint| endpoint.event_gap_ms(self.now)).max(1);
         if is_first_of_send {
             self.deliver_reply_head(key, &id, 200, false);
             if self.crashes_on_answer(&client_id, &id, generation) {
--- a/crates/boragepass_fakes/src/path_fleet/ledger.rs
+++ b/crates/boragepass_fakes/src/path_fleet/ledger.rs
@@ -52,6 +52,19 @@
     pub failed: u32,
 }
 
+/// Stream request that was answered, refused or failed.
+#[derive(Debug, Clone, PartialEq)]
+pub struct StreamAnswer {
+    /// Index into the kinds of the deployment.
+    pub kind: usize,
+    /// Tokens of its prompt.
+    pub prompt_tokens: u64,
+    /// Endpoint of its last run.
+    pub endpoint: Option<EndpointId>,
+    /// Time to the first byte if it was answered.
+    pub first_byte_ms: Option<u64>,
+}
+
 /// Request and what its client and endpoints observed of it.
 #[derive(Debug, Clone)]
 pub(super) struct RequestRecord {
@@ -316,6 +329,23 @@
         }
     }
 
+    /// Requests with a prompt that were submitted within a span.
+    pub fn stream_answers(&self, from: TimeMs, to: TimeMs) -> Vec<StreamAnswer> {
+        let counted = self.requests.values().filter(|record| {
+            (from..to).contains(&record.submitted_at) && !record.is_excused && !record.prompt.is_empty()
+        });
+        let answer = |record: &RequestRecord| StreamAnswer {
+            kind: record.kind,
+            prompt_tokens: record.prompt.iter().map(|part| part.tokens).sum(),
+            endpoint: record.run_endpoints.last().cloned(),
+            first_byte_ms: match record.ending {
+                Some(Ending::Answered { first_byte_ms }) => Some(first_byte_ms),
+                Some(Ending::Refused | Ending::Failed | Ending::Aborted) | None => None,
+            },
+        };
+        counted.map(answer).collect()
+    }
+
     /// Outcomes of the requests of one kind that were submitted within a span.
     pub fn outcomes(&self, kind: usize, objective_ms: u64, from: TimeMs, to: TimeMs) -> Outcomes {
         let mut outcomes = Outcomes::default();
--- a/crates/boragepass_fakes/src/path_fleet/mod.rs
+++ b/crates/boragepass_fakes/src/path_fleet/mod.rs
@@ -12,7 +12,9 @@
 mod partitions;
 mod pause;
 mod rate_limit;
+mod uneven;
 
 pub use deployment::{Deployment, RequestKind, Site};
 pub use fleet::{EndpointFault, EndpointLinks, PathFleet};
-pub use ledger::{Ending, Ledger, Outcomes, Violation};
+pub use ledger::{Ending, Ledger, Outcomes, StreamAnswer, Violation};
+pub use uneven::Unevenness;
--- a/crates/boragepass_path/src/lib.rs
+++ b/crates/boragepass_path/src/lib.rs
@@ -45,7 +45,10 @@
     ContentCrashes, DownReport, EndpointLimitReport, EndpointLoad, Heartbeat, PEER_REVISION, PeerMessage, PieceRequest,
     PieceRequestId, PieceResult, PoolLoad, ProcessStatement, ResultHandle, StageInputs,
 };
-pub use placement::{Endpoint, EndpointUpdate, Evacuations, RecordedVersions, SharedEndpoint, StoreVersion};
+pub use placement::{
+    Endpoint, EndpointSpeed, EndpointUpdate, Evacuations, PoolSpeed, RecordedVersions, SharedEndpoint, Speed,
+    SpeedProbe, StoreVersion,
+};
 pub use record::{Record, RecordValue};
 pub use reducer::RequestPath;
 pub use request::{CallNumber, RequestNumber, SendNumber};
--- a/crates/boragepass_path/src/placement/endpoint_table.rs
+++ b/crates/boragepass_path/src/placement/endpoint_table.rs
@@ -13,7 +13,7 @@
 use boragepass_core::{EjectionCause, Health, ejection_cap};
 use boragepass_types::{EndpointId, FailureDomain, PoolId, SoftwareVersion, SpanMs, StoreEra, TimeMs, VmId};
 
-use super::engine_choice::PREFILL_TOKENS_PER_MS;
+use super::endpoint_speed::{EndpointSpeed, PREFILL_TOKENS_PER_MS, PoolSpeed, Speed, SpeedProbe};
 use super::prompt_cache::PromptCache;
 use super::shared_statement::Statement;
 use super::statements::EndpointStatements;
@@ -30,6 +30,8 @@
 const RESTORED_ENTRY_AGE_MAX: SpanMs = SpanMs(30_000);
 /// Age at which an endpoint's load report is ignored; a new one lags by some 100 ms already.
 const REPORT_AGE_MAX: SpanMs = SpanMs(1_000);
+/// Pending prefill at an endpoint up to which a request counts as one that meets no queue: some 5 ms of work.
+const PROBE_PENDING_TOKENS_MAX: u64 = 500;
 /// Age at which the load that another VM reported is ignored.
 const PEER_LOAD_AGE_MAX: SpanMs = SpanMs(2_500);
 /// Time in which an endpoint that restarted writes its new entry, while the store is reachable.
@@ -148,6 +150,7 @@
     /// When this VM last found it down.
     own_found_down_at: Option<TimeMs>,
     pub(crate) statements: EndpointStatements,
+    speed: EndpointSpeed,
 }
 
 impl KnownEndpoint {
@@ -168,6 +171,7 @@
             may_have_restarted: false,
             own_found_down_at: None,
             statements: EndpointStatements::default(),
+            speed: EndpointSpeed::default(),
         }
     }
 
@@ -182,13 +186,23 @@
     }
 
     /// Prompt tokens that wait for prefill. Counts of other VMs are reduced by what an engine has prefilled since.
-    pub(crate) fn pending_prefill_tokens(&self, now: TimeMs) -> u64 {
+    pub(crate) fn pending_prefill_tokens(&self, now: TimeMs, tokens_per_ms: f64) -> u64 {
         let remaining = |(at, load): (TimeMs, &EndpointLoad)| {
-            u64::from(load.unread_tokens).saturating_sub((now.since(at).0 as f64 * PREFILL_TOKENS_PER_MS) as u64)
+            u64::from(load.unread_tokens).saturating_sub((now.since(at).0 as f64 * tokens_per_ms) as u64)
         };
         self.own_pending_prefill_tokens + self.fresh_peer_loads(now).map(remaining).sum::<u64>()
     }
 
+    /// What is known of a send now, if its time will show the endpoint's speed: there is no queue, and nothing unusual.
+    pub(crate) fn speed_probe(&self, now: TimeMs, uncached_tokens: u64, round_trip_ms: f64) -> Option<SpeedProbe> {
+        let has_waiting = self.report.is_some_and(|(at, load)| now.since(at) < REPORT_AGE_MAX && load.waiting > 0);
+        let has_queue = has_waiting
+            || self.active_requests(now) >= self.endpoint.slots.max(1)
+            || self.pending_prefill_tokens(now, PREFILL_TOKENS_PER_MS) > PROBE_PENDING_TOKENS_MAX;
+        let prefill_ms = uncached_tokens as f64 / PREFILL_TOKENS_PER_MS;
+        (!has_queue && !self.speed.is_unusual(now)).then_some(SpeedProbe { prefill_ms, round_trip_ms })
+    }
+
     fn fresh_peer_loads(&self, now: TimeMs) -> impl Iterator<Item = (TimeMs, &EndpointLoad)> {
         let is_fresh = move |at: &TimeMs| now.since(*at) < PEER_LOAD_AGE_MAX;
         self.peer_loads.values().filter(move |(at, _)| is_fresh(at)).map(|(at, load)| (*at, load))
@@ -256,6 +270,7 @@
     /// Endpoints that were removed a while ago. They are chosen for nothing.
     departed: BTreeMap<EndpointId, Departure>,
     average_service_ms: HashMap<PoolId, f64>,
+    pool_speeds: HashMap<PoolId, PoolSpeed>,
 }
 
 impl EndpointTable {
@@ -267,6 +282,7 @@
             store_returned_at: None,
             departed: BTreeMap::new(),
             average_service_ms: HashMap::new(),
+            pool_speeds: HashMap::new(),
         }
     }
 
@@ -506,6 +522,32 @@
     pub(crate) fn on_report(&mut self, now: TimeMs, id: &EndpointId, load: ReportedLoad) {
         if let Some(known) = self.by_id.get_mut(id) {
             known.report = Some((now, load));
+            if let Some(percent) = load.slowness_percent {
+                known.speed.on_stated(now, percent);
+            }
+        }
+    }
+
+    /// Speed of an endpoint at this moment.
+    pub(crate) fn speed(&self, known: &KnownEndpoint, now: TimeMs) -> Speed {
+        known.speed.at(now, self.pool_speeds.get(&known.endpoint.pool))
+    }
+
+    /// Speed of an endpoint at this moment; that of one of which nothing is known if it is not listed.
+    pub(crate) fn speed_of(&self, id: &EndpointId, now: TimeMs) -> Speed {
+        self.by_id.get(id).map_or(Speed::UNKNOWN, |known| self.speed(known, now))
+    }
+
+    /// Time of prefill at a typical endpoint of a pool, over that at an endpoint of which nothing is known.
+    pub(crate) fn pool_prefill_factor(&self, pool: &PoolId) -> f64 {
+        EndpointSpeed::default().at(TimeMs(0), self.pool_speeds.get(pool)).prefill_factor
+    }
+
+    /// Records how long a request took from its send that met no queue.
+    pub(crate) fn on_speed_sample(&mut self, id: &EndpointId, probe: SpeedProbe, took: SpanMs) {
+        if let Some(known) = self.by_id.get_mut(id) {
+            let pool = self.pool_speeds.entry(known.endpoint.pool.clone()).or_default();
+            known.speed.on_sample(pool, probe, took);
         }
     }
 
--- a/crates/boragepass_path/src/placement/engine_choice.rs
+++ b/crates/boragepass_path/src/placement/engine_choice.rs
@@ -8,13 +8,12 @@
 use boragepass_types::{EndpointId, FailureDomain, PoolId, TimeMs, rendezvous_weight};
 
 use super::eligibility::is_eligible;
+use super::endpoint_speed::{PREFILL_TOKENS_PER_MS, Speed};
 use super::{EndpointTable, KnownEndpoint};
 use crate::event::{Arrival, PromptPart};
 use crate::request::StreamVersion;
 use crate::settings::PathSettings;
 
-/// Prompt tokens that a model engine prefills in a millisecond, as both sites state.
-pub(crate) const PREFILL_TOKENS_PER_MS: f64 = 93.0;
 /// Shares of the shared prefix that the first and second preferred endpoint are expected to have cached.
 const PREFERRED_CACHED_SHARES: [f64; 2] = [0.8, 0.4];
 /// Length from which a shared prefix has its preferred endpoints in all regions: prefilling 4,000 tokens
@@ -95,12 +94,14 @@
 /// Attention time for a million pairs of prompt tokens, as both sites state it.
 const ATTENTION_MS_PER_MILLION_PAIRS: f64 = 0.44;
 
-/// Prefill time of a prompt at an engine that has most of its shared prefix cached.
-pub(crate) fn prefill_ms(arrival: &Arrival) -> f64 {
+/// Prefill time of a prompt at an engine of a given speed that has most of its shared prefix cached.
+pub(crate) fn prefill_ms(arrival: &Arrival, prefill_factor: f64) -> f64 {
     let tokens = arrival.prompt_tokens as f64;
     let uncached_tokens = tokens - shared_tokens(&arrival.prompt) as f64 * PREFERRED_CACHED_SHARES[0];
     let pairs_millions = tokens * uncached_tokens / 2e6;
-    uncached_tokens.max(0.0) / PREFILL_TOKENS_PER_MS + pairs_millions.max(0.0) * ATTENTION_MS_PER_MILLION_PAIRS
+    let usual_ms =
+        uncached_tokens.max(0.0) / PREFILL_TOKENS_PER_MS + pairs_millions.max(0.0) * ATTENTION_MS_PER_MILLION_PAIRS;
+    usual_ms * prefill_factor
 }
 
 fn uncached_tokens(requirements: &RequestRequirements<'_>, preferred: &[EndpointId], known: &KnownEndpoint) -> u64 {
@@ -111,10 +112,11 @@
     requirements.prompt_tokens.saturating_sub(cached_tokens.max(expected_cached_tokens))
 }
 
-fn slot_wait_ms(table: &EndpointTable, known: &KnownEndpoint, active_requests: u32) -> f64 {
+fn slot_wait_ms(table: &EndpointTable, known: &KnownEndpoint, active_requests: u32, speed: Speed) -> f64 {
     let slots = known.endpoint.slots.max(1);
     let excess_requests = (active_requests + 1).saturating_sub(slots);
     let service_ms = table.average_service_ms(&known.endpoint.pool).unwrap_or(DEFAULT_SERVICE_MS);
+    let service_ms = service_ms * speed.work_factor;
     f64::from(excess_requests) / f64::from(slots) * service_ms
         + if excess_requests > 0 { service_ms / 2.0 } else { 0.0 }
 }
@@ -143,6 +145,7 @@
     let priced = candidates.map(|known| {
         let uncached_tokens = uncached_tokens(requirements, &preferred, known);
         let active_requests = known.active_requests(now);
+        let speed = table.speed(known, now);
         let distance = settings.distance_to(&known.endpoint.failure_domain);
         let mut cost_ms = distance.round_trip_ms();
         if distance == crate::settings::Distance::OtherRegion {
@@ -150,11 +153,12 @@
         }
         cost_ms += input_transfer_ms(settings, requirements, known);
         if requirements.prompt_tokens > 0 {
-            let prefill_ms = (PREFILL_WEIGHT * uncached_tokens as f64 + known.pending_prefill_tokens(now) as f64)
-                / PREFILL_TOKENS_PER_MS;
-            cost_ms += prefill_ms + f64::from(active_requests) * RUNNING_REQUEST_MS;
+            let tokens_per_ms = speed.prefill_tokens_per_ms();
+            let pending_tokens = known.pending_prefill_tokens(now, tokens_per_ms);
+            let prefill_ms = (PREFILL_WEIGHT * uncached_tokens as f64 + pending_tokens as f64) / tokens_per_ms;
+            cost_ms += prefill_ms + f64::from(active_requests) * RUNNING_REQUEST_MS * speed.work_factor;
         }
-        cost_ms += slot_wait_ms(table, known, active_requests);
+        cost_ms += slot_wait_ms(table, known, active_requests, speed) + speed.excess_ms();
         if known.is_ejected(now) {
             cost_ms += EJECTED_MS;
         }
--- a/crates/boragepass_path/src/placement/mod.rs
+++ b/crates/boragepass_path/src/placement/mod.rs
@@ -3,6 +3,7 @@
 
 mod eligibility;
 mod endpoint_reach;
+mod endpoint_speed;
 mod endpoint_table;
 mod engine_choice;
 mod evacuations;
@@ -15,11 +16,10 @@
 mod version_history;
 
 pub(crate) use endpoint_reach::{EndpointReach, PROBED_ENDPOINTS, RoundResult};
+pub use endpoint_speed::{EndpointSpeed, PoolSpeed, Speed, SpeedProbe};
 pub use endpoint_table::{Endpoint, EndpointUpdate, SharedEndpoint, StoreVersion};
 pub(crate) use endpoint_table::{EndpointTable, KnownEndpoint};
-pub(crate) use engine_choice::{
-    ChosenEndpoint, PREFILL_TOKENS_PER_MS, RequestRequirements, choose_endpoint, prefill_ms,
-};
+pub(crate) use engine_choice::{ChosenEndpoint, RequestRequirements, choose_endpoint, prefill_ms};
 pub use evacuations::Evacuations;
 pub(crate) use rate_limit::sharing_vms_max;
 pub(crate) use region_choice::{PoolBacklogs, StageDemand};
--- a/crates/boragepass_path/src/reducer/mod.rs
+++ b/crates/boragepass_path/src/reducer/mod.rs
@@ -34,7 +34,8 @@
 use crate::fleet::{Fleet, VmState, VmSummary};
 use crate::message::PieceRequestId;
 use crate::placement::{
-    Endpoint, EndpointReach, EndpointTable, EndpointUpdate, PoolBacklogs, SharedEndpoint, StoreVersion, VersionHistory,
+    Endpoint, EndpointReach, EndpointTable, EndpointUpdate, PoolBacklogs, SharedEndpoint, Speed, StoreVersion,
+    VersionHistory,
 };
 use crate::record::Record;
 use crate::request::{CallNumber, RequestNumber, RequestState, SendNumber, StreamVersions};
@@ -207,6 +208,11 @@
         self.endpoint_table.iter().map(|known_endpoint| &known_endpoint.endpoint)
     }
 
+    /// Speed of a known endpoint, as this VM estimates it.
+    pub fn endpoint_speed(&self, now: TimeMs, endpoint: &EndpointId) -> Speed {
+        self.endpoint_table.speed_of(endpoint, now)
+    }
+
     /// Known endpoints, as this VM shares them with others.
     pub fn shared_endpoints(&self) -> impl Iterator<Item = SharedEndpoint> {
         self.endpoint_table.shared()
--- a/crates/boragepass_path/src/reducer/sends.rs
+++ b/crates/boragepass_path/src/reducer/sends.rs
@@ -10,7 +10,7 @@
 use crate::effect::{Effect, SendTarget};
 use crate::event::{EventId, Progress, ReplyHead, SendFailure};
 use crate::message::ResultHandle;
-use crate::placement::{ChosenEndpoint, PREFILL_TOKENS_PER_MS, RequestRequirements, choose_endpoint};
+use crate::placement::{ChosenEndpoint, RequestRequirements, choose_endpoint};
 use crate::record::Record;
 use crate::request::{ActiveSend, Phase, RequestNumber, RequestState, SendNumber, SendProgress, StreamVersion};
 use crate::timers::Timer;
@@ -126,6 +126,8 @@
         let Some(known_endpoint) = self.endpoint_table.get_mut(&choice.endpoint) else {
             return;
         };
+        let round_trip_ms = self.settings.distance_to(&known_endpoint.endpoint.failure_domain).round_trip_ms();
+        let speed_probe = known_endpoint.speed_probe(now, choice.uncached_tokens, round_trip_ms);
         known_endpoint.in_flight += 1;
         known_endpoint.own_pending_prefill_tokens += choice.uncached_tokens;
         let target = SendTarget { endpoint: choice.endpoint.clone(), address: known_endpoint.endpoint.address };
@@ -138,7 +140,7 @@
             Some(ServiceKind::Model(model)) => model.kv_cache_tokens,
             Some(ServiceKind::Plain | ServiceKind::Stage(_)) | None => 0,
         };
-        let silence_ms = self.silence_limit(state, choice.cost_ms);
+        let silence_ms = self.silence_limit(now, state, choice);
         let send = SendNumber::take(&mut self.send_counter);
         let mut record = Record::new("request sent")
             .text("request", &state.arrival.client_id)
@@ -182,6 +184,7 @@
                 endpoint: choice.endpoint.clone(),
                 sent_at: now,
                 pending_prefill_tokens: choice.uncached_tokens,
+                speed_probe,
                 progress: SendProgress::Waiting,
                 software_version,
             });
@@ -192,19 +195,20 @@
     }
 
     /// Silence after which another endpoint may get the request; `None` if no further endpoint may run it.
-    fn silence_limit(&self, state: &RequestState, cost_ms: f64) -> Option<SpanMs> {
+    fn silence_limit(&self, now: TimeMs, state: &RequestState, choice: &ChosenEndpoint) -> Option<SpanMs> {
         if state.possible_runs + 1 >= state.route.endpoints_max {
             return None;
         }
         let silence_ms = match state.route.repeatability {
             Repeatability::Idempotent => {
-                let average_ms = self.endpoint_table.average_service_ms(&state.pool).unwrap_or(0.0);
+                let factor = self.endpoint_table.speed_of(&choice.endpoint, now).work_factor.max(1.0);
+                let average_ms = self.endpoint_table.average_service_ms(&state.pool).unwrap_or(0.0) * factor;
                 (state.route.objective_ms.0 as f64 * SILENCE_OBJECTIVE_SHARE)
                     .max(average_ms * SILENCE_SERVICE_TIME_FACTOR)
             }
             Repeatability::ResumableStream => {
                 // The cost of an ejected endpoint is a penalty and not an expected time.
-                let expected_ms = cost_ms.min(10_000.0) + self.average_first_byte_ms(&state.pool);
+                let expected_ms = choice.cost_ms.clamp(0.0, 10_000.0) + self.average_first_byte_ms(&state.pool);
                 expected_ms * 2.0 + STREAM_SILENCE_MARGIN_MS
             }
             Repeatability::Once | Repeatability::StreamOnce => return None,
@@ -322,6 +326,9 @@
         if is_stream {
             return;
         }
+        if let Some(probe) = active_send.speed_probe {
+            self.endpoint_table.on_speed_sample(&active_send.endpoint, probe, reply_time);
+        }
         let ejected_for = self.endpoint_table.on_success(now, &active_send.endpoint, reply_time);
         self.log_ejection(&active_send.endpoint, ejected_for);
         self.end_send(send);
@@ -539,6 +546,7 @@
         };
         let took_ms = now.since(active_send.sent_at).0 as f64;
         let prefilled_tokens = std::mem::take(&mut active_send.pending_prefill_tokens);
+        let speed_probe = active_send.speed_probe.take();
         active_send.progress = SendProgress::Streaming;
         let endpoint = active_send.endpoint.clone();
         let record = Record::new("first event")
@@ -553,7 +561,11 @@
             known_endpoint.own_pending_prefill_tokens =
                 known_endpoint.own_pending_prefill_tokens.saturating_sub(prefilled_tokens);
         }
-        let first_byte_beyond_prefill_ms = (took_ms - prefilled_tokens as f64 / PREFILL_TOKENS_PER_MS).max(10.0);
+        let tokens_per_ms = self.endpoint_table.speed_of(&endpoint, now).prefill_tokens_per_ms();
+        if let Some(probe) = speed_probe {
+            self.endpoint_table.on_speed_sample(&endpoint, probe, SpanMs(took_ms as u64));
+        }
+        let first_byte_beyond_prefill_ms = (took_ms - prefilled_tokens as f64 / tokens_per_ms).max(10.0);
         let average_ms = self.average_first_byte_ms.entry(pool).or_insert(first_byte_beyond_prefill_ms);
         *average_ms += FIRST_BYTE_EMA_WEIGHT * (first_byte_beyond_prefill_ms - *average_ms);
         self.log(record);
--- a/crates/boragepass_path/src/reducer/stage_flow.rs
+++ b/crates/boragepass_path/src/reducer/stage_flow.rs
@@ -112,7 +112,8 @@
         } else {
             StageInputs::Results(state.stages.inputs_of(stage).into_iter().map(|result| result.handle).collect())
         };
-        let first_byte_ms = self.average_first_byte_ms(&state.pool) + prefill_ms(&state.arrival);
+        let prefill_factor = self.endpoint_table.pool_prefill_factor(&state.pool);
+        let first_byte_ms = self.average_first_byte_ms(&state.pool) + prefill_ms(&state.arrival, prefill_factor);
         let downstream_ms = state.stages.downstream_ms(stage, &state.configuration) + first_byte_ms;
         PieceRequest {
             id: PieceRequestId {
--- a/crates/boragepass_path/src/request/state.rs
+++ b/crates/boragepass_path/src/request/state.rs
@@ -7,6 +7,7 @@
 use super::{BeginningVersion, SendNumber, StreamVersion};
 use crate::configuration::{Configuration, Route};
 use crate::event::{Arrival, EventId};
+use crate::placement::SpeedProbe;
 use crate::stages::StageProgress;
 
 /// Largest number of endpoints to which one request is offered, including those that reject it.
@@ -36,6 +37,8 @@
     pub(crate) sent_at: TimeMs,
     /// Prompt tokens that the endpoint is expected to prefill for this request; zero once it has sent an event.
     pub(crate) pending_prefill_tokens: u64,
+    /// Set if its time will show the speed of the endpoint.
+    pub(crate) speed_probe: Option<SpeedProbe>,
     pub(crate) progress: SendProgress,
     /// Software version of the endpoint; no value if it may have restarted with another one.
     pub(crate) software_version: Option<BeginningVersion>,
