--- a/crates/boragepass_fakes/src/path_fleet/deployment.rs
+++ b/crates/boragepass_fakes/src/path_fleet/deployment.rs
@@ -11,6 +11,8 @@
 };
 use boragepass_types::{EndpointId, FailureDomain, PoolId, Region, SpanMs};
 
+use super::uneven::Unevenness;
+
 /// API key of all clients.
 pub(super) const CLIENT_KEY: &str = "client-key";
 const HOST: &str = "site.example";
@@ -82,6 +84,8 @@
     pub(super) services: Vec<Service>,
     /// Workspace with home regions, if any.
     pub(super) home_workspace: Option<Workspace>,
+    /// Set if endpoints differ in speed and some prompts are long.
+    pub unevenness: Option<Unevenness>,
 }
 
 fn parse_name<T: std::str::FromStr>(text: &str) -> T
@@ -449,6 +453,7 @@
             kinds: kinds.into_iter().map(Into::into).collect(),
             services: services.collect(),
             home_workspace: None,
+            unevenness: None,
         }
     }
 
--- a/crates/boragepass_fakes/src/path_fleet/mod.rs
+++ b/crates/boragepass_fakes/src/path_fleet/mod.rs
@@ -16,9 +16,11 @@
 mod partitions;
 mod pause;
 mod rate_limit;
+mod uneven;
 
 pub use deployment::{Deployment, RequestKind, Site};
 pub use evacuations::EvacuationRecord;
 pub use fleet::{EndpointFault, EndpointLinks, PathFleet};
 pub use homes::HomeTallies;
-pub use ledger::{Ending, Ledger, Outcomes, Violation};
+pub use ledger::{Ending, Ledger, Outcomes, StreamAnswer, Violation};
+pub use uneven::Unevenness;
--- a/crates/boragepass_path/src/placement/mod.rs
+++ b/crates/boragepass_path/src/placement/mod.rs
@@ -4,6 +4,7 @@
 mod cold_start;
 mod eligibility;
 mod endpoint_reach;
+mod endpoint_speed;
 mod endpoint_table;
 mod engine_choice;
 mod evacuations;
@@ -18,10 +19,11 @@
 
 pub(crate) use cold_start::{Turn, cold_share_per_s, cold_sharing_vms_max};
 pub(crate) use endpoint_reach::{EndpointReach, PROBED_ENDPOINTS, RoundResult};
+pub use endpoint_speed::{EndpointSpeed, PoolSpeed, Speed, SpeedProbe};
 pub use endpoint_table::{Endpoint, EndpointUpdate, SharedEndpoint, StoreVersion};
 pub(crate) use endpoint_table::{EndpointTable, KnownEndpoint};
 pub(crate) use engine_choice::{
-    ChosenEndpoint, FORECAST_OBJECTIVE_LEFT_MS, PREFILL_TOKENS_PER_MS, RequestRequirements, choose_endpoint, prefill_ms,
+    ChosenEndpoint, FORECAST_OBJECTIVE_LEFT_MS, RequestRequirements, choose_endpoint, prefill_ms,
 };
 pub(crate) use evacuations::KnownEvacuations;
 pub use evacuations::{EvacuationSource, Evacuations};
