--- a/crates/boragepass_path/src/placement/endpoint_table.rs
+++ b/crates/boragepass_path/src/placement/endpoint_table.rs
@@ -605,6 +605,7 @@
         if let Some(known) = self.by_id.get_mut(id) {
             known.report = Some((now, load));
             if let Some(percent) = load.slowness_percent {
+                self.pool_speeds.entry(known.endpoint.pool.clone()).or_default();
                 known.speed.on_stated(now, percent);
             }
         }
@@ -625,10 +626,12 @@
         EndpointSpeed::default().at(TimeMs(0), self.pool_speeds.get(pool)).prefill_factor
     }
 
-    /// Records how long a request took from its send that met no queue.
+    /// Records how long a request took from its send that met no queue. Speeds are learnt only in pools whose endpoints
+    /// state their slowness, so that the others are served as before.
     pub(crate) fn on_speed_sample(&mut self, id: &EndpointId, probe: SpeedProbe, took: SpanMs) {
-        if let Some(known) = self.by_id.get_mut(id) {
-            let pool = self.pool_speeds.entry(known.endpoint.pool.clone()).or_default();
+        if let Some(known) = self.by_id.get_mut(id)
+            && let Some(pool) = self.pool_speeds.get_mut(&known.endpoint.pool)
+        {
             known.speed.on_sample(pool, probe, took);
         }
     }
