--- a/crates/boragepass_fakes/src/path_fleet/fleet/mod.rs
+++ b/crates/boragepass_fakes/src/path_fleet/fleet/mod.rs
@@ -270,7 +270,9 @@
         let endpoints = deployment.endpoints.iter().map(|endpoint| {
             let stage = deployment.stage_pool(&endpoint.pool);
             let coldness = deployment.cold_start(&endpoint.pool).map(Coldness::new);
-            (endpoint.id.clone(), FakeEndpoint::new(endpoint.clone(), stage, coldness))
+            let mut fake = FakeEndpoint::new(endpoint.clone(), stage, coldness);
+            fake.unevenness = deployment.unevenness.filter(|_| fake.stage.is_none());
+            (endpoint.id.clone(), fake)
         });
         let endpoints = endpoints.collect();
         let store = store::Store::new(&deployment.endpoints);
@@ -895,7 +897,15 @@
         let is_leaving = endpoint.leaving.is_some();
         let rejections_max = endpoint.brittleness.as_ref().map(|brittleness| brittleness.rejections_max);
         let cold_left_ms = endpoint.coldness.as_ref().map(|coldness| coldness.left(now));
-        Some(EndpointSignals { rate_limit, rejections_max, is_leaving, cold_left_ms, ..EndpointSignals::default() })
+        let load = endpoint.stated_load(now);
+        Some(EndpointSignals {
+            load,
+            rate_limit,
+            rejections_max,
+            is_leaving,
+            cold_left_ms,
+            ..EndpointSignals::default()
+        })
     }
 
     /// Lets an endpoint answer a VM that asks what it states of itself.
--- a/crates/boragepass_path/src/lib.rs
+++ b/crates/boragepass_path/src/lib.rs
@@ -46,7 +46,8 @@
     PieceRequest, PieceRequestId, PieceResult, PoolLoad, ProcessStatement, ResultHandle, StageInputs,
 };
 pub use placement::{
-    Endpoint, EndpointUpdate, EvacuationSource, Evacuations, Homes, RecordedVersions, SharedEndpoint, StoreVersion,
+    Endpoint, EndpointSpeed, EndpointUpdate, EvacuationSource, Evacuations, Homes, PoolSpeed, RecordedVersions,
+    SharedEndpoint, Speed, SpeedProbe, StoreVersion,
 };
 pub use record::{Record, RecordValue};
 pub use reducer::RequestPath;
--- a/crates/boragepass_path/src/reducer/mod.rs
+++ b/crates/boragepass_path/src/reducer/mod.rs
@@ -40,7 +40,7 @@
 use crate::fleet::{ColdSettling, Fleet, VmState, VmSummary};
 use crate::message::PieceRequestId;
 use crate::placement::{
-    Endpoint, EndpointReach, EndpointTable, EndpointUpdate, EvacuationSource, Homes, PoolBacklogs, SharedEndpoint,
+    Endpoint, EndpointReach, EndpointTable, EndpointUpdate, EvacuationSource, Homes, PoolBacklogs, SharedEndpoint, Speed,
     StoreVersion, VersionHistory,
 };
 use crate::record::Record;
@@ -224,6 +224,11 @@
         self.endpoint_table.iter().map(|known_endpoint| &known_endpoint.endpoint)
     }
 
+    /// Speed of a known endpoint, as this VM estimates it.
+    pub fn endpoint_speed(&self, now: TimeMs, endpoint: &EndpointId) -> Speed {
+        self.endpoint_table.speed_of(endpoint, now)
+    }
+
     /// Known endpoints, as this VM shares them with others.
     pub fn shared_endpoints(&self) -> impl Iterator<Item = SharedEndpoint> {
         self.endpoint_table.shared()
