--- a/crates/boragepass_path/src/placement/endpoint_table.rs
+++ b/crates/boragepass_path/src/placement/endpoint_table.rs
@@ -14,10 +14,10 @@
 use boragepass_types::{EndpointId, FailureDomain, PoolId, SoftwareVersion, SpanMs, StoreEra, TimeMs, VmId};
 
 use super::endpoint_speed::{EndpointSpeed, PREFILL_TOKENS_PER_MS, PoolSpeed, Speed, SpeedProbe};
-use super::{AllowedPlaces, KnownEvacuations};
 use super::prompt_cache::PromptCache;
 use super::shared_statement::Statement;
 use super::statements::EndpointStatements;
+use super::{AllowedPlaces, KnownEvacuations};
 use crate::event::{PromptPart, ReportedLoad};
 use crate::message::{ColdReport, DownReport, EndpointLimitReport, EndpointLoad};
 use crate::request::{BeginningVersion, StreamVersion};
--- a/crates/boragepass_path/src/reducer/mod.rs
+++ b/crates/boragepass_path/src/reducer/mod.rs
@@ -40,8 +40,8 @@
 use crate::fleet::{ColdSettling, Fleet, VmState, VmSummary};
 use crate::message::PieceRequestId;
 use crate::placement::{
-    Endpoint, EndpointReach, EndpointTable, EndpointUpdate, EvacuationSource, Homes, PoolBacklogs, SharedEndpoint, Speed,
-    StoreVersion, VersionHistory,
+    Endpoint, EndpointReach, EndpointTable, EndpointUpdate, EvacuationSource, Homes, PoolBacklogs, SharedEndpoint,
+    Speed, StoreVersion, VersionHistory,
 };
 use crate::record::Record;
 use crate::request::{CallNumber, RequestNumber, RequestState, SendNumber, StreamVersions};
