Log which request a rejection names, and what its connection had carried

"endpoint turned the request away" states `named_request` (sent, another, none) and `earlier_exchanges` of the connection, "reply not usable" says why a reply was not taken. Metrics: boragepass_rejections_total by both, boragepass_connections_with_excess_bytes for idle connections on which bytes arrived that belong to no request.

--- a/crates/boragepass_entry/src/connections.rs
+++ b/crates/boragepass_entry/src/connections.rs
@@ -1,6 +1,6 @@
 //! HTTP/1.1 connections to endpoints and the store, kept open between exchanges.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
@@ -52,6 +52,8 @@
     address: SocketAddr,
     idle_timeout: Duration,
     is_reusable: bool,
+    /// Requests that were sent on it, including the one in progress.
+    exchanges: u32,
 }
 
 impl Connection {
@@ -65,6 +67,11 @@
         self.task_abort.clone()
     }
 
+    /// Number of exchanges before the one in progress.
+    pub(crate) fn earlier_exchanges(&self) -> u32 {
+        self.exchanges.saturating_sub(1)
+    }
+
     fn record_reply_headers(&mut self, headers: &HeaderMap) {
         let connection = headers.get(http::header::CONNECTION).and_then(|value| value.to_str().ok());
         if connection.is_some_and(|value| value.to_ascii_lowercase().contains("close")) {
@@ -90,9 +97,22 @@
 pub(crate) struct Connections {
     idle: Rc<RefCell<HashMap<SocketAddr, Vec<IdleConnection>>>>,
     pub(crate) body_reader: BodyReader,
+    excess_bytes: Rc<Cell<u64>>,
+}
+
+/// Whether the other side of an idle connection sent bytes that belong to no request.
+fn has_excess_bytes(error: &hyper::Error) -> bool {
+    // hyper has no predicate for this error; all others of a connection have a cause or a predicate.
+    std::error::Error::source(error).is_none()
+        && !(error.is_closed() || error.is_canceled() || error.is_incomplete_message() || error.is_timeout())
 }
 
 impl Connections {
+    /// Number of idle connections on which bytes arrived that belong to no request.
+    pub(crate) fn excess_bytes(&self) -> u64 {
+        self.excess_bytes.get()
+    }
+
     fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
         let idle_connections = idle.get_mut(&address)?;
@@ -147,12 +167,24 @@
         let io = HttpIo::new(stream).map_err(|error| not_sent(error.to_string()))?;
         let (sender, connection) =
             hyper::client::conn::http1::handshake(io).await.map_err(|error| not_sent(error.to_string()))?;
-        // An error of the connection is returned to the caller that waits for a reply on it.
         let (task, task_abort) = abortable(connection);
+        let excess_bytes = self.excess_bytes.clone();
         task::spawn_local(async move {
-            let _ended = task.await;
+            // An error during an exchange is also returned to the caller that waits for the reply.
+            if let Ok(Err(error)) = task.await
+                && has_excess_bytes(&error)
+            {
+                excess_bytes.set(excess_bytes.get() + 1);
+            }
         });
-        Ok(Connection { sender, task_abort, address, idle_timeout: IDLE_TIMEOUT_DEFAULT, is_reusable: true })
+        Ok(Connection {
+            sender,
+            task_abort,
+            address,
+            idle_timeout: IDLE_TIMEOUT_DEFAULT,
+            is_reusable: true,
+            exchanges: 0,
+        })
     }
 
     /// Whether an address refuses a new connection; one that opens is closed again.
@@ -183,6 +215,7 @@
         connection: &mut Connection,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, ExchangeError> {
+        connection.exchanges = connection.exchanges.saturating_add(1);
         match connection.sender.try_send_request(request).await {
             Ok(response) => {
                 connection.record_reply_headers(response.headers());
--- a/crates/boragepass_entry/src/metrics.rs
+++ b/crates/boragepass_entry/src/metrics.rs
@@ -1,6 +1,6 @@
 //! Prometheus metrics, derived from the records that are also logged.
 
-use boragepass_path::{Record, RecordValue};
+use boragepass_path::{Record, RecordValue, ReplyHead};
 use prometheus::{Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
 
 /// Upper bounds of the latency buckets in seconds, from one exchange within a failure domain to the
@@ -16,6 +16,8 @@
     in_progress: IntGauge,
     cold_endpoints: IntGauge,
     dropped_lines: IntGauge,
+    excess_bytes: IntGauge,
+    rejections: IntCounterVec,
     evacuated_domains: IntGauge,
 }
 
@@ -36,6 +38,14 @@
         let dropped_lines = IntGauge::new("boragepass_log_lines_dropped", "lines of the log that were dropped")?;
         let evacuated_domains =
             IntGauge::new("boragepass_evacuated_domains", "failure domains whose endpoints get no new work")?;
+        let excess_bytes = IntGauge::new(
+            "boragepass_connections_with_excess_bytes",
+            "idle connections to endpoints that were closed since bytes arrived that belong to no request",
+        )?;
+        let rejections = IntCounterVec::new(
+            Opts::new("boragepass_rejections_total", "replies that state that their request did not run"),
+            &["named_request", "connection"],
+        )?;
         let registry = Registry::new();
         registry.register(Box::new(records.clone()))?;
         registry.register(Box::new(refusals.clone()))?;
@@ -44,6 +54,8 @@
         registry.register(Box::new(cold_endpoints.clone()))?;
         registry.register(Box::new(dropped_lines.clone()))?;
         registry.register(Box::new(evacuated_domains.clone()))?;
+        registry.register(Box::new(excess_bytes.clone()))?;
+        registry.register(Box::new(rejections.clone()))?;
         Ok(Self {
             registry,
             records,
@@ -52,6 +64,8 @@
             in_progress,
             cold_endpoints,
             dropped_lines,
+            excess_bytes,
+            rejections,
             evacuated_domains,
         })
     }
@@ -72,13 +86,26 @@
         }
     }
 
+    /// Counts a reply that states that its request did not run.
+    pub(crate) fn observe_rejection(&self, head: &ReplyHead) {
+        let connection = if head.earlier_exchanges == 0 { "new" } else { "reused" };
+        self.rejections.with_label_values(&[head.named_request.to_string().as_str(), connection]).inc();
+    }
+
     /// Sets the number of evacuated failure domains.
     pub(crate) fn set_evacuated_domains(&self, domains: usize) {
         self.evacuated_domains.set(domains as i64);
     }
 
     /// Encodes all metrics as text.
-    pub(crate) fn encode(&self, in_progress: usize, cold_endpoints: usize, dropped_lines: u64) -> Vec<u8> {
+    pub(crate) fn encode(
+        &self,
+        in_progress: usize,
+        cold_endpoints: usize,
+        dropped_lines: u64,
+        excess_bytes: u64,
+    ) -> Vec<u8> {
+        self.excess_bytes.set(excess_bytes as i64);
         self.in_progress.set(in_progress as i64);
         self.cold_endpoints.set(cold_endpoints as i64);
         self.dropped_lines.set(dropped_lines as i64);
--- a/crates/boragepass_entry/src/pages.rs
+++ b/crates/boragepass_entry/src/pages.rs
@@ -54,7 +54,15 @@
             (path.in_progress(), path.cold_endpoints(now).len(), path.evacuated_domains(now).count())
         });
         driver.metrics.set_evacuated_domains(evacuated_domains);
-        Page::text(StatusCode::OK, driver.metrics.encode(in_progress, cold_endpoints, driver.log.dropped_lines()))
+        Page::text(
+            StatusCode::OK,
+            driver.metrics.encode(
+                in_progress,
+                cold_endpoints,
+                driver.log.dropped_lines(),
+                driver.connections.excess_bytes(),
+            ),
+        )
     }
 }
 
--- a/crates/boragepass_entry/src/sends.rs
+++ b/crates/boragepass_entry/src/sends.rs
@@ -216,7 +216,11 @@
         }
     };
     let mut client_head = forwarded_reply_head(&response);
-    let reply_head = decode_reply_head(response.status(), response.headers(), &outgoing.client_id);
+    let reply_head =
+        decode_reply_head(response.status(), response.headers(), &outgoing.client_id, connection.earlier_exchanges());
+    if reply_head.states_not_run {
+        driver.metrics.observe_rejection(&reply_head);
+    }
     match &outgoing.endpoint {
         Some(endpoint) => name_endpoint(&mut client_head, endpoint),
         None => report_relayed_signals(driver, &mut client_head),
@@ -247,7 +251,7 @@
             });
         }
     };
-    if !reply_head.is_for_request {
+    if !reply_head.is_for_request() {
         // The reply to this request may still follow on the connection, so it is not reused.
         connection.abort_handle().abort();
     } else {
--- a/crates/boragepass_fakes/src/path_fleet/fleet/mod.rs
+++ b/crates/boragepass_fakes/src/path_fleet/fleet/mod.rs
@@ -23,9 +23,9 @@
 
 use boragepass_path::{
     Arrival, Batching, CallFailure, CallNumber, CallOutcome, ColdBounds, Effect, Endpoint, EndpointSignals,
-    EndpointUpdate, Evacuations, Event, EventId, PathSettings, PeerMessage, PieceOutcome, Progress, PromptPart,
-    RecordedVersions, Repeatability, ReplyHead, RequestNumber, RequestPath, RetryLimits, SendFailure, SendNumber,
-    StoreVersion, VmRecord, VmState,
+    EndpointUpdate, Evacuations, Event, EventId, NamedRequest, PathSettings, PeerMessage, PieceOutcome, Progress,
+    PromptPart, RecordedVersions, Repeatability, ReplyHead, RequestNumber, RequestPath, RetryLimits, SendFailure,
+    SendNumber, StoreVersion, VmRecord, VmState,
 };
 use boragepass_types::{
     EndpointId, FailureDomain, Hash64, Incarnation, Millicores, RequestRate, SpanMs, StoreEra, TimeMs, VmId,
--- a/crates/boragepass_fakes/src/path_fleet/fleet/relays.rs
+++ b/crates/boragepass_fakes/src/path_fleet/fleet/relays.rs
@@ -1,5 +1,6 @@
 //! Requests that one VM relays to another, between the two reducers.
 
+use super::sends::reply_head;
 use super::*;
 
 /// Relays in progress, and what the relaying VMs have yet to pass on.
@@ -65,7 +66,7 @@
         let Some((vm, _, send)) = self.relays.sent_by.get(&key).copied() else {
             return;
         };
-        let head = ReplyHead { status: 200, is_signed: true, is_for_request: true, is_not_run: false, signals: None };
+        let head = reply_head(200, false, None);
         self.deliver(vm, REGION_DELAY_MS, Event::ReplyHeadArrived(send, head));
     }
 
@@ -95,13 +96,20 @@
                 self.deliver(vm, REGION_DELAY_MS, Event::StreamProgressed(send, broken));
             }
             Ending::Answered { .. } | Ending::Refused | Ending::Failed => {
-                let (status, is_signed) = match ending {
-                    Ending::Answered { .. } => (200, true),
-                    Ending::Refused => (503, false),
-                    Ending::Failed | Ending::Aborted => (502, false),
+                let status = match ending {
+                    Ending::Answered { .. } => 200,
+                    Ending::Refused => 503,
+                    Ending::Failed | Ending::Aborted => 502,
                 };
                 self.relays.endings.insert(relay_key, ending);
-                let head = ReplyHead { status, is_signed, is_for_request: is_signed, is_not_run: false, signals: None };
+                let head = match status {
+                    200 => reply_head(status, false, None),
+                    _ => ReplyHead {
+                        is_signed: false,
+                        named_request: NamedRequest::None,
+                        ..reply_head(status, false, None)
+                    },
+                };
                 self.deliver(vm, REGION_DELAY_MS, Event::ReplyHeadArrived(send, head));
             }
         }
--- a/crates/boragepass_fakes/src/path_fleet/fleet/sends.rs
+++ b/crates/boragepass_fakes/src/path_fleet/fleet/sends.rs
@@ -2,6 +2,18 @@
 
 use super::*;
 
+/// Head of a reply that names its request, on a new connection.
+pub(super) fn reply_head(status: u16, states_not_run: bool, signals: Option<EndpointSignals>) -> ReplyHead {
+    ReplyHead {
+        status,
+        is_signed: !states_not_run,
+        named_request: NamedRequest::Sent,
+        states_not_run,
+        earlier_exchanges: 0,
+        signals,
+    }
+}
+
 impl PathFleet {
     /// Starts a send and checks that the request may still be sent and the endpoint may receive it.
     pub(super) fn start_send(
@@ -27,8 +39,7 @@
         let delay_ms = self.endpoint_delay_ms(vm, id);
         let Some(endpoint) = self.endpoints.get(id) else {
             // Another endpoint has the address now.
-            let head =
-                ReplyHead { status: 421, is_signed: false, is_for_request: true, is_not_run: true, signals: None };
+            let head = reply_head(421, true, None);
             self.deliver(vm, 2 * delay_ms, Event::ReplyHeadArrived(send, head));
             return;
         };
@@ -81,7 +92,7 @@
     fn deliver_reply_head(&mut self, (vm, _, send): SendKey, id: &EndpointId, status: u16, is_not_run: bool) {
         let delay_ms = self.endpoint_delay_ms(vm, id);
         let signals = self.endpoint_signals(vm, id, delay_ms);
-        let head = ReplyHead { status, is_signed: !is_not_run, is_for_request: true, is_not_run, signals };
+        let head = reply_head(status, is_not_run, signals);
         self.deliver(vm, delay_ms, Event::ReplyHeadArrived(send, head));
     }
 
@@ -98,13 +109,7 @@
         let reply_delay_ms = self.endpoint_delay_ms(key.0, &id);
         if let Some(signals) = self.rejection_signals(key.0, &id, reply_delay_ms) {
             self.active_sends.remove(&key);
-            let head = ReplyHead {
-                status: 503,
-                is_signed: false,
-                is_for_request: true,
-                is_not_run: true,
-                signals: Some(signals),
-            };
+            let head = reply_head(503, true, Some(signals));
             self.deliver(key.0, reply_delay_ms, Event::ReplyHeadArrived(key.2, head));
             return;
         }
--- a/crates/boragepass_fakes/tests/path_peers.rs
+++ b/crates/boragepass_fakes/tests/path_peers.rs
@@ -8,9 +8,9 @@
 use boragepass_fakes::path_fleet::{Deployment, Site};
 use boragepass_path::{
     ApiKey, Arrival, Batching, ColdBounds, ConfigurationVersion, ContentCrashes, Effect, Endpoint, EndpointSignals,
-    EndpointUpdate, Evacuations, Event, Heartbeat, PathSettings, PeerMessage, ProcessStatement, Progress, PromptPart,
-    RecordedVersions, ReplyHead, RequestNumber, RequestPath, RetryLimits, SendFailure, SharedEndpoint, StoreVersion,
-    VmRecord, VmState,
+    EndpointUpdate, Evacuations, Event, Heartbeat, NamedRequest, PathSettings, PeerMessage, ProcessStatement, Progress,
+    PromptPart, RecordedVersions, ReplyHead, RequestNumber, RequestPath, RetryLimits, SendFailure, SharedEndpoint,
+    StoreVersion, VmRecord, VmState,
 };
 use boragepass_types::{EndpointId, Hash64, Incarnation, Millicores, Region, SpanMs, StoreEra, TimeMs, VmId};
 
@@ -292,6 +292,17 @@
     );
 }
 
+fn reply_head(status: u16, states_not_run: bool) -> ReplyHead {
+    ReplyHead {
+        status,
+        is_signed: !states_not_run,
+        named_request: NamedRequest::Sent,
+        states_not_run,
+        earlier_exchanges: 0,
+        signals: None,
+    }
+}
+
 /// Rejects all sends of a request, each time with a pause, and returns when its client may come back.
 fn retry_after_rejections(path: &mut RequestPath, number: u64, pause_ms: SpanMs) -> Option<SpanMs> {
     let Event::RequestArrived(mut request) = arrival(number) else {
@@ -304,7 +315,7 @@
         match effect {
             Effect::Send { send, .. } => {
                 let signals = Some(EndpointSignals { pause_ms: Some(pause_ms), ..EndpointSignals::default() });
-                let head = ReplyHead { status: 503, is_signed: false, is_for_request: true, is_not_run: true, signals };
+                let head = ReplyHead { signals, ..reply_head(503, true) };
                 pending.extend(path.handle(NOW, Event::ReplyHeadArrived(send, head)));
             }
             Effect::Respond(_, answer) => return answer.retry_after_ms,
@@ -387,7 +398,7 @@
         _ => None,
     });
     let send = send.expect("the request was sent");
-    let head = ReplyHead { status: 200, is_signed: true, is_for_request: true, is_not_run: false, signals: None };
+    let head = reply_head(200, false);
     path.handle(now, Event::ReplyHeadArrived(send, head));
     path.handle(now, Event::StreamProgressed(send, Progress::FirstEvent));
     path.handle(now, Event::StreamProgressed(send, Progress::Ended));
@@ -608,7 +619,7 @@
         let update = EndpointUpdate::Changed(upgraded, version(10 + number as u64));
         path.handle(NOW, Event::EndpointsUpdated(update));
     }
-    let head = ReplyHead { status: 200, is_signed: true, is_for_request: true, is_not_run: false, signals: None };
+    let head = reply_head(200, false);
     path.handle(NOW + SpanMs(100), Event::ReplyHeadArrived(send, head));
     let broken = Progress::Broken(SendFailure::ConnectionLost, Some(2));
     let effects = path.handle(NOW + SpanMs(200), Event::StreamProgressed(send, broken));
--- a/crates/boragepass_path/src/event.rs
+++ b/crates/boragepass_path/src/event.rs
@@ -90,17 +90,31 @@
     pub cold_left_ms: Option<SpanMs>,
 }
 
-/// Properties of a reply that its status and headers establish.
+/// Request that a reply names.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
+#[display(rename_all = "lowercase")]
+pub enum NamedRequest {
+    /// The request that was sent.
+    Sent,
+    /// Another request.
+    Another,
+    /// None.
+    None,
+}
+
+/// Properties of a reply that its head and its connection establish.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ReplyHead {
     /// HTTP status code.
     pub status: u16,
     /// Whether the endpoint's signature is present.
     pub is_signed: bool,
-    /// Whether the reply names the request that was sent.
-    pub is_for_request: bool,
-    /// Whether the endpoint states that it did not run the request.
-    pub is_not_run: bool,
+    /// Request that the reply names.
+    pub named_request: NamedRequest,
+    /// Whether the reply states that its request did not run.
+    pub states_not_run: bool,
+    /// Number of exchanges that the connection had carried before the request.
+    pub earlier_exchanges: u32,
     /// What the endpoint states of itself; `None` if another endpoint replied or the reply is to another request.
     pub signals: Option<EndpointSignals>,
 }
@@ -108,7 +122,21 @@
 impl ReplyHead {
     /// Whether the reply may be relayed to the client as a success.
     pub fn is_success(&self) -> bool {
-        (200..300).contains(&self.status) && self.is_signed && self.is_for_request
+        (200..300).contains(&self.status) && self.is_signed && self.is_for_request()
+    }
+
+    /// Whether the reply belongs to the request. A rejection may leave out the request's name; an answer must repeat it.
+    pub fn is_for_request(&self) -> bool {
+        match self.named_request {
+            NamedRequest::Sent => true,
+            NamedRequest::Another => false,
+            NamedRequest::None => self.states_not_run,
+        }
+    }
+
+    /// Whether the request did not run.
+    pub fn is_not_run(&self) -> bool {
+        self.states_not_run && self.is_for_request()
     }
 }
 
--- a/crates/boragepass_path/src/reducer/sends.rs
+++ b/crates/boragepass_path/src/reducer/sends.rs
@@ -302,9 +302,10 @@
             self.on_endpoint_signals(now, &active_send.endpoint, signals);
         }
         let is_success_status = (200..300).contains(&head.status);
-        if head.is_not_run {
+        if head.is_not_run() {
             self.on_rejected(now, request, send, &active_send, head);
-        } else if !head.is_for_request || (is_success_status && !head.is_signed) {
+        } else if !head.is_for_request() || (is_success_status && !head.is_signed) {
+            self.log_unusable_reply(request, send, &active_send, &head);
             self.on_send_failed(now, send, SendFailure::UnusableReply);
             self.effects.push(Effect::CancelSend(send));
         } else if is_success_status {
@@ -314,6 +315,28 @@
         }
     }
 
+    fn log_unusable_reply(
+        &mut self,
+        request: RequestNumber,
+        send: SendNumber,
+        active_send: &ActiveSend,
+        head: &ReplyHead,
+    ) {
+        let Some(state) = self.requests.get(&request) else {
+            return;
+        };
+        let record = Record::new("reply not usable")
+            .text("request", &state.arrival.client_id)
+            .number("send", send.0)
+            .text("endpoint", &active_send.endpoint)
+            .number("status", head.status)
+            .text("named_request", head.named_request)
+            .number("states_not_run", u8::from(head.states_not_run))
+            .number("is_signed", u8::from(head.is_signed))
+            .number("earlier_exchanges", head.earlier_exchanges);
+        self.log(record);
+    }
+
     fn on_success_reply(&mut self, now: TimeMs, request: RequestNumber, send: SendNumber, active_send: &ActiveSend) {
         let Some(state) = self.requests.get_mut(&request) else {
             return;
@@ -366,6 +389,8 @@
             .number("send", send.0)
             .text("endpoint", &active_send.endpoint)
             .number("status", head.status)
+            .text("named_request", head.named_request)
+            .number("earlier_exchanges", head.earlier_exchanges)
             .number("pause_ms", pause.unwrap_or_default().0);
         state.phase = Phase::InStages;
         let pool = state.pool.clone();
