Tests that show REFUSED and TWICE by late copies of rejections

An endpoint over real sockets keeps its last rejection on a connection and sends it once more where the next answer is due. The tests over sockets get a folder of their own.

--- a/crates/boragepass_entry/tests/over_sockets.rs
+++ b/crates/boragepass_entry/tests/over_sockets/main.rs
@@ -1,6 +1,7 @@
 //! An entry VM as a process, between a client and fakes of the store and endpoints that speak the
 //! platform's protocol.
 
+mod late_copies;
 mod support;
 
 use std::io::{Read, Write};
@@ -19,7 +20,7 @@
     ClientAnswer, EntryVm, ReceivedRequest, Reply, free_port, get, send_request, serve, stage_endpoint, store,
 };
 
-const CONFIGURATION: &str = include_str!("../../../platform/tests/fixtures/site.json");
+const CONFIGURATION: &str = include_str!("../../../../platform/tests/fixtures/site.json");
 const STREAM: &str = "id: 0\ndata: a\n\nid: 1\ndata: b\n\n";
 
 fn endpoint(id: &str, pool: &str, address: SocketAddr) -> Endpoint {
--- a/crates/boragepass_entry/tests/support/mod.rs
+++ b/crates/boragepass_entry/tests/over_sockets/support/mod.rs
@@ -1,5 +1,7 @@
 //! Fakes of the platform's store and endpoints, and an entry VM as a process of its own.
 
+mod copying_engine;
+
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
@@ -19,6 +21,7 @@
 };
 pub(crate) use boragepass_soak::{ReceivedRequest, Reply, serve};
 use bytes::Bytes;
+pub(crate) use copying_engine::{Answer, Received, Runs, copying_engine, raw_answer, signed_answer};
 use http::Request;
 use http_body_util::{BodyExt, Full};
 
@@ -91,7 +94,7 @@
         let folder = std::env::temp_dir().join(format!("boragepass-entry-{}-{number}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("a temporary folder");
         let path = folder.join("settings.ini");
-        let mut settings = include_str!("../fixtures/settings.ini").replace("STORE", &store.to_string());
+        let mut settings = include_str!("../../fixtures/settings.ini").replace("STORE", &store.to_string());
         for (old_line, new_line) in changed_lines {
             settings = settings.replace(old_line, new_line);
         }
