A rejection counts only for the send that it is known to belong to

Callers saw bookings refused as not run that ran (REFUSED), and bookings that ran twice (TWICE).

Cause: a rejection was believed if it did not name another request. A faulty endpoint sends one once more, late, where the next answer on a kept connection is due: without an id, or with the id of an earlier send of the same attempt. If the retry budget or the pool had room, the request ran at a second endpoint; if not, its client got 503 while it ran.

Fix: the connection proves it. A request whose route allows no further run goes over a new connection, as does any second send of an attempt and any relay; there, a rejection that names no other request is that of this send. On a reused connection only a rejection that names a request which was not sent before counts. All others count as possible runs: the request goes elsewhere if its route allows that, else its client gets 502. A connection whose reply did not name the request is closed, and its endpoint's connections are not reused for 15 s.

--- a/crates/boragepass_entry/src/sends.rs
+++ b/crates/boragepass_entry/src/sends.rs
@@ -186,7 +186,8 @@
                 endpoint: None,
                 request,
                 client_id,
-                may_reuse_connection: true,
+                // The other VM's own refusals name no request; only the connection shows which one they belong to.
+                may_reuse_connection: false,
                 is_stream: *is_stream,
                 silence_ms: None,
                 resume_after: *resume_after,
@@ -251,8 +252,8 @@
             });
         }
     };
-    if !reply_head.is_for_request() {
-        // The reply to this request may still follow on the connection, so it is not reused.
+    if !reply_head.is_for_request() || outgoing.endpoint.is_none() {
+        // Without the request's name, the reply to it may still follow. Connections of relays are never reused.
         connection.abort_handle().abort();
     } else {
         let connections = driver.connections.clone();
--- a/crates/boragepass_fakes/tests/path_peers.rs
+++ b/crates/boragepass_fakes/tests/path_peers.rs
@@ -325,6 +325,52 @@
     panic!("the request has no answer");
 }
 
+/// What a VM does with a rejection of the first send of a request. All further sends are rejected on new connections.
+fn reaction_to_rejection(request_path_prefix: &str, is_relayed: bool, head: ReplyHead) -> String {
+    let mut path = request_path(&Deployment::of(Site::Gigdesk));
+    let Event::RequestArrived(mut request) = arrival(1) else {
+        panic!("the event is an arrival");
+    };
+    request.path = format!("{request_path_prefix}/x").into();
+    request.pieces = Vec::new();
+    request.is_relayed = is_relayed;
+    let effects = path.handle(NOW, Event::RequestArrived(request));
+    let send = effects.iter().find_map(|effect| match effect {
+        Effect::Send { send, may_reuse_connection, .. } => Some((*send, *may_reuse_connection)),
+        _ => None,
+    });
+    let (send, may_reuse) = send.expect("the request is sent");
+    let mut pending = path.handle(NOW, Event::ReplyHeadArrived(send, head));
+    let mut reactions = vec![format!("may reuse a connection: {may_reuse}")];
+    while let Some(effect) = pending.pop() {
+        match effect {
+            Effect::Send { send, may_reuse_connection, .. } => {
+                reactions.push(format!("sent again, may reuse a connection: {may_reuse_connection}"));
+                pending.extend(path.handle(NOW, Event::ReplyHeadArrived(send, reply_head(503, true))));
+            }
+            Effect::Respond(_, answer) => reactions.push(format!("answered {}", answer.status)),
+            _ => {}
+        }
+    }
+    reactions.join("; ")
+}
+
+#[test]
+fn a_rejection_counts_only_for_the_send_that_it_belongs_to() {
+    let mut lines = Vec::new();
+    for (route, is_relayed) in [("/deposit", false), ("/status", false), ("/status", true)] {
+        for named_request in [NamedRequest::Sent, NamedRequest::Another, NamedRequest::None] {
+            for earlier_exchanges in [0, 1] {
+                let head = ReplyHead { named_request, earlier_exchanges, ..reply_head(503, true) };
+                let reaction = reaction_to_rejection(route, is_relayed, head);
+                let origin = if is_relayed { ", relayed" } else { "" };
+                lines.push(format!("{route}{origin}, names {named_request}, exchange {earlier_exchanges}: {reaction}"));
+            }
+        }
+    }
+    insta::assert_snapshot!(lines.join("\n"));
+}
+
 #[test]
 fn a_client_is_told_to_return_after_the_pause_that_all_endpoints_asked_for() {
     let mut path = request_path(&Deployment::of(Site::Gigdesk));
--- a/crates/boragepass_path/src/event.rs
+++ b/crates/boragepass_path/src/event.rs
@@ -125,18 +125,9 @@
         (200..300).contains(&self.status) && self.is_signed && self.is_for_request()
     }
 
-    /// Whether the reply belongs to the request. A rejection may leave out the request's name; an answer must repeat it.
+    /// Whether the reply names the request that was sent.
     pub fn is_for_request(&self) -> bool {
-        match self.named_request {
-            NamedRequest::Sent => true,
-            NamedRequest::Another => false,
-            NamedRequest::None => self.states_not_run,
-        }
-    }
-
-    /// Whether the request did not run.
-    pub fn is_not_run(&self) -> bool {
-        self.states_not_run && self.is_for_request()
+        self.named_request == NamedRequest::Sent
     }
 }
 
@@ -152,6 +143,9 @@
     /// The reply is not valid HTTP or belongs to another request.
     #[display("unusable reply")]
     UnusableReply,
+    /// The reply states that a request did not run, but may be a copy of an earlier reply to another send.
+    #[display("unproven rejection")]
+    UnprovenRejection,
     /// The endpoint stayed silent for too long, and its send was cancelled in favor of another endpoint.
     #[display("silent")]
     EndpointSilent,
--- a/crates/boragepass_path/src/reducer/sends.rs
+++ b/crates/boragepass_path/src/reducer/sends.rs
@@ -8,11 +8,12 @@
 use crate::admission::RefusalReason;
 use crate::configuration::{Repeatability, ServiceKind};
 use crate::effect::{Effect, SendTarget};
-use crate::event::{EventId, Progress, ReplyHead, SendFailure};
+use crate::event::{EventId, NamedRequest, Progress, ReplyHead, SendFailure};
 use crate::message::ResultHandle;
 use crate::placement::{ChosenEndpoint, RequestRequirements, choose_endpoint};
 use crate::record::Record;
 use crate::request::{ActiveSend, Phase, RequestNumber, RequestState, SendNumber, SendProgress, StreamVersion};
+use crate::retry::proves_not_run;
 use crate::timers::Timer;
 
 /// Time for which an endpoint that rejected a request as full is chosen last.
@@ -20,8 +21,8 @@
 /// Shortest and longest time for which a request waits until an endpoint accepts it.
 const ENDPOINT_WAIT_MIN: SpanMs = SpanMs(10);
 const ENDPOINT_WAIT_MAX: SpanMs = SpanMs(500);
-/// Time for which requests that may run only once use no pooled connection to an endpoint, after the endpoint
-/// sent something that was no reply to its request.
+/// Time for which requests use no pooled connection to an endpoint, after it sent something that was not known to be a
+/// reply to its request.
 const CONNECTION_REUSE_PAUSE: SpanMs = SpanMs(15_000);
 /// Silence of a stream, added to twice the expected time to its first byte, after which another endpoint resumes it.
 const STREAM_SILENCE_MARGIN_MS: f64 = 1_300.0;
@@ -144,7 +145,7 @@
         known_endpoint.statements.on_send(now);
         let rate_limit = known_endpoint.statements.rate_limiter.limit();
         let software_version = known_endpoint.software_version().cloned();
-        let may_reuse = state.route.repeatability.is_repeatable() || known_endpoint.avoid_connection_reuse_until <= now;
+        let may_reuse = state.may_reuse_connection() && known_endpoint.avoid_connection_reuse_until <= now;
         let service = state.configuration.service(&state.pool);
         let kv_cache_tokens = match service.map(|service| service.kind) {
             Some(ServiceKind::Model(model)) => model.kv_cache_tokens,
@@ -297,13 +298,18 @@
         let Some(active_send) = state.active_send().cloned() else {
             return;
         };
+        let has_earlier_sends = state.has_earlier_sends();
         self.on_endpoint_contact(now);
         if let Some(signals) = head.signals {
             self.on_endpoint_signals(now, &active_send.endpoint, signals);
         }
         let is_success_status = (200..300).contains(&head.status);
-        if head.is_not_run() {
+        if proves_not_run(&head, has_earlier_sends) {
             self.on_rejected(now, request, send, &active_send, head);
+        } else if head.states_not_run && head.named_request != NamedRequest::Another {
+            self.log_unusable_reply(request, send, &active_send, &head);
+            self.on_send_failed(now, send, SendFailure::UnprovenRejection);
+            self.effects.push(Effect::CancelSend(send));
         } else if !head.is_for_request() || (is_success_status && !head.is_signed) {
             self.log_unusable_reply(request, send, &active_send, &head);
             self.on_send_failed(now, send, SendFailure::UnusableReply);
@@ -501,7 +507,7 @@
             let reason = match failure {
                 SendFailure::NotSent => RefusalReason::NoEndpoint,
                 SendFailure::ConnectionLost => RefusalReason::EndpointLost,
-                SendFailure::UnusableReply => RefusalReason::UnusableReply,
+                SendFailure::UnusableReply | SendFailure::UnprovenRejection => RefusalReason::UnusableReply,
                 SendFailure::EndpointSilent => RefusalReason::TimeoutAtEndpoint,
             };
             self.fail_request(now, request, reason);
@@ -519,16 +525,21 @@
         if matches!(failure, SendFailure::NotSent | SendFailure::ConnectionLost) {
             self.on_link_failure(now, endpoint);
         }
-        let is_refused = failure == SendFailure::NotSent;
-        let ejected_for = self.endpoint_table.on_failure(now, endpoint, is_refused);
-        self.log_ejection(endpoint, ejected_for);
+        if failure != SendFailure::UnprovenRejection {
+            let is_refused = failure == SendFailure::NotSent;
+            let ejected_for = self.endpoint_table.on_failure(now, endpoint, is_refused);
+            self.log_ejection(endpoint, ejected_for);
+        }
         match failure {
             SendFailure::NotSent => self.on_endpoint_down(now, endpoint),
             SendFailure::ConnectionLost => self.suspect_crash(now, request, endpoint, active_send.progress),
-            SendFailure::UnusableReply => {
+            SendFailure::UnusableReply | SendFailure::UnprovenRejection => {
                 if let Some(known_endpoint) = self.endpoint_table.get_mut(endpoint) {
                     known_endpoint.avoid_connection_reuse_until = now + CONNECTION_REUSE_PAUSE;
                 }
+                if failure == SendFailure::UnprovenRejection {
+                    self.endpoint_table.mark_full(now, endpoint, now + FULL_ENDPOINT_BACKOFF);
+                }
             }
             SendFailure::EndpointSilent => {}
         }
--- a/crates/boragepass_path/src/request/state.rs
+++ b/crates/boragepass_path/src/request/state.rs
@@ -111,8 +111,7 @@
 
     /// Whether it may be offered to another endpoint. Unreachable endpoints count against a larger limit.
     pub(crate) fn may_be_offered(&self) -> bool {
-        self.tried_endpoints.len() - self.unreachable_count < ENDPOINT_OFFERS_MAX
-            && self.unreachable_count < UNREACHABLE_MAX
+        self.reached_endpoints() < ENDPOINT_OFFERS_MAX && self.unreachable_count < UNREACHABLE_MAX
     }
 
     /// Whether another VM may serve it in place of this one: it came from its client, waits here, and no endpoint can
@@ -121,6 +120,25 @@
         matches!(self.phase, Phase::InStages) && !self.arrival.is_relayed && self.possible_runs == 0
     }
 
+    /// Number of its sends that may have reached an endpoint.
+    fn reached_endpoints(&self) -> usize {
+        self.tried_endpoints.len() - self.unreachable_count
+    }
+
+    /// Whether it may have been sent before the send in progress, by this VM or the one that relayed it.
+    pub(crate) fn has_earlier_sends(&self) -> bool {
+        self.arrival.is_relayed || self.reached_endpoints() > 1
+    }
+
+    /// Whether its next send may go over a connection that was used before. There, a rejection does not always prove
+    /// that the request did not run, so its route has to allow a further run.
+    pub(crate) fn may_reuse_connection(&self) -> bool {
+        self.route.repeatability.is_repeatable()
+            && self.possible_runs + 1 < self.route.endpoints_max
+            && self.reached_endpoints() == 0
+            && !self.arrival.is_relayed
+    }
+
     /// Whether another endpoint may run it.
     pub(crate) fn may_run_again(&self) -> bool {
         self.possible_runs == 0
