Stage calls go over new connections, since no id ties an answer to its call

The protocol gives these answers no id, so only the connection can prove which call they belong to.

Calls that compute and the query of what an endpoint states go over new connections. Calls that free results may still reuse one, since nothing depends on their answer; of the connections of calls one an endpoint is kept for them.

--- a/crates/boragepass_entry/src/connections.rs
+++ b/crates/boragepass_entry/src/connections.rs
@@ -143,6 +143,16 @@
         }
     }
 
+    /// Keeps a connection if its address has no idle one, or closes it.
+    pub(crate) async fn release_if_none_idle(&self, connection: Connection) {
+        let has_idle = self.idle.borrow().get(&connection.address).is_some_and(|idle| !idle.is_empty());
+        if has_idle {
+            connection.close();
+        } else {
+            self.release(connection).await;
+        }
+    }
+
     /// Closes connections that were idle for too long or that the other side closed.
     pub(crate) fn close_expired(&self) {
         let mut idle = self.idle.borrow_mut();
--- a/crates/boragepass_entry/src/stage_calls.rs
+++ b/crates/boragepass_entry/src/stage_calls.rs
@@ -73,20 +73,30 @@
 ) -> Result<CallOutcome, CallFailure> {
     let body = encode_stage_call(entries);
     let request = || post_request(names::STAGE_CALL_PATH, target, body.clone());
-    let (status, headers, body) = exchange(driver, target, request).await?;
+    let (status, headers, body) = exchange(driver, target, ConnectionChoice::New, request).await?;
     let reply = StageCallReply { status, headers: &headers, body: &body };
     Ok(decode_stage_call_reply(&reply, entries.len()))
 }
 
+/// Connection over which a request of this VM goes. Replies to these requests name none.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ConnectionChoice {
+    /// A new one, on which no copy of an earlier reply can arrive.
+    New,
+    /// One that was used before, if there is any. What the reply says must not matter.
+    Reused,
+}
+
 /// Sends an idempotent request. It is sent again on a new connection if a reused one was closed before
 /// anything was written.
 async fn exchange(
     driver: &Rc<Driver>,
     target: &SendTarget,
+    choice: ConnectionChoice,
     new_request: impl Fn() -> Request<Full<Bytes>>,
 ) -> Result<(StatusCode, HeaderMap, Bytes), CallFailure> {
     let connections = &driver.connections;
-    let mut may_reuse = true;
+    let mut may_reuse = choice == ConnectionChoice::Reused;
     loop {
         let opened = connections.open(target.address, may_reuse).await;
         let mut connection = opened.map_err(|_| CallFailure::NotReached)?;
@@ -101,7 +111,7 @@
                     return Err(CallFailure::ConnectionLost);
                 };
                 close_guard.disarm();
-                connections.release(connection).await;
+                connections.release_if_none_idle(connection).await;
                 return Ok((parts.status, parts.headers, body));
             }
             Err(ExchangeError::NotSent(_)) if may_reuse => may_reuse = false,
@@ -141,7 +151,7 @@
     task::spawn_local(async move {
         let body = encode_free_results(&handles);
         let request = || post_request(names::STAGE_FREE_PATH, &target, body.clone());
-        let reply = timeout(FREE_TIMEOUT, exchange(&driver, &target, request)).await;
+        let reply = timeout(FREE_TIMEOUT, exchange(&driver, &target, ConnectionChoice::Reused, request)).await;
         if let Ok(Ok((status, headers, _))) = &reply {
             report_signals(&driver, &target, *status, headers);
         }
@@ -163,7 +173,7 @@
         let signals = match uri {
             Ok(uri) => {
                 let request = || request_to(&target, uri.clone(), Vec::new());
-                let reply = timeout(QUERY_TIMEOUT, exchange(&driver, &target, request)).await;
+                let reply = timeout(QUERY_TIMEOUT, exchange(&driver, &target, ConnectionChoice::New, request)).await;
                 reply.ok().and_then(Result::ok).and_then(|(status, headers, _)| decode_signals(status, &headers))
             }
             Err(error) => {
