One odd row among the endpoints neither ends a VM nor stops it following the rest

Another operator saw machines end, or stop following the list, after another writer left an odd entry.

- A key with a space, &, # or % at the end of a page was put into the next call as it was, so the list could not be read beyond it; a VM that started then never became ready.
- An entry with a start beyond any date, a cold time of 1e308 ms or below zero, or port 0 was taken for an endpoint.
With such a start, the endpoint's own entries counted as older ones of a restored store and were left out of whole lists.
- An entry that was overwritten by an odd one stayed in use where the change came by the feed, though not where the whole list was read.
- A row that is no row, or whose value is not base64, made its whole page unreadable; the VM then asked for it again and again.

Sums of what endpoints state saturate.

--- a/crates/boragepass_entry/src/peers.rs
+++ b/crates/boragepass_entry/src/peers.rs
@@ -218,12 +218,13 @@
     if let Some(value) = state.configuration {
         driver.receive_configuration(value.into());
     }
-    let endpoints: Result<Vec<_>, _> = state.endpoints.into_iter().map(TryInto::try_into).collect();
-    match endpoints {
-        Ok(endpoints) => {
-            let version = state.endpoints_version.into();
-            driver.dispatch(Event::EndpointsUpdated(EndpointUpdate::PeerSnapshot(endpoints, version)));
+    let mut endpoints = Vec::with_capacity(state.endpoints.len());
+    for endpoint in state.endpoints {
+        match endpoint.try_into() {
+            Ok(endpoint) => endpoints.push(endpoint),
+            Err(error) => driver.record(&Record::new("shared endpoint not read").text("reason", error)),
         }
-        Err(error) => driver.record(&Record::new("endpoints not read").text("reason", error)),
     }
+    let version = state.endpoints_version.into();
+    driver.dispatch(Event::EndpointsUpdated(EndpointUpdate::PeerSnapshot(endpoints, version)));
 }
--- a/crates/boragepass_entry/src/store_feed.rs
+++ b/crates/boragepass_entry/src/store_feed.rs
@@ -13,8 +13,8 @@
 use async_std::task;
 use boragepass_path::{EndpointUpdate, Evacuations, Event, Record, StorePoll, StoreVersion, VmRecord, VmState};
 use boragepass_platform::{
-    Row, RowChange, decode_changes, decode_endpoint, decode_rows, encode_row_write, names, table_changes_path,
-    table_rows_path,
+    DecodeError, Row, RowChange, decode_changes, decode_endpoint, decode_rows, encode_row_write, names,
+    table_changes_path, table_rows_path,
 };
 use boragepass_types::{Incarnation, Millicores, SpanMs, StoreEra};
 use bytes::Bytes;
@@ -140,9 +140,10 @@
             let version = *version.get_or_insert(page.version);
             let last_key = page.rows.last().map(|row| row.key.clone());
             rows.extend(page.rows);
+            self.log_unreadable_rows(&page.unreadable_rows);
             // The next page starts behind the last key: at that key with the character U+0001 appended.
             match last_key {
-                Some(last_key) if page.has_more => next_key = Some(format!("{last_key}%01")),
+                Some(last_key) if page.has_more => next_key = Some(format!("{last_key}\u{1}")),
                 Some(_) | None => {
                     self.apply_table(rows, version);
                     return Ok(version);
@@ -166,6 +167,7 @@
                 Ok(changes) => {
                     self.on_success();
                     last_version = changes.version.max(last_version);
+                    self.log_unreadable_rows(&changes.unreadable_rows);
                     let has_changes = !changes.rows.is_empty();
                     for change in changes.rows {
                         self.apply_change(change);
@@ -252,22 +254,35 @@
                     self.dispatch_evacuations(version);
                 }
             }
-            (Table::Endpoints, RowChange::Written(row)) => {
-                let update = match self.decode_endpoint_row(&row) {
-                    Some(endpoint) => EndpointUpdate::Changed(endpoint, self.store_version(row.version)),
-                    None => return,
-                };
-                self.driver.dispatch(Event::EndpointsUpdated(update));
-            }
-            (Table::Endpoints, RowChange::Removed { key, version }) => {
-                let version = self.store_version(version);
-                if let Ok(id) = key.parse() {
-                    self.driver.dispatch(Event::EndpointsUpdated(EndpointUpdate::Removed(id, version)));
+            (Table::Endpoints, RowChange::Written(row)) => match self.decode_endpoint_row(&row) {
+                Some(endpoint) => {
+                    let update = EndpointUpdate::Changed(endpoint, self.store_version(row.version));
+                    self.driver.dispatch(Event::EndpointsUpdated(update));
                 }
+                // As in a list that is read whole, an entry that is not readable names no endpoint.
+                None => self.remove_endpoint(&row.key, row.version),
+            },
+            (Table::Endpoints, RowChange::Removed { key, version }) => {
+                self.unreadable_keys.remove(&key);
+                self.remove_endpoint(&key, version);
             }
         }
     }
 
+    fn remove_endpoint(&self, key: &str, version: u64) {
+        // No endpoint is known by a key that is no id.
+        if let Ok(id) = key.parse() {
+            let update = EndpointUpdate::Removed(id, self.store_version(version));
+            self.driver.dispatch(Event::EndpointsUpdated(update));
+        }
+    }
+
+    fn log_unreadable_rows(&self, errors: &[DecodeError]) {
+        for error in errors {
+            self.driver.record(&Record::new("row not read").text("table", self.table.name()).text("reason", error));
+        }
+    }
+
     /// Reports the evacuated failure domains. Rows whose key names no failure domain are logged and left out.
     fn dispatch_evacuations(&mut self, version: u64) {
         let mut domains = BTreeSet::new();
@@ -297,7 +312,10 @@
 
     fn decode_endpoint_row(&mut self, row: &Row) -> Option<boragepass_path::Endpoint> {
         match decode_endpoint(&row.key, &row.value) {
-            Ok(endpoint) => Some(endpoint),
+            Ok(endpoint) => {
+                self.unreadable_keys.remove(&row.key);
+                Some(endpoint)
+            }
             Err(error) => {
                 if self.unreadable_keys.insert(row.key.clone()) {
                     let record =
@@ -376,7 +394,15 @@
         let body = client.get(&table_rows_path(names::VM_TABLE, None), CALL_TIMEOUT).await;
         match body.and_then(|reply| decode_rows(&reply.body).map_err(StoreError::Unreadable)) {
             Ok(rows) => {
-                driver.dispatch(Event::VmsListed(rows.rows.iter().filter_map(decode_vm_row).collect()));
+                let records = rows.rows.iter().filter_map(|row| match decode_vm_row(row) {
+                    Some(record) => Some(record),
+                    None => {
+                        driver.record(&Record::new("entry of a VM not read").text("vm", &row.key));
+                        None
+                    }
+                });
+                let records = records.collect();
+                driver.dispatch(Event::VmsListed(records));
                 return;
             }
             Err(error) => driver.record(&Record::new("VMs not read yet").text("reason", error)),
--- a/crates/boragepass_entry/tests/over_sockets/main.rs
+++ b/crates/boragepass_entry/tests/over_sockets/main.rs
@@ -2,6 +2,7 @@
 //! platform's protocol.
 
 mod late_copies;
+mod odd_rows;
 mod support;
 
 use std::io::{Read, Write};
--- a/crates/boragepass_entry/tests/over_sockets/support/mod.rs
+++ b/crates/boragepass_entry/tests/over_sockets/support/mod.rs
@@ -45,13 +45,10 @@
         let table = tables.keys().find(|table| got.path.contains(&format!("table={table}&")));
         let rows = table.and_then(|table| tables.get(table)).cloned().unwrap_or_default();
         if got.path.contains("waitMs=") {
-            let no_changes = encode_changes("", &RowPage { rows: Vec::new(), version: 3, has_more: false });
+            let no_changes = encode_changes("", &RowPage::last(Vec::new(), 3));
             return Some(Reply { head_delay: Duration::from_millis(500), ..Reply::new(200, no_changes) });
         }
-        Some(Reply::new(
-            200,
-            encode_rows(table.copied().unwrap_or_default(), &RowPage { rows, version: 3, has_more: false }),
-        ))
+        Some(Reply::new(200, encode_rows(table.copied().unwrap_or_default(), &RowPage::last(rows, 3))))
     });
     address
 }
--- a/crates/boragepass_path/src/placement/endpoint_table.rs
+++ b/crates/boragepass_path/src/placement/endpoint_table.rs
@@ -193,7 +193,9 @@
         let peer_loads: u32 = self.fresh_peer_loads(now).map(|(_, load)| u32::from(load.in_flight)).sum();
         let counted = self.in_flight + peer_loads;
         match self.report {
-            Some((at, load)) if now.since(at) < REPORT_AGE_MAX => counted.max(load.running + load.waiting),
+            Some((at, load)) if now.since(at) < REPORT_AGE_MAX => {
+                counted.max(load.running.saturating_add(load.waiting))
+            }
             Some(_) | None => counted,
         }
     }
--- a/crates/boragepass_path/src/placement/engine_choice.rs
+++ b/crates/boragepass_path/src/placement/engine_choice.rs
@@ -126,7 +126,7 @@
 
 fn slot_wait_ms(table: &EndpointTable, known: &KnownEndpoint, active_requests: u32, speed: Speed) -> f64 {
     let slots = known.endpoint.slots.max(1);
-    let excess_requests = (active_requests + 1).saturating_sub(slots);
+    let excess_requests = active_requests.saturating_add(1).saturating_sub(slots);
     let service_ms = table.average_service_ms(&known.endpoint.pool).unwrap_or(DEFAULT_SERVICE_MS);
     let service_ms = service_ms * speed.work_factor;
     f64::from(excess_requests) / f64::from(slots) * service_ms
--- a/crates/boragepass_path/src/placement/rejection_limit.rs
+++ b/crates/boragepass_path/src/placement/rejection_limit.rs
@@ -16,7 +16,7 @@
 
 /// Number of VMs that share a brittle endpoint with these slots.
 pub(crate) fn brittle_sharing_vms_max(rejections_max: u32, slots: u32) -> usize {
-    (slots.max(1) + rejections_max) as usize
+    slots.max(1).saturating_add(rejections_max) as usize
 }
 
 /// Brittleness that an endpoint states, and this VM's part of its slots.
--- a/crates/boragepass_soak/src/store.rs
+++ b/crates/boragepass_soak/src/store.rs
@@ -35,6 +35,8 @@
     version: u64,
     /// Changes up to this version are dropped; a read that starts before it is answered with 410.
     forgotten_up_to: u64,
+    /// Most rows of a page; all rows are on one without it.
+    page_rows_max: Option<usize>,
     unavailable_until: Option<Instant>,
     silent_until: Option<Instant>,
     slow_until: Option<Instant>,
@@ -154,8 +156,11 @@
         }
         let read = decode_table_read(&request.path)?;
         let Some(seen_version) = read.changes_after else {
-            let rows = self.tables.get(&read.table).map(|rows| rows.values().cloned().collect()).unwrap_or_default();
-            let rows = RowPage { rows, version: self.version, has_more: false };
+            let from = read.from.unwrap_or_default();
+            let table = self.tables.get(&read.table);
+            let mut rows = table.into_iter().flat_map(|rows| rows.range(from.clone()..)).map(|(_, row)| row.clone());
+            let page: Vec<_> = rows.by_ref().take(self.page_rows_max.unwrap_or(usize::MAX)).collect();
+            let rows = RowPage { has_more: rows.next().is_some(), ..RowPage::last(page, self.version) };
             return Some(Reply { head_delay, ..Reply::new(200, encode_rows(&read.table, &rows)) });
         };
         if seen_version < self.forgotten_up_to || seen_version > self.version {
@@ -165,7 +170,7 @@
             self.changes.iter().filter(|(table, change)| *table == read.table && version_of(change) > seen_version);
         let rows: Vec<_> = newer_changes.map(|(_, change)| change.clone()).collect();
         let head_delay = if rows.is_empty() { head_delay + EMPTY_FEED_DELAY } else { head_delay };
-        let changes = RowPage { rows, version: self.version, has_more: false };
+        let changes = RowPage::last(rows, self.version);
         Some(Reply { head_delay, ..Reply::new(200, encode_changes(&read.table, &changes)) })
     }
 }
@@ -208,6 +213,11 @@
         self.state().version
     }
 
+    /// Splits tables into pages of at most this many rows.
+    pub fn limit_pages(&self, rows_max: usize) {
+        self.state().page_rows_max = Some(rows_max);
+    }
+
     /// Whether a table has a row with this key.
     pub fn has_row(&self, table: &str, key: &str) -> bool {
         self.state().tables.get(table).is_some_and(|rows| rows.contains_key(key))
