A stream of which no VM knows the version goes on only after the versions of its pool were confirmed

Cause: such a VM held that its pool had one version, from a list and a row that it had read before the others joined. Nobody it could ask answered, so after 300 ms, or at once if the client named no stream, it let the stream go on.

Fix: the VM reads the list of endpoints and the row from the store after the request arrived, five times a second at most for all its requests. While it does not reach the store, most of the other VMs must have been heard since the arrival without a newer list. Otherwise the stream is refused after 1.5 s. Price: one read of the list (228 entries at most on the deployments) where such a request comes; a client that names no stream waits for that read.

--- a/crates/boragepass_entry/src/driver.rs
+++ b/crates/boragepass_entry/src/driver.rs
@@ -250,6 +250,7 @@
                 self.registration_channel.0.try_send(()).ok();
             }
             Effect::ReadRecordedVersions => self.start_version_call(VersionCall::Read),
+            Effect::ConfirmVersions => self.start_version_call(VersionCall::Confirm),
             Effect::RecordVersions(versions) => self.start_version_call(VersionCall::Replace(versions)),
             Effect::ReadStreamVersions => self.start_stream_version_call(StreamVersionCall::Read),
             Effect::RecordStreamVersions(row) => self.start_stream_version_call(StreamVersionCall::Write(row)),
--- a/crates/boragepass_entry/src/store_feed.rs
+++ b/crates/boragepass_entry/src/store_feed.rs
@@ -11,7 +11,9 @@
 use std::time::{Duration, Instant};
 
 use async_std::task;
-use boragepass_path::{EndpointUpdate, Evacuations, Event, Record, StorePoll, StoreVersion, VmRecord, VmState};
+use boragepass_path::{
+    Endpoint, EndpointUpdate, Evacuations, Event, Record, StorePoll, StoreVersion, VmRecord, VmState,
+};
 use boragepass_platform::{
     DecodeError, Row, RowChange, decode_changes, decode_endpoint, decode_rows, encode_row_write, names,
     table_changes_path, table_rows_path,
@@ -101,6 +103,40 @@
     task::sleep(Duration::from_millis(RETRY_DELAY_MIN_MS + random.random_range(0..RETRY_DELAY_JITTER_MS))).await;
 }
 
+/// Endpoints that the store lists.
+pub(crate) struct EndpointList {
+    /// Entries that are readable.
+    pub(crate) endpoints: Vec<Endpoint>,
+    /// Version of the list.
+    pub(crate) version: StoreVersion,
+}
+
+/// Reads the list of endpoints, apart from the feed that follows it. Entries that are not readable are left out; the feed
+/// logs them.
+pub(crate) async fn read_endpoints(client: &StoreClient) -> Result<EndpointList, StoreError> {
+    let mut endpoints = Vec::new();
+    let mut next_key: Option<String> = None;
+    let mut version = None;
+    loop {
+        let reply = client.get(&table_rows_path(names::ENDPOINT_TABLE, next_key.as_deref()), CALL_TIMEOUT).await?;
+        let page = decode_rows(&reply.body).map_err(StoreError::Unreadable)?;
+        let version = *version.get_or_insert(StoreVersion { era: reply.era.unwrap_or_default(), number: page.version });
+        if reply.era.unwrap_or_default() != version.era {
+            return Err(StoreError::Restored);
+        }
+        endpoints.extend(page.rows.iter().filter_map(|row| decode_endpoint(&row.key, &row.value).ok()));
+        match page.rows.last() {
+            Some(last) if page.has_more => next_key = Some(key_after(&last.key)),
+            Some(_) | None => return Ok(EndpointList { endpoints, version }),
+        }
+    }
+}
+
+/// Key at which the page behind a key starts.
+fn key_after(key: &str) -> String {
+    format!("{key}\u{1}")
+}
+
 impl TableFeed {
     async fn run(mut self) {
         loop {
@@ -141,9 +177,8 @@
             let last_key = page.rows.last().map(|row| row.key.clone());
             rows.extend(page.rows);
             self.log_unreadable_rows(&page.unreadable_rows);
-            // The next page starts behind the last key: at that key with the character U+0001 appended.
             match last_key {
-                Some(last_key) if page.has_more => next_key = Some(format!("{last_key}\u{1}")),
+                Some(last_key) if page.has_more => next_key = Some(key_after(&last_key)),
                 Some(_) | None => {
                     self.apply_table(rows, version);
                     return Ok(version);
@@ -310,7 +345,7 @@
         self.driver.receive_configuration(row.value.clone());
     }
 
-    fn decode_endpoint_row(&mut self, row: &Row) -> Option<boragepass_path::Endpoint> {
+    fn decode_endpoint_row(&mut self, row: &Row) -> Option<Endpoint> {
         match decode_endpoint(&row.key, &row.value) {
             Ok(endpoint) => {
                 self.unreadable_keys.remove(&row.key);
--- a/crates/boragepass_entry/src/version_rows.rs
+++ b/crates/boragepass_entry/src/version_rows.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 
 use async_std::task;
-use boragepass_path::{Event, Record, RecordedVersions};
+use boragepass_path::{EndpointUpdate, Event, Record, RecordedVersions};
 use boragepass_platform::{decode_rows, encode_row_replacement, names, table_rows_path};
 use boragepass_types::IdError;
 use rand::SeedableRng;
@@ -14,12 +14,14 @@
 
 use crate::driver::Driver;
 use crate::store_client::{StoreClient, StoreError};
-use crate::store_feed::{CALL_TIMEOUT, retry_delay};
+use crate::store_feed::{CALL_TIMEOUT, read_endpoints, retry_delay};
 
 /// Call that the request path asks for.
 pub(crate) enum VersionCall {
     /// Reads the row.
     Read,
+    /// Reads the list of endpoints and then the row.
+    Confirm,
     /// Replaces the row unless it changed since it was read, then reads it.
     Replace(RecordedVersions),
 }
@@ -72,8 +74,10 @@
     async fn run(mut self) {
         self.read_until_done().await;
         while let Some(call) = self.driver.next_version_call().await {
-            if let VersionCall::Replace(versions) = call {
-                self.replace(&versions).await;
+            match call {
+                VersionCall::Read => {}
+                VersionCall::Confirm => self.read_endpoints_until_done().await,
+                VersionCall::Replace(versions) => self.replace(&versions).await,
             }
             self.read_until_done().await;
         }
@@ -95,6 +99,20 @@
         }
     }
 
+    async fn read_endpoints_until_done(&mut self) {
+        loop {
+            match read_endpoints(&self.client).await {
+                Ok(list) => {
+                    let update = EndpointUpdate::Snapshot(list.endpoints, list.version);
+                    self.driver.dispatch(Event::EndpointsUpdated(update));
+                    return;
+                }
+                Err(error) => self.driver.record(&Record::new("endpoints not confirmed").text("reason", error)),
+            }
+            retry_delay(&mut self.random).await;
+        }
+    }
+
     async fn read_until_done(&mut self) {
         loop {
             match self.read().await {
--- a/crates/boragepass_fakes/src/path_fleet/fleet/mod.rs
+++ b/crates/boragepass_fakes/src/path_fleet/fleet/mod.rs
@@ -177,6 +177,7 @@
     WriteEntry(EndpointId),
     WriteEntriesAgain,
     ReadRecordedVersions(usize, u64),
+    ConfirmVersions(usize, u64),
 }
 
 /// Action with its time; the sequence number orders actions of the same time.
@@ -676,6 +677,7 @@
             Action::WriteEntry(endpoint_id) => self.write_entry(&endpoint_id),
             Action::WriteEntriesAgain => self.write_entries_again(),
             Action::ReadRecordedVersions(vm, incarnation) => self.read_recorded_versions(vm, incarnation),
+            Action::ConfirmVersions(vm, incarnation) => self.confirm_versions(vm, incarnation),
         }
     }
 
@@ -830,6 +832,7 @@
                 self.start_vm(vm);
             }
             Effect::ReadRecordedVersions => self.read_recorded_versions(vm, incarnation),
+            Effect::ConfirmVersions => self.confirm_versions(vm, incarnation),
             Effect::RecordVersions(versions) => self.record_versions(vm, incarnation, versions),
             Effect::ReadStreamVersions => self.read_stream_versions(vm),
             Effect::RecordStreamVersions(row) => self.record_stream_versions(vm, row),
--- a/crates/boragepass_fakes/src/path_fleet/fleet/store.rs
+++ b/crates/boragepass_fakes/src/path_fleet/fleet/store.rs
@@ -95,6 +95,22 @@
         }
     }
 
+    /// Lets a VM read the list of endpoints and then the versions that the store keeps.
+    pub(super) fn confirm_versions(&mut self, vm: usize, incarnation: u64) {
+        if self.vms[vm].incarnation != incarnation || self.vms[vm].request_path.is_none() {
+            return;
+        }
+        if self.vms[vm].is_cut_from_store {
+            let at = self.now + SpanMs(STORE_RETRY_MS);
+            self.schedule(at, Action::ConfirmVersions(vm, incarnation));
+            return;
+        }
+        let endpoints = self.store.entries.values().cloned().collect();
+        let update = EndpointUpdate::Snapshot(endpoints, self.store.version());
+        self.deliver(vm, STORE_DELAY_MS, Event::EndpointsUpdated(update));
+        self.read_recorded_versions(vm, incarnation);
+    }
+
     /// Lets a VM read the versions that the store keeps; one that is cut off from the store tries again until it succeeds.
     pub(super) fn read_recorded_versions(&mut self, vm: usize, incarnation: u64) {
         if self.vms[vm].incarnation != incarnation || self.vms[vm].request_path.is_none() {
--- a/crates/boragepass_fakes/tests/path_peers.rs
+++ b/crates/boragepass_fakes/tests/path_peers.rs
@@ -560,7 +560,55 @@
     let mut path = request_path(&Deployment::of(Site::Gigdesk));
     path.handle(NOW, recorded_versions(&["1"]));
     let effects = take_up_stream(&mut path, 1, None);
-    assert!(sent_to(&effects).is_some());
+    assert_eq!(sent_to(&effects), None, "the versions have to be confirmed");
+    assert!(sent_to(&confirm_versions(&mut path, effects, &["1"])).is_some());
+}
+
+/// Passes time until a request has ended its wait, and answers each read of the versions with these of the engines.
+fn confirm_versions(path: &mut RequestPath, mut effects: Vec<Effect>, engine_versions: &[&str]) -> Vec<Effect> {
+    let mut is_asked = effects.iter().any(|effect| matches!(effect, Effect::ConfirmVersions));
+    for step in 1..=40 {
+        let now = NOW + SpanMs(50 * step);
+        let mut later = if is_asked { path.handle(now, recorded_versions(engine_versions)) } else { Vec::new() };
+        later.extend(path.handle(now, Event::Tick));
+        is_asked = later.iter().any(|effect| matches!(effect, Effect::ConfirmVersions));
+        effects.extend(later);
+    }
+    effects
+}
+
+#[test]
+fn a_stream_does_not_go_on_at_a_vm_that_stood_still_before_it_has_read_which_versions_joined() {
+    for stream in [None, Some("first-attempt")] {
+        let mut path = request_path(&Deployment::of(Site::Gigdesk));
+        path.handle(NOW, heartbeat(vm_record(1, 120)));
+        path.handle(NOW, recorded_versions(&["1"]));
+        let woken_at = NOW + SpanMs(5_000);
+        let Event::RequestArrived(mut request) = arrival(1) else {
+            panic!("the event is an arrival");
+        };
+        request.path = "/ask/x".into();
+        request.pieces = vec![0; 4];
+        request.resume_after = Some(3);
+        request.resumed_stream = stream.map(Into::into);
+        let mut pending = path.handle(woken_at, Event::RequestArrived(request));
+        let mut effects = Vec::new();
+        for step in 1..=8 {
+            let now = woken_at + SpanMs(50 * step);
+            // The VM reads the row again as the one that keeps it.
+            if pending.iter().any(|effect| matches!(effect, Effect::ReadRecordedVersions)) {
+                effects.extend(path.handle(now, recorded_versions(&["1"])));
+            }
+            effects.extend(std::mem::replace(&mut pending, path.handle(now, Event::Tick)));
+        }
+        assert_eq!(sent_to(&effects), None, "{stream:?}");
+        assert!(effects.iter().any(|effect| matches!(effect, Effect::ConfirmVersions)), "{stream:?}");
+        let mut effects = path.handle(woken_at + SpanMs(450), recorded_versions(&["1", "2"]));
+        for step in 10..=40 {
+            effects.extend(path.handle(woken_at + SpanMs(50 * step), Event::Tick));
+        }
+        assert_eq!((sent_to(&effects), answered_status(&effects)), (None, Some(503)), "{stream:?}");
+    }
 }
 
 /// Versions that the store keeps: these for the engines, and the present one for all other pools.
@@ -589,10 +637,8 @@
     for stream in [None, Some("first-attempt")] {
         let mut path = request_path(&Deployment::of(Site::Gigdesk));
         path.handle(NOW, recorded_versions(&["0", "1"]));
-        let mut effects = take_up_stream(&mut path, 1, stream);
-        for step in 1..=10 {
-            effects.extend(path.handle(NOW + SpanMs(50 * step), Event::Tick));
-        }
+        let effects = take_up_stream(&mut path, 1, stream);
+        let effects = confirm_versions(&mut path, effects, &["0", "1"]);
         assert_eq!((sent_to(&effects), answered_status(&effects)), (None, Some(503)), "{stream:?}");
     }
 }
@@ -601,13 +647,9 @@
 fn a_stream_that_no_vm_knows_goes_on_if_the_pool_had_one_version() {
     for stream in [None, Some("first-attempt")] {
         let mut path = request_path(&Deployment::of(Site::Gigdesk));
-        let mut effects = take_up_stream(&mut path, 1, stream);
+        let effects = take_up_stream(&mut path, 1, stream);
         assert_eq!(sent_to(&effects), None, "{stream:?}: the store's row was not read yet");
-        path.handle(NOW, recorded_versions(&["1"]));
-        for step in 1..=10 {
-            effects.extend(path.handle(NOW + SpanMs(50 * step), Event::Tick));
-        }
-        assert!(sent_to(&effects).is_some(), "{stream:?}");
+        assert!(sent_to(&confirm_versions(&mut path, effects, &["1"])).is_some(), "{stream:?}");
     }
 }
 
@@ -617,8 +659,8 @@
     let mut path = request_path(&Deployment::of(Site::Gigdesk));
     path.handle(NOW, Event::VersionsRecorded(RecordedVersions::default()));
     let mut effects = take_up_stream(&mut path, 1, None);
-    assert!(effects.iter().any(|effect| matches!(effect, Effect::ReadRecordedVersions)));
-    path.handle(NOW, Event::VersionsRecorded(RecordedVersions::default()));
+    assert!(effects.iter().any(|effect| matches!(effect, Effect::ConfirmVersions)));
+    effects.extend(path.handle(NOW, Event::VersionsRecorded(RecordedVersions::default())));
     for step in 1..=10 {
         effects.extend(path.handle(NOW + SpanMs(50 * step), Event::Tick));
     }
--- a/crates/boragepass_fakes/tests/path_streams.rs
+++ b/crates/boragepass_fakes/tests/path_streams.rs
@@ -147,3 +147,51 @@
     crash_engines_in_turn(&mut fleet);
     drain(&mut fleet);
 }
+
+/// Lets engines of another version join while one VM is out of step, and breaks the streams that began there.
+fn join_while_out_of_step(site: Site, names_stream: bool, put_out_of_step: impl Fn(&mut PathFleet, usize, bool)) {
+    for seed in 20..28 {
+        let mut fleet = PathFleet::new(Deployment::of(site), seed);
+        fleet.clients_resume_streams = true;
+        fleet.clients_name_streams = names_stream;
+        fleet.run_until(1_000);
+        fleet.set_load(1.0);
+        fleet.run_for(2 * WARM_UP_MS);
+        let vm = seed as usize % fleet.vm_count();
+        put_out_of_step(&mut fleet, vm, true);
+        let earlier = engines(&fleet);
+        let joining: Vec<_> = earlier.iter().step_by(2).filter_map(|id| fleet.upgrade_endpoint(id, "2", 0)).collect();
+        fleet.run_for(2_000);
+        joining.iter().for_each(|id| fleet.inject_fault(id, CRASH));
+        fleet.run_for(1_500);
+        put_out_of_step(&mut fleet, vm, false);
+        fleet.run_for(2_000);
+        drain(&mut fleet);
+    }
+}
+
+#[test]
+fn no_stream_is_joined_from_two_versions_at_a_vm_that_was_cut_off_while_one_of_them_joined() {
+    for site in [Site::Lampu, Site::Gigdesk] {
+        for names_stream in [true, false] {
+            join_while_out_of_step(site, names_stream, |fleet, vm, is_out_of_step| {
+                fleet.set_cut_from_store(vm, is_out_of_step);
+                let cut: &[usize] = if is_out_of_step { &[vm] } else { &[] };
+                fleet.split_vms(cut);
+            });
+        }
+    }
+}
+
+#[test]
+fn no_stream_is_joined_from_two_versions_at_a_vm_that_stood_still_while_one_of_them_joined() {
+    for site in [Site::Lampu, Site::Gigdesk] {
+        for names_stream in [true, false] {
+            join_while_out_of_step(site, names_stream, |fleet, vm, is_out_of_step| {
+                if is_out_of_step {
+                    fleet.pause_vm(vm, 2_030);
+                }
+            });
+        }
+    }
+}
--- a/crates/boragepass_path/src/effect.rs
+++ b/crates/boragepass_path/src/effect.rs
@@ -158,6 +158,9 @@
     RegisterVm,
     /// Reads the versions of pools that the store keeps; reports `VersionsRecorded` once that succeeds.
     ReadRecordedVersions,
+    /// Reads the list of endpoints, reported as a snapshot, and then the versions of pools that the store keeps; reports
+    /// `VersionsRecorded` once both succeeded.
+    ConfirmVersions,
     /// Replaces the versions of pools that the store keeps, unless they changed since they were read; then reads them.
     RecordVersions(RecordedVersions),
     /// Reads the versions of begun streams that the store keeps, once; always reports `StreamVersionsRead`.
--- a/crates/boragepass_path/src/fleet/members.rs
+++ b/crates/boragepass_path/src/fleet/members.rs
@@ -338,6 +338,12 @@
         self.members.get(vm).map(|member| member.configuration).unwrap_or_default()
     }
 
+    /// Whether most of the other VMs sent a heartbeat after a moment; false if no other VM is known.
+    pub(crate) fn heard_most_since(&self, at: TimeMs) -> bool {
+        let heard = self.members.values().filter(|member| member.last_heartbeat_at.is_some_and(|heard| heard > at));
+        heard.count() * 2 > self.members.len()
+    }
+
     /// Number of live VMs, this one included.
     pub(crate) fn live_count(&self, now: TimeMs) -> usize {
         1 + self.members.keys().filter(|vm| self.is_live(now, vm)).count()
--- a/crates/boragepass_path/src/reducer/mod.rs
+++ b/crates/boragepass_path/src/reducer/mod.rs
@@ -86,6 +86,8 @@
     stream_versions: StreamVersions,
     version_history: VersionHistory,
     version_recording: VersionRecording,
+    /// Newest version of the endpoint list that another VM stated.
+    newest_peer_list: StoreVersion,
     stream_recording: StreamRecording,
     requests: HashMap<RequestNumber, RequestState>,
     /// Requests by the number of their send in progress.
@@ -132,6 +134,7 @@
             stream_versions: StreamVersions::default(),
             version_history: VersionHistory::default(),
             version_recording: VersionRecording::new(now),
+            newest_peer_list: StoreVersion::default(),
             stream_recording: StreamRecording::default(),
             requests: HashMap::new(),
             sends: HashMap::new(),
--- a/crates/boragepass_path/src/reducer/peers.rs
+++ b/crates/boragepass_path/src/reducer/peers.rs
@@ -84,6 +84,7 @@
             self.pool_backlogs.on_report(now, load);
         }
         let configuration = self.configuration.as_ref().map(|configuration| configuration.version).unwrap_or_default();
+        self.newest_peer_list = self.newest_peer_list.max(heartbeat.endpoints_version);
         let is_behind =
             heartbeat.configuration > configuration || heartbeat.endpoints_version > self.endpoint_table.version;
         self.query_newer_state(now, &vm, is_behind);
--- a/crates/boragepass_path/src/reducer/stream_versions.rs
+++ b/crates/boragepass_path/src/reducer/stream_versions.rs
@@ -18,6 +18,8 @@
 
 /// Time after which the holders of a stream's version are asked again: two round trips between regions.
 const QUERY_INTERVAL: SpanMs = SpanMs(100);
+/// Longest time for which a request waits until it is known which versions its pool had.
+const WAIT_MAX: SpanMs = SpanMs(1_500);
 /// Number of times that they are asked.
 const QUERIES_MAX: u32 = 3;
 /// Time after which a client may return to a stream of whose version no endpoint serves, as they restart within seconds.
@@ -39,9 +41,8 @@
             },
             // A client that does not name the stream can go on only if there was no choice of versions.
             (Some(_), None) => match self.past_versions(now, pool) {
-                PastVersions::One(version) => StreamVersion::Begun(version.clone()),
                 PastVersions::Several => return Err((RefusalReason::StreamVersionUnknown, None)),
-                PastVersions::Unknown => StreamVersion::Asked(0),
+                PastVersions::One(_) | PastVersions::Unknown => StreamVersion::Asked(0),
             },
         };
         match &stream_version {
@@ -94,17 +95,24 @@
         };
         let earlier_queries = *queries;
         *queries = earlier_queries.saturating_add(1).min(QUERIES_MAX);
-        let (pool, stream) = (state.pool.clone(), state.arrival.resumed_stream.clone());
-        let is_to_wait = earlier_queries > 0 && self.awaits_stream_versions(now, request);
+        let (arrived_at, stream) = (state.arrived_at, state.arrival.resumed_stream.clone());
+        let pool = state.pool.clone();
+        let awaits_table = earlier_queries > 0 && self.awaits_stream_versions(now, request);
+        let may_have_one = self.endpoint_table.only_software_version(&pool).is_some()
+            && self.past_versions(now, &pool) != PastVersions::Several;
+        if may_have_one && (earlier_queries > 0 || stream.is_none()) {
+            self.confirm_versions(now, arrived_at);
+        }
         if earlier_queries >= QUERIES_MAX {
-            if is_to_wait {
+            let awaits_confirmation =
+                may_have_one && !self.are_versions_confirmed(arrived_at) && now.since(arrived_at) < WAIT_MAX;
+            if awaits_table || awaits_confirmation {
                 self.timers.set(now + QUERY_INTERVAL, Timer::StreamVersionQuery(request));
             } else {
                 self.go_on_at_only_version(now, request);
             }
             return;
         }
-        self.read_versions_if_unknown(now, &pool);
         if let Some(stream) = stream {
             for vm in stream_holders(&self.fleet, now, &stream) {
                 self.send_peer_datagram(&vm, PeerMessage::StreamVersionQuery(stream.clone()));
@@ -115,12 +123,13 @@
 
     /// Lets a request go on whose stream's version no VM knows, if its pool had only one version; fails it otherwise.
     fn go_on_at_only_version(&mut self, now: TimeMs, request: RequestNumber) {
-        let Some(pool) = self.requests.get(&request).map(|state| state.pool.clone()) else {
+        let Some(state) = self.requests.get(&request) else {
             return;
         };
-        let version = match self.past_versions(now, &pool) {
-            PastVersions::One(version) => version.clone(),
-            PastVersions::Several | PastVersions::Unknown => {
+        let is_confirmed = self.are_versions_confirmed(state.arrived_at);
+        let version = match self.past_versions(now, &state.pool) {
+            PastVersions::One(version) if is_confirmed => version.clone(),
+            PastVersions::One(_) | PastVersions::Several | PastVersions::Unknown => {
                 self.fail_request(now, request, RefusalReason::StreamVersionUnknown);
                 return;
             }
@@ -135,6 +144,21 @@
         }
     }
 
+    /// Decides on the requests whose clients name no stream, now that the versions of pools were read.
+    pub(super) fn end_waits_for_confirmation(&mut self, now: TimeMs) {
+        let is_waiting = |state: &RequestState| {
+            matches!(state.stream_version, StreamVersion::Asked(_))
+                && state.arrival.resumed_stream.is_none()
+                && self.are_versions_confirmed(state.arrived_at)
+        };
+        let mut waiting: Vec<_> =
+            self.requests.iter().filter(|(_, state)| is_waiting(state)).map(|(request, _)| *request).collect();
+        waiting.sort();
+        for request in waiting {
+            self.go_on_at_only_version(now, request);
+        }
+    }
+
     /// Replies to a VM that asks for the version of a stream, if it is known here.
     pub(super) fn on_stream_version_query(&mut self, from: &VmId, stream: Arc<str>) {
         if let Some(version) = self.stream_versions.get(&stream).cloned() {
--- a/crates/boragepass_path/src/reducer/version_record.rs
+++ b/crates/boragepass_path/src/reducer/version_record.rs
@@ -11,8 +11,8 @@
 /// Time after its start in which a VM hears the others and so knows whether it is the one that records versions. Also the
 /// time between two changes of the row.
 const RECORDING_DELAY: SpanMs = SpanMs(3_000);
-/// Shortest time between two reads of the row for streams.
-const READ_INTERVAL: SpanMs = SpanMs(1_000);
+/// Shortest time between two reads of the list and the row for streams.
+const CONFIRMATION_INTERVAL: SpanMs = SpanMs(200);
 
 /// State of this VM's calls that record versions.
 #[derive(Debug)]
@@ -24,11 +24,22 @@
     is_call_in_progress: bool,
     /// When the VM may read the row again because a stream needs it.
     next_read_at: TimeMs,
+    /// Start of the read in progress that also reads the list of endpoints.
+    confirmation_started_at: Option<TimeMs>,
+    /// Start of the last such read that succeeded.
+    confirmed_at: Option<TimeMs>,
 }
 
 impl VersionRecording {
     pub(super) fn new(now: TimeMs) -> Self {
-        Self { next_at: now + RECORDING_DELAY, has_current_row: false, is_call_in_progress: false, next_read_at: now }
+        Self {
+            next_at: now + RECORDING_DELAY,
+            has_current_row: false,
+            is_call_in_progress: false,
+            next_read_at: now,
+            confirmation_started_at: None,
+            confirmed_at: None,
+        }
     }
 }
 
@@ -50,21 +61,39 @@
 
     pub(super) fn on_versions_recorded(&mut self, now: TimeMs, recorded: RecordedVersions) {
         self.version_history.on_recorded(now, recorded);
-        self.version_recording.is_call_in_progress = false;
+        let recording = &mut self.version_recording;
+        recording.is_call_in_progress = false;
+        recording.confirmed_at = recording.confirmation_started_at.take().or(recording.confirmed_at);
         self.read_stream_versions_at_start(now);
+        self.end_waits_for_confirmation(now);
+    }
+
+    /// Whether the versions that pools had are known as of a moment after `at`. A VM that was cut off or stood still may
+    /// have missed versions that joined meanwhile. The store tells; while it cannot be reached, most of the other VMs have
+    /// to state that they know no newer list of endpoints.
+    pub(super) fn are_versions_confirmed(&self, at: TimeMs) -> bool {
+        let is_read = self.version_recording.confirmed_at.is_some_and(|confirmed_at| confirmed_at >= at);
+        let is_agreed = || {
+            !self.fleet.can_reach_store
+                && self.newest_peer_list <= self.endpoint_table.version
+                && self.fleet.heard_most_since(at)
+        };
+        is_read || is_agreed()
     }
 
-    /// Reads the store's row again if it is not known which versions a pool had; it may not have named the pool before.
-    pub(super) fn read_versions_if_unknown(&mut self, now: TimeMs, pool: &PoolId) {
+    /// Reads from the store which versions the pools have and had, unless that is known as of a moment after `at`.
+    pub(super) fn confirm_versions(&mut self, now: TimeMs, at: TimeMs) {
+        if self.are_versions_confirmed(at) {
+            return;
+        }
         let recording = &mut self.version_recording;
         if recording.is_call_in_progress || now < recording.next_read_at {
             return;
         }
-        if self.version_history.past_versions(now, pool) == PastVersions::Unknown {
-            recording.is_call_in_progress = true;
-            recording.next_read_at = now + READ_INTERVAL;
-            self.effects.push(Effect::ReadRecordedVersions);
-        }
+        recording.is_call_in_progress = true;
+        recording.next_read_at = now + CONFIRMATION_INTERVAL;
+        recording.confirmation_started_at = Some(now);
+        self.effects.push(Effect::ConfirmVersions);
     }
 
     /// Brings the store's row up to date if this VM is the one that keeps it.
