Soak: late copies of every kind of answer, odd entries among the endpoints

A link in the mode Copies sends the last reply of its connection, or the last rejection of any of its connections, once more where the answer to every third request on a reused connection is due; short series of rejections come with it. Another writer leaves odd entries under keys of its own, or overwrites the entry of an endpoint until that writes it again.

--- a/crates/boragepass_soak/src/endpoints.rs
+++ b/crates/boragepass_soak/src/endpoints.rs
@@ -129,6 +129,12 @@
         store.put_row(names::ENDPOINT_TABLE, &id, encode_endpoint(&endpoint));
     }
 
+    /// Replaces the content of the endpoint's row, as another writer does.
+    pub(crate) fn overwrite_entry(&self, store: &Store, entry: Vec<u8>) {
+        let id = self.state().id.clone();
+        store.put_row(names::ENDPOINT_TABLE, &id, entry);
+    }
+
     /// Replaces the endpoint's row by one with a new id at the same address, as after a restart.
     pub(crate) fn restart_with_new_id(&self, store: &Store, incarnation: u64) {
         let old_id = std::mem::replace(&mut self.state().id, format!("{}-{}-{incarnation}", self.kind, self.number));
--- a/crates/boragepass_soak/src/plan.rs
+++ b/crates/boragepass_soak/src/plan.rs
@@ -77,6 +77,12 @@
     /// All VMs get SIGKILL at once and are started again.
     #[display("all VMs are killed")]
     KillAll,
+    /// Another writer leaves an odd entry among those of the endpoints, under a key of its own.
+    #[display("odd entry {_0} appears among the endpoints")]
+    OddEntry(usize),
+    /// Another writer overwrites the entry of an endpoint, which writes its own again after a time.
+    #[display("entry of endpoint {_0} is overwritten by odd entry {_1} for {_2} ms")]
+    OverwrittenEntry(usize, usize, u64),
 }
 
 /// Fault and the time at which it is injected.
@@ -108,6 +114,10 @@
 const STATEMENTS_SEED: u64 = 0x73_7461_7465;
 /// Distinguishes the generator of kills of all VMs from the others.
 const KILL_OF_ALL_SEED: u64 = 0x61_6c6c;
+/// Distinguishes the generator of late copies from the others.
+const COPIES_SEED: u64 = 0x636f_7069_6573;
+/// Distinguishes the generator of odd entries from the others.
+const ODD_ENTRIES_SEED: u64 = 0x6f_6464;
 /// Shortest time for which endpoints are brittle; in the first 4 s of it rejections do no harm.
 const BRITTLE_MS_MIN: u64 = 8_000;
 /// Most faults in one series.
@@ -133,6 +143,8 @@
         draw_endless_replies(seed, end_ms, endpoint_count, &mut faults);
         draw_statements(seed, end_ms, endpoint_count, &mut faults);
         draw_kill_of_all(seed, end_ms, &mut faults);
+        draw_copies(seed, end_ms, endpoint_count, &mut faults);
+        draw_odd_entries(seed, end_ms, endpoint_count, &mut faults);
         faults.sort_by_key(|planned| planned.at_ms);
         Self { faults }
     }
@@ -188,6 +200,41 @@
     }
 }
 
+/// Draws endpoints that reject requests and send late copies of their replies, from a generator of its own for the same
+/// reason.
+fn draw_copies(seed: u64, end_ms: u64, endpoint_count: usize, faults: &mut Vec<PlannedFault>) {
+    let mut random = SmallRng::seed_from_u64(seed ^ COPIES_SEED);
+    for _ in 0..random.random_range(1..5) {
+        let (endpoint, duration_ms) = (random.random_range(0..endpoint_count), random.random_range(1_500..7_000));
+        let at_ms = random.random_range(FAULT_FREE_START_MS..end_ms);
+        let copies = Fault::EndpointLink(endpoint, LinkMode::Copies, duration_ms);
+        faults.push(PlannedFault { at_ms, fault: copies });
+        // Short series of rejections, so that requests run between the copies of them.
+        for step in 0..duration_ms / 800 {
+            let rejections = PlannedFault { at_ms: at_ms + step * 800, fault: Fault::EndpointFull(endpoint, 200) };
+            if rejections.at_ms < end_ms {
+                faults.push(rejections);
+            }
+        }
+    }
+}
+
+/// Draws odd entries among the endpoints, from a generator of its own for the same reason.
+fn draw_odd_entries(seed: u64, end_ms: u64, endpoint_count: usize, faults: &mut Vec<PlannedFault>) {
+    let mut random = SmallRng::seed_from_u64(seed ^ ODD_ENTRIES_SEED);
+    for _ in 0..random.random_range(1..6) {
+        let entry = random.random_range(0..usize::MAX);
+        let fault = match random.random_range(0..3) {
+            0 => {
+                let endpoint = random.random_range(0..endpoint_count);
+                Fault::OverwrittenEntry(endpoint, entry, random.random_range(300..2_000))
+            }
+            _ => Fault::OddEntry(entry),
+        };
+        faults.push(PlannedFault { at_ms: random.random_range(FAULT_FREE_START_MS..end_ms), fault });
+    }
+}
+
 fn draw_link_mode(random: &mut SmallRng) -> LinkMode {
     match random.random_range(0..5) {
         0 => LinkMode::Delay(random.random_range(20..400)),
--- a/crates/boragepass_soak/src/proxy.rs
+++ b/crates/boragepass_soak/src/proxy.rs
@@ -35,6 +35,27 @@
     /// Sends bytes without end in place of the server's.
     #[display("sends bytes without end")]
     Endless,
+    /// Sends a copy of an earlier reply where the next one on a connection is due, for some of the requests.
+    #[display("sends late copies of replies")]
+    Copies,
+}
+
+/// Requests of which one gets a copy of an earlier reply.
+const REQUESTS_PER_COPY: u64 = 3;
+/// Longest reply that is copied.
+const COPIED_BYTES_MAX: usize = 64 * 1_024;
+/// Starts of replies that state that their request did not run, as far as the link can tell.
+const REJECTION_STARTS: [&[u8]; 3] = [b"HTTP/1.1 421", b"HTTP/1.1 429", b"HTTP/1.1 503"];
+
+/// Bytes of the replies that a link can send once more.
+#[derive(Debug, Default)]
+struct CopySource {
+    /// Reply to the last request on the connection.
+    last_reply: Mutex<Vec<u8>>,
+}
+
+fn is_rejection(reply: &[u8]) -> bool {
+    REJECTION_STARTS.iter().any(|start| reply.starts_with(start))
 }
 
 /// Direction in which bytes are forwarded.
@@ -44,12 +65,26 @@
     FromServer,
 }
 
+/// One direction of a connection.
+#[derive(Debug, Clone)]
+struct Forwarding {
+    connection: u64,
+    direction: Direction,
+    source: Arc<CopySource>,
+    /// Socket towards the client.
+    replies: TcpStream,
+}
+
 #[derive(Debug, Default)]
 struct LinkState {
     mode: LinkMode,
     /// Connections with a smaller number stay silent for good.
     silenced_below: u64,
     connection_count: u64,
+    /// Last rejection on any connection of the link.
+    last_rejection: Vec<u8>,
+    /// Requests on connections that were used before, while copies are sent.
+    copy_turns: u64,
 }
 
 /// Link to one server, reached at the proxy's own address.
@@ -109,12 +144,43 @@
             // Dropping the client's socket closes it without a byte.
             return;
         };
-        let to_server = self.clone().forward_bytes(connection, client.clone(), server.clone(), Direction::ToServer);
-        let from_server = self.clone().forward_bytes(connection, server, client, Direction::FromServer);
+        let (source, replies) = (Arc::new(CopySource::default()), client.clone());
+        let to_server = Forwarding { connection, direction: Direction::ToServer, source: source.clone(), replies };
+        let from_server = Forwarding { direction: Direction::FromServer, source, ..to_server.clone() };
+        let to_server = self.clone().forward_bytes(to_server, client.clone(), server.clone());
+        let from_server = self.clone().forward_bytes(from_server, server, client);
         futures::join!(to_server, from_server);
     }
 
-    async fn forward_bytes(self, connection: u64, mut source: TcpStream, mut target: TcpStream, direction: Direction) {
+    /// Bytes to send to the client before a request is forwarded; none if its connection carried no reply before.
+    fn due_copy(&self, forwarding: &Forwarding) -> Vec<u8> {
+        let own_reply =
+            std::mem::take(&mut *forwarding.source.last_reply.lock().unwrap_or_else(PoisonError::into_inner));
+        if own_reply.is_empty() || self.connection_mode(forwarding.connection) != LinkMode::Copies {
+            return Vec::new();
+        }
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        state.copy_turns += 1;
+        match state.copy_turns % REQUESTS_PER_COPY {
+            0 if is_rejection(&own_reply) || state.last_rejection.is_empty() => own_reply,
+            0 => state.last_rejection.clone(),
+            _ => Vec::new(),
+        }
+    }
+
+    /// Keeps bytes of a reply, so that they can be sent once more.
+    fn keep_reply(&self, forwarding: &Forwarding, bytes: &[u8]) {
+        let mut last_reply = forwarding.source.last_reply.lock().unwrap_or_else(PoisonError::into_inner);
+        if last_reply.len() + bytes.len() <= COPIED_BYTES_MAX {
+            last_reply.extend_from_slice(bytes);
+        }
+        if is_rejection(&last_reply) {
+            self.state.lock().unwrap_or_else(PoisonError::into_inner).last_rejection.clone_from(&last_reply);
+        }
+    }
+
+    async fn forward_bytes(self, forwarding: Forwarding, mut source: TcpStream, mut target: TcpStream) {
+        let (connection, direction) = (forwarding.connection, forwarding.direction);
         let mut chunk = vec![0; CHUNK_BYTES];
         loop {
             let read = async_std::future::timeout(HELD_POLL_INTERVAL, source.read(&mut chunk)).await;
@@ -132,6 +198,15 @@
                 Ok(Ok(len)) if len > 0 => len,
                 Ok(_) => break,
             };
+            match direction {
+                Direction::FromServer => self.keep_reply(&forwarding, &chunk[..len]),
+                Direction::ToServer => {
+                    let copy = self.due_copy(&forwarding);
+                    if (&forwarding.replies).write_all(&copy).await.is_err() {
+                        break;
+                    }
+                }
+            }
             if !self.wait_to_forward(connection, direction).await || target.write_all(&chunk[..len]).await.is_err() {
                 break;
             }
@@ -153,7 +228,10 @@
                 (LinkMode::CutTowards, Direction::ToServer)
                 | (LinkMode::CutFrom, Direction::FromServer)
                 | (LinkMode::SilenceOpen, _) => task::sleep(HELD_POLL_INTERVAL).await,
-                (LinkMode::Pass | LinkMode::CutTowards | LinkMode::CutFrom | LinkMode::Endless, _) => return true,
+                (
+                    LinkMode::Pass | LinkMode::CutTowards | LinkMode::CutFrom | LinkMode::Endless | LinkMode::Copies,
+                    _,
+                ) => return true,
             }
         }
     }
--- a/crates/boragepass_soak/src/run.rs
+++ b/crates/boragepass_soak/src/run.rs
@@ -14,6 +14,7 @@
 use crate::clients::Client;
 use crate::endpoints::{EndpointKind, SoakEndpoint};
 use crate::ledger::{Ledger, Summary};
+use crate::odd_rows::{ODD_KEYS, odd_entries};
 use crate::plan::{FAULT_FREE_END_MS, Fault, FaultPlan};
 use crate::proxy::{LinkMode, Proxy};
 use crate::site::{DOMAINS, configuration, settings_text};
@@ -271,6 +272,20 @@
                     endpoints.iter().for_each(|endpoint| endpoint.become_brittle(None, Arc::default()));
                 });
             }
+            Fault::OddEntry(number) => {
+                let entries = odd_entries();
+                let key = ODD_KEYS[number % ODD_KEYS.len()];
+                self.store.put_row(names::ENDPOINT_TABLE, key, entries[number % entries.len()].clone());
+            }
+            Fault::OverwrittenEntry(endpoint, number, ms) => {
+                let entries = odd_entries();
+                let (endpoint, store) = (self.endpoints[endpoint].clone(), self.store.clone());
+                endpoint.overwrite_entry(&store, entries[number % entries.len()].clone());
+                std::thread::spawn(move || {
+                    std::thread::sleep(Duration::from_millis(ms));
+                    endpoint.publish(&store, false);
+                });
+            }
             Fault::Configure => {
                 *configuration_version += 3;
                 self.store.put_row(
