A VM drops what it holds of a streamed request once its answer was delivered

A VM with streams grew by some 18 KB with each of them, exceeded its memory and was killed with all requests in progress (LOST). Cause: the ClientExchange of an answer that was read in full goes with the reply, that of a stream only if it is aborted or its client leaves. Now AnswerDelivered drops it like the other two ends.

--- a/crates/boragepass_entry/src/driver.rs
+++ b/crates/boragepass_entry/src/driver.rs
@@ -323,6 +323,11 @@
         }
     }
 
+    /// Numbers of requests and of sends that are kept.
+    pub(crate) fn kept_entries(&self) -> (usize, usize) {
+        (self.exchanges.borrow().len(), self.sends.borrow().len())
+    }
+
     /// Drops the state of a send whose stream ended.
     pub(crate) fn remove_send(&self, send: SendNumber) {
         self.sends.borrow_mut().remove(&send);
--- a/crates/boragepass_entry/src/metrics.rs
+++ b/crates/boragepass_entry/src/metrics.rs
@@ -1,7 +1,9 @@
 //! Prometheus metrics, derived from the records that are also logged.
 
 use boragepass_path::{Record, RecordValue, ReplyHead};
-use prometheus::{Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
+use prometheus::{
+    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry, TextEncoder,
+};
 
 /// Upper bounds of the latency buckets in seconds, from one exchange within a failure domain to the
 /// longest deadline.
@@ -19,6 +21,7 @@
     excess_bytes: IntGauge,
     rejections: IntCounterVec,
     evacuated_domains: IntGauge,
+    kept_entries: IntGaugeVec,
 }
 
 impl Metrics {
@@ -46,6 +49,10 @@
             Opts::new("boragepass_rejections_total", "replies that state that their request did not run"),
             &["named_request", "connection"],
         )?;
+        let kept_entries = IntGaugeVec::new(
+            Opts::new("boragepass_kept_entries", "entries that are kept for requests that have not ended"),
+            &["kind"],
+        )?;
         let registry = Registry::new();
         registry.register(Box::new(records.clone()))?;
         registry.register(Box::new(refusals.clone()))?;
@@ -56,6 +63,7 @@
         registry.register(Box::new(evacuated_domains.clone()))?;
         registry.register(Box::new(excess_bytes.clone()))?;
         registry.register(Box::new(rejections.clone()))?;
+        registry.register(Box::new(kept_entries.clone()))?;
         Ok(Self {
             registry,
             records,
@@ -67,6 +75,7 @@
             excess_bytes,
             rejections,
             evacuated_domains,
+            kept_entries,
         })
     }
 
@@ -92,6 +101,11 @@
         self.rejections.with_label_values(&[head.named_request.to_string().as_str(), connection]).inc();
     }
 
+    /// Sets the number of entries of some kind that are kept for requests.
+    pub(crate) fn set_kept_entries(&self, kind: &str, entries: usize) {
+        self.kept_entries.with_label_values(&[kind]).set(entries as i64);
+    }
+
     /// Sets the number of evacuated failure domains.
     pub(crate) fn set_evacuated_domains(&self, domains: usize) {
         self.evacuated_domains.set(domains as i64);
--- a/crates/boragepass_path/src/effect.rs
+++ b/crates/boragepass_path/src/effect.rs
@@ -117,7 +117,7 @@
     Respond(RequestNumber, Answer),
     /// Aborts an answer that has begun, so that the client sees that it is incomplete.
     AbortAnswer(RequestNumber),
-    /// Drops what the executor holds of a request whose client disconnected.
+    /// Drops what the executor holds of a request that has ended.
     DropRequest(RequestNumber),
     /// Opens a connection to an endpoint and closes it again; reports `EndpointDown` if the endpoint refuses it.
     CheckEndpoint(SendTarget),
--- a/crates/boragepass_path/src/reducer/endings.rs
+++ b/crates/boragepass_path/src/reducer/endings.rs
@@ -94,6 +94,7 @@
 
     pub(super) fn on_answer_delivered(&mut self, request: RequestNumber) {
         self.requests.remove(&request);
+        self.effects.push(Effect::DropRequest(request));
     }
 
     pub(super) fn on_client_disconnected(&mut self, now: TimeMs, request: RequestNumber) {
