A listener that was out of descriptors reports its recovery though no client connects

Operators saw "connections not accepted" for a listener that never ended: the log says that a VM does not accept connections, though it does.

Cause: the system looks for a free descriptor before it looks for a connection, so a listener whose queue is empty fails too. Its end was reported with the next connection only, and a listener that takes the last descriptor for the last of its clients gets none.

Fix: a listener that finds no connection has found a descriptor, so that ends the failures as a connection does.

--- a/crates/boragepass_server/src/accept.rs
+++ b/crates/boragepass_server/src/accept.rs
@@ -1,10 +1,13 @@
 //! Acceptance of connections, which goes on after a listener could not accept some.
 
 use std::io;
+use std::pin::pin;
+use std::task::Poll;
 use std::time::Duration;
 
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
+use futures::poll;
 
 /// Delay after a failed accept. The system may be out of descriptors, which only ends if other tasks get to close some.
 const RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -32,32 +35,56 @@
 #[derive(Debug)]
 pub struct Acceptor<F> {
     listener: TcpListener,
+    failures: Failures<F>,
+}
+
+/// Failures of a listener since it last did not fail.
+#[derive(Debug)]
+struct Failures<F> {
+    count: u64,
     on_change: F,
-    /// Failures since the last connection.
-    failures: u64,
+}
+
+impl<F: FnMut(AcceptChange)> Failures<F> {
+    fn add(&mut self, error: io::Error) {
+        if self.count == 0 {
+            (self.on_change)(AcceptChange::Failing(error));
+        }
+        self.count += 1;
+    }
+
+    fn end(&mut self) {
+        if self.count > 0 {
+            (self.on_change)(AcceptChange::Recovered(std::mem::take(&mut self.count)));
+        }
+    }
 }
 
 impl<F: FnMut(AcceptChange)> Acceptor<F> {
     /// Accepts from a listener.
     pub fn new(listener: TcpListener, on_change: F) -> Self {
-        Self { listener, on_change, failures: 0 }
+        Self { listener, failures: Failures { count: 0, on_change } }
     }
 
     /// Waits for the next connection, and pauses after each failure.
     pub async fn accept(&mut self) -> TcpStream {
         loop {
-            match self.listener.accept().await {
+            let mut accepted = pin!(self.listener.accept());
+            let result = match poll!(&mut accepted) {
+                Poll::Ready(result) => result,
+                Poll::Pending => {
+                    // The system checks for a free descriptor before it looks for a connection, so there is one.
+                    self.failures.end();
+                    accepted.await
+                }
+            };
+            match result {
                 Ok((stream, _)) => {
-                    if self.failures > 0 {
-                        (self.on_change)(AcceptChange::Recovered(std::mem::take(&mut self.failures)));
-                    }
+                    self.failures.end();
                     return stream;
                 }
                 Err(error) => {
-                    if self.failures == 0 {
-                        (self.on_change)(AcceptChange::Failing(error));
-                    }
-                    self.failures += 1;
+                    self.failures.add(error);
                     task::sleep(RETRY_DELAY).await;
                 }
             }
