A stream does not go on at an endpoint that may have returned under its id as another version

Callers got streams that hold events of two software versions (ORDER): the last endpoint of an old version crashed and was back a second later as the new one, under its id.

Cause: a VM that found an endpoint down took that for a possible restart only while the store was unreachable. Until the new entry came, it let streams go on there at the version of the entry from before.

Fix: an endpoint that any VM found down is in doubt, whatever the store does, until its new entry is read, a reply to an exchange that began before shows that its process lives on, or 5 s have passed since it replied again with the store reachable. An endpoint in doubt begins streams as before; none goes on there. What is known of that stands in placement/endpoint_life.rs now.

--- a/crates/boragepass_fakes/src/path_fleet/fleet/harmful_part.rs
+++ b/crates/boragepass_fakes/src/path_fleet/fleet/harmful_part.rs
@@ -96,6 +96,7 @@
         // A new process knows nothing of what the old one announced.
         endpoint.endpoint.started_at_unix_ms = started_at_unix_ms;
         endpoint.leaving = None;
-        self.write_entry(id);
+        let at = self.now + SpanMs(self.registration_delay_ms);
+        self.schedule(at, Action::WriteEntry(id.clone()));
     }
 }
--- a/crates/boragepass_fakes/src/path_fleet/fleet/mod.rs
+++ b/crates/boragepass_fakes/src/path_fleet/fleet/mod.rs
@@ -256,6 +256,10 @@
     pub abandon_share: f64,
     /// Error of the clocks of endpoints in milliseconds.
     pub endpoint_clock_error_ms: i64,
+    /// Time in milliseconds from the start of an endpoint that restarted under its id until its entry is written.
+    pub registration_delay_ms: u64,
+    /// Time in milliseconds by which changes of the store reach the VMs that follow it later than usual.
+    pub feed_delay_ms: u64,
     /// Number of log records of the VMs by their text.
     pub log_record_counts: BTreeMap<&'static str, u32>,
 }
@@ -332,6 +336,8 @@
             stale_client_share: 0.0,
             abandon_share: 0.0,
             endpoint_clock_error_ms: 0,
+            registration_delay_ms: 0,
+            feed_delay_ms: 0,
             log_record_counts: BTreeMap::new(),
         };
         fleet.record_homes();
--- a/crates/boragepass_fakes/src/path_fleet/fleet/store.rs
+++ b/crates/boragepass_fakes/src/path_fleet/fleet/store.rs
@@ -166,7 +166,7 @@
         let version = self.store.version();
         for vm in 0..self.vms.len() {
             if !self.vms[vm].is_cut_from_store && self.vms[vm].is_store_follower {
-                self.deliver(vm, STORE_DELAY_MS, Event::EndpointsUpdated(update(version)));
+                self.deliver(vm, STORE_DELAY_MS + self.feed_delay_ms, Event::EndpointsUpdated(update(version)));
             }
         }
     }
--- a/crates/boragepass_fakes/tests/path_streams.rs
+++ b/crates/boragepass_fakes/tests/path_streams.rs
@@ -195,3 +195,33 @@
         }
     }
 }
+
+/// Restarts all endpoints of the earlier version under their ids as a new one, while streams run there.
+fn restart_earlier_version(site: Site, seed: u64, prepare: impl Fn(&mut PathFleet)) {
+    const DOWN_MS: u64 = 1_000;
+    const REGISTRATION_DELAY_MS: u64 = 300;
+    let mut fleet = mixed_fleet(site, seed);
+    fleet.registration_delay_ms = REGISTRATION_DELAY_MS;
+    let earlier_version: Vec<_> = engines(&fleet).into_iter().filter(|id| !id.as_str().contains("replaced")).collect();
+    prepare(&mut fleet);
+    for id in &earlier_version {
+        fleet.restart_with_version(id, "3", DOWN_MS);
+        fleet.run_for(120);
+    }
+    fleet.run_for(2 * WARM_UP_MS);
+    drain(&mut fleet);
+}
+
+#[test]
+fn no_stream_goes_on_at_an_endpoint_that_crashed_and_returned_under_its_id_as_another_version() {
+    for (site, seed) in [(Site::Lampu, 30), (Site::Lampu, 31), (Site::Gigdesk, 32), (Site::Gigdesk, 33)] {
+        restart_earlier_version(site, seed, |_| {});
+    }
+}
+
+#[test]
+fn no_stream_goes_on_at_an_endpoint_that_returned_as_another_version_while_the_feed_lags() {
+    for (site, seed) in [(Site::Lampu, 34), (Site::Lampu, 35), (Site::Gigdesk, 36), (Site::Gigdesk, 37)] {
+        restart_earlier_version(site, seed, |fleet| fleet.feed_delay_ms = 1_500);
+    }
+}
--- a/crates/boragepass_path/src/placement/endpoint_table.rs
+++ b/crates/boragepass_path/src/placement/endpoint_table.rs
@@ -13,6 +13,7 @@
 use boragepass_core::{EjectionCause, Health, ejection_cap};
 use boragepass_types::{EndpointId, FailureDomain, PoolId, SoftwareVersion, SpanMs, StoreEra, TimeMs, VmId};
 
+use super::endpoint_life::{EndpointLife, RESTART_ENTRY_TIME};
 use super::endpoint_speed::{EndpointSpeed, PREFILL_TOKENS_PER_MS, PoolSpeed, Speed, SpeedProbe};
 use super::prompt_cache::PromptCache;
 use super::shared_statement::Statement;
@@ -35,8 +36,6 @@
 const PROBE_PENDING_TOKENS_MAX: u64 = 500;
 /// Age at which the load that another VM reported is ignored.
 const PEER_LOAD_AGE_MAX: SpanMs = SpanMs(2_500);
-/// Time in which an endpoint that restarted writes its new entry, while the store is reachable.
-const RESTART_ENTRY_TIME: SpanMs = SpanMs(5_000);
 /// Cold endpoints that a heartbeat names: 250 bytes, and VMs learn of most of them from their entries.
 const COLD_REPORTS_MAX: usize = 8;
 /// Weight of a new sample in the moving average of the service time.
@@ -156,10 +155,7 @@
     /// Until when it is kept at least, as another VM does.
     kept_until: TimeMs,
     full_until: TimeMs,
-    /// When a VM last found it down, until it must have written a new entry.
-    found_down_at: Option<TimeMs>,
-    /// Whether it may have restarted without an entry that shows it, since the store is unreachable.
-    may_have_restarted: bool,
+    pub(crate) life: EndpointLife,
     /// When this VM last found it down.
     own_found_down_at: Option<TimeMs>,
     pub(crate) statements: EndpointStatements,
@@ -180,8 +176,7 @@
             is_expired: false,
             kept_until: TimeMs(0),
             full_until: TimeMs(0),
-            found_down_at: None,
-            may_have_restarted: false,
+            life: EndpointLife::default(),
             own_found_down_at: None,
             statements: EndpointStatements::default(),
             speed: EndpointSpeed::default(),
@@ -279,7 +274,7 @@
 
     /// Software version that its entry states; no value if it may have restarted since with another one.
     pub(crate) fn software_version(&self) -> Option<&BeginningVersion> {
-        (!self.may_have_restarted).then_some(&self.endpoint.software_version)
+        (!self.life.is_in_doubt()).then_some(&self.endpoint.software_version)
     }
 
     /// Whether it rejected a request a moment ago because it is full.
@@ -375,10 +370,7 @@
     pub(crate) fn on_store_reachability(&mut self, now: TimeMs, is_reachable: bool) {
         if is_reachable && self.is_store_unreachable {
             self.store_returned_at = Some(now);
-            self.by_id.values_mut().filter_map(|known| known.found_down_at.as_mut()).for_each(|at| *at = now);
-        }
-        if !is_reachable {
-            self.by_id.values_mut().for_each(|known| known.may_have_restarted |= known.found_down_at.is_some());
+            self.by_id.values_mut().for_each(|known| known.life.on_store_returned(now));
         }
         self.is_store_unreachable = !is_reachable;
     }
@@ -522,11 +514,7 @@
     pub(crate) fn sweep(&mut self, now: TimeMs) -> bool {
         self.departed.retain(|_, departure| now.since(departure.departed_at) < DEPARTED_RETENTION);
         if !self.is_store_unreachable {
-            let is_overdue = |at: TimeMs| now.since(at) >= RESTART_ENTRY_TIME;
-            for known in self.by_id.values_mut().filter(|known| known.found_down_at.is_some_and(is_overdue)) {
-                known.found_down_at = None;
-                known.may_have_restarted = false;
-            }
+            self.by_id.values_mut().for_each(|known| known.life.sweep(now));
         }
         if self.keeps_expired(now) {
             return false;
@@ -548,10 +536,9 @@
     /// Records that an endpoint was found down.
     pub(crate) fn on_down(&mut self, now: TimeMs, id: &EndpointId) {
         if let Some(known) = self.by_id.get_mut(id) {
-            known.found_down_at = Some(now);
+            known.life.on_found_down(now);
             known.own_found_down_at = Some(now);
             known.statements.cold_limiter.on_found_down(now, now, true);
-            known.may_have_restarted |= self.is_store_unreachable;
         }
     }
 
@@ -574,9 +561,8 @@
             let known = self.by_id.get_mut(&endpoint);
             if let Some(known) = known.filter(|it| it.endpoint.started_at_unix_ms == started_at_unix_ms) {
                 let found_down_at = TimeMs(now.0.saturating_sub(age_ms.0));
-                known.found_down_at = known.found_down_at.max(Some(found_down_at));
+                known.life.on_found_down(found_down_at);
                 known.statements.cold_limiter.on_found_down(now, found_down_at, false);
-                known.may_have_restarted |= self.is_store_unreachable;
             }
         }
     }
--- a/crates/boragepass_path/src/placement/mod.rs
+++ b/crates/boragepass_path/src/placement/mod.rs
@@ -3,6 +3,7 @@
 
 mod cold_start;
 mod eligibility;
+mod endpoint_life;
 mod endpoint_reach;
 mod endpoint_speed;
 mod endpoint_table;
--- a/crates/boragepass_path/src/reducer/sends.rs
+++ b/crates/boragepass_path/src/reducer/sends.rs
@@ -300,6 +300,7 @@
         };
         let has_earlier_sends = state.has_earlier_sends();
         self.on_endpoint_contact(now);
+        self.on_endpoint_alive(now, &active_send);
         if let Some(signals) = head.signals {
             self.on_endpoint_signals(now, &active_send.endpoint, signals);
         }
@@ -321,6 +322,13 @@
         }
     }
 
+    /// Records that the endpoint of a send has replied, so that its process did not end since.
+    fn on_endpoint_alive(&mut self, now: TimeMs, active_send: &ActiveSend) {
+        if let Some(known_endpoint) = self.endpoint_table.get_mut(&active_send.endpoint) {
+            known_endpoint.life.on_reply(now, active_send.sent_at);
+        }
+    }
+
     fn log_unusable_reply(
         &mut self,
         request: RequestNumber,
@@ -551,6 +559,9 @@
         };
         if !matches!(progress, Progress::Broken(..)) {
             self.on_endpoint_contact(now);
+            if let Some(active_send) = self.requests.get(&request).and_then(RequestState::active_send).cloned() {
+                self.on_endpoint_alive(now, &active_send);
+            }
         }
         match progress {
             Progress::FirstEvent => self.on_first_event(now, request, send),
