A stream goes on at an endpoint only after the store has confirmed the endpoint's entry

Callers got streams of two software versions (ORDER) at a VM that stood still, or was cut off from the store and the other VMs, while endpoints restarted under their ids as another version: it had not seen that they were down.

Cause: a VM takes the version of an endpoint from its list, however old that is, and the list does not show that the process behind an entry was replaced while the VM was out of step.

Fix: before a stream goes on at an endpoint, the VM reads the endpoint's entry, one row, and sends it there only if the start of the process is the known one. The read counts for 500 ms and is shared by all streams that wait. Without an answer of the store within 300 ms, or if it cannot be reached, most of the other VMs have to have been heard within four heartbeats and know no newer list; otherwise the stream waits for 500 ms at most and is refused. Three tests of path_peers.rs and one of path_stream_record.rs now answer the read, and one of them requires it.

--- a/crates/boragepass_entry/src/driver.rs
+++ b/crates/boragepass_entry/src/driver.rs
@@ -7,12 +7,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use async_std::channel::{Receiver, Sender, bounded};
+use async_std::channel::{Receiver, Sender, bounded, unbounded};
 use async_std::future::timeout;
 use async_std::task;
 use boragepass_path::{Answer, Effect, Event, Record, RequestNumber, RequestPath, SendNumber};
 use boragepass_platform::decode_configuration;
 use boragepass_server::Clock;
+use boragepass_types::EndpointId;
 use bytes::Bytes;
 use futures::channel::oneshot;
 use futures::future::AbortHandle;
@@ -85,6 +86,8 @@
     version_call_channel: (Sender<VersionCall>, Receiver<VersionCall>),
     /// What to do with the versions of begun streams that the store keeps.
     stream_version_call_channel: (Sender<StreamVersionCall>, Receiver<StreamVersionCall>),
+    /// Endpoints whose entries are to be read, each once at a time.
+    entry_read_channel: (Sender<EndpointId>, Receiver<EndpointId>),
     /// Dropped when clients' connections have to close after the response in progress.
     connection_shutdown_sender: RefCell<Option<Sender<()>>>,
     pub(crate) connection_shutdown: Receiver<()>,
@@ -114,6 +117,7 @@
             version_call_channel: bounded(1),
             // One read and one write.
             stream_version_call_channel: bounded(2),
+            entry_read_channel: unbounded(),
             connection_shutdown_sender: RefCell::new(Some(connection_shutdown_sender)),
             connection_shutdown,
             exit_channel: bounded(1),
@@ -161,6 +165,11 @@
         self.stream_version_call_channel.1.recv().await.ok()
     }
 
+    /// Waits for the next endpoint whose entry is to be read.
+    pub(crate) async fn next_entry_read(&self) -> Option<EndpointId> {
+        self.entry_read_channel.1.recv().await.ok()
+    }
+
     /// Passes a configuration, encoded as in the store, on to the request path. A newer one than that in force is
     /// also kept for other VMs.
     pub(crate) fn receive_configuration(self: &Rc<Self>, value: Bytes) {
@@ -251,6 +260,10 @@
             }
             Effect::ReadRecordedVersions => self.start_version_call(VersionCall::Read),
             Effect::ConfirmVersions => self.start_version_call(VersionCall::Confirm),
+            Effect::ReadEndpointEntry(endpoint) => {
+                // The receiver lives as long as the driver, so this does not fail.
+                self.entry_read_channel.0.try_send(endpoint).ok();
+            }
             Effect::RecordVersions(versions) => self.start_version_call(VersionCall::Replace(versions)),
             Effect::ReadStreamVersions => self.start_stream_version_call(StreamVersionCall::Read),
             Effect::RecordStreamVersions(row) => self.start_stream_version_call(StreamVersionCall::Write(row)),
--- a/crates/boragepass_entry/src/lib.rs
+++ b/crates/boragepass_entry/src/lib.rs
@@ -8,6 +8,7 @@
 mod cold_section;
 mod connections;
 mod driver;
+mod entry_reads;
 mod http_io;
 mod json_log;
 mod metrics;
--- a/crates/boragepass_entry/src/process.rs
+++ b/crates/boragepass_entry/src/process.rs
@@ -20,7 +20,7 @@
 use crate::json_log::JsonLog;
 use crate::metrics::Metrics;
 use crate::peers::{self, PeerSockets, Peers};
-use crate::{client_server, page_server, pages, store_feed, stream_version_rows, version_rows};
+use crate::{client_server, entry_reads, page_server, pages, store_feed, stream_version_rows, version_rows};
 
 /// Interval at which the settings file is compared with what was read last, since it may change without
 /// a signal.
@@ -141,6 +141,7 @@
     store_feed::start(&driver, settings.store_address, settings.store_recovery_ms, local_record, incarnation.0);
     version_rows::start(&driver, settings.store_address, incarnation.0);
     stream_version_rows::start(&driver, settings.store_address);
+    entry_reads::start(&driver, settings.store_address);
     update_seeds(&driver, &settings);
     task::spawn_local(page_server::serve(driver.clone(), readiness_listener, pages::readiness(driver.clone())));
     task::spawn_local(page_server::serve(driver.clone(), resolver_listener, pages::addresses(driver.clone())));
--- a/crates/boragepass_fakes/src/path_fleet/fleet/harmful_part.rs
+++ b/crates/boragepass_fakes/src/path_fleet/fleet/harmful_part.rs
@@ -96,7 +96,9 @@
         // A new process knows nothing of what the old one announced.
         endpoint.endpoint.started_at_unix_ms = started_at_unix_ms;
         endpoint.leaving = None;
-        let at = self.now + SpanMs(self.registration_delay_ms);
-        self.schedule(at, Action::WriteEntry(id.clone()));
+        match self.registration_delay_ms {
+            0 => self.write_entry(id),
+            delay_ms => self.schedule(self.now + SpanMs(delay_ms), Action::WriteEntry(id.clone())),
+        }
     }
 }
--- a/crates/boragepass_fakes/src/path_fleet/fleet/mod.rs
+++ b/crates/boragepass_fakes/src/path_fleet/fleet/mod.rs
@@ -22,10 +22,10 @@
 use std::sync::Arc;
 
 use boragepass_path::{
-    Arrival, Batching, CallFailure, CallNumber, CallOutcome, ColdBounds, Effect, Endpoint, EndpointSignals,
-    EndpointUpdate, Evacuations, Event, EventId, NamedRequest, PathSettings, PeerMessage, PieceOutcome, Progress,
-    PromptPart, RecordedVersions, Repeatability, ReplyHead, RequestNumber, RequestPath, RetryLimits, SendFailure,
-    SendNumber, StoreVersion, VmRecord, VmState,
+    Arrival, Batching, CallFailure, CallNumber, CallOutcome, ColdBounds, Effect, Endpoint, EndpointEntry,
+    EndpointSignals, EndpointUpdate, Evacuations, Event, EventId, NamedRequest, PathSettings, PeerMessage,
+    PieceOutcome, Progress, PromptPart, RecordedVersions, Repeatability, ReplyHead, RequestNumber, RequestPath,
+    RetryLimits, SendFailure, SendNumber, StoreVersion, VmRecord, VmState,
 };
 use boragepass_types::{
     EndpointId, FailureDomain, Hash64, Incarnation, Millicores, RequestRate, SpanMs, StoreEra, TimeMs, VmId,
@@ -838,6 +838,7 @@
                 self.start_vm(vm);
             }
             Effect::ReadRecordedVersions => self.read_recorded_versions(vm, incarnation),
+            Effect::ReadEndpointEntry(id) => self.read_entry(vm, id),
             Effect::ConfirmVersions => self.confirm_versions(vm, incarnation),
             Effect::RecordVersions(versions) => self.record_versions(vm, incarnation, versions),
             Effect::ReadStreamVersions => self.read_stream_versions(vm),
--- a/crates/boragepass_fakes/src/path_fleet/fleet/store.rs
+++ b/crates/boragepass_fakes/src/path_fleet/fleet/store.rs
@@ -111,6 +111,17 @@
         self.read_recorded_versions(vm, incarnation);
     }
 
+    /// Lets a VM read the entry of an endpoint; one that is cut off from the store gets no answer.
+    pub(super) fn read_entry(&mut self, vm: usize, id: EndpointId) {
+        if self.vms[vm].is_cut_from_store {
+            self.deliver(vm, STORE_RETRY_MS, Event::EndpointEntryRead(id, EndpointEntry::Unknown));
+            return;
+        }
+        let entry = self.store.entries.get(&id);
+        let entry = entry.map_or(EndpointEntry::Missing, |it| EndpointEntry::StartedAt(it.started_at_unix_ms));
+        self.deliver(vm, STORE_DELAY_MS, Event::EndpointEntryRead(id, entry));
+    }
+
     /// Lets a VM read the versions that the store keeps; one that is cut off from the store tries again until it succeeds.
     pub(super) fn read_recorded_versions(&mut self, vm: usize, incarnation: u64) {
         if self.vms[vm].incarnation != incarnation || self.vms[vm].request_path.is_none() {
--- a/crates/boragepass_fakes/src/path_fleet/mod.rs
+++ b/crates/boragepass_fakes/src/path_fleet/mod.rs
@@ -7,6 +7,7 @@
 mod cold;
 mod deployment;
 mod endpoint;
+mod entry_reads;
 mod evacuations;
 mod fleet;
 mod home_deployment;
@@ -19,6 +20,7 @@
 mod uneven;
 
 pub use deployment::{Deployment, RequestKind, Site};
+pub use entry_reads::{answer_entry_reads, known_entry};
 pub use evacuations::EvacuationRecord;
 pub use fleet::{EndpointFault, EndpointLinks, PathFleet};
 pub use homes::HomeTallies;
--- a/crates/boragepass_fakes/tests/path_peers.rs
+++ b/crates/boragepass_fakes/tests/path_peers.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use boragepass_fakes::path_fleet::{Deployment, Site};
+use boragepass_fakes::path_fleet::{Deployment, Site, answer_entry_reads, known_entry};
 use boragepass_path::{
     ApiKey, Arrival, Batching, ColdBounds, ConfigurationVersion, ContentCrashes, Effect, Endpoint, EndpointSignals,
     EndpointUpdate, Evacuations, Event, Heartbeat, NamedRequest, PathSettings, PeerMessage, ProcessStatement, Progress,
@@ -534,6 +534,8 @@
     let from = vm_record(1, 120).vm;
     let effects =
         path.handle(NOW + SpanMs(5), Event::PeerMessageReceived { from, incarnation: Incarnation(1), message });
+    assert_eq!(sent_to(&effects), None, "the endpoint's entry has to be confirmed");
+    let effects = answer_entry_reads(&mut path, NOW + SpanMs(10), &effects, known_entry);
     let sent_to = sent_to(&effects).expect("the request is sent").clone();
     let version = path.endpoints().find(|known| known.id == sent_to).and_then(|known| known.software_version.clone());
     assert_eq!(version, "2".parse().ok());
@@ -571,6 +573,7 @@
         let now = NOW + SpanMs(50 * step);
         let mut later = if is_asked { path.handle(now, recorded_versions(engine_versions)) } else { Vec::new() };
         later.extend(path.handle(now, Event::Tick));
+        later.extend(answer_entry_reads(path, now, &later, known_entry));
         is_asked = later.iter().any(|effect| matches!(effect, Effect::ConfirmVersions));
         effects.extend(later);
     }
--- a/crates/boragepass_fakes/tests/path_stream_record.rs
+++ b/crates/boragepass_fakes/tests/path_stream_record.rs
@@ -3,10 +3,11 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-use boragepass_fakes::path_fleet::{Deployment, PathFleet, Site};
+use boragepass_fakes::path_fleet::{Deployment, PathFleet, Site, answer_entry_reads, known_entry};
 use boragepass_path::{
-    ApiKey, Arrival, Batching, ColdBounds, Effect, EndpointUpdate, Evacuations, Event, PathSettings, PeerMessage,
-    RecordedVersions, RequestNumber, RequestPath, RetryLimits, StoreVersion, StreamVersionRow, stream_digest,
+    ApiKey, Arrival, Batching, ColdBounds, Effect, Endpoint, EndpointEntry, EndpointUpdate, Evacuations, Event,
+    PathSettings, PeerMessage, RecordedVersions, RequestNumber, RequestPath, RetryLimits, StoreVersion,
+    StreamVersionRow, stream_digest,
 };
 use boragepass_types::{EndpointId, Hash64, Incarnation, Millicores, SpanMs, StoreEra, TimeMs, rendezvous_weight};
 
@@ -184,8 +185,12 @@
     assert!(table.names("stream", "1") && table.names("stream", "2"));
 }
 
-/// Answers of a path to a request that takes up a stream, with the table as it is read.
-fn take_up(stream: &str, rows: Option<Vec<StreamVersionRow>>) -> (Option<EndpointId>, Option<u16>) {
+/// Answers of a path to a request that takes up a stream, with the table as it is read and the store's entries.
+fn take_up(
+    stream: &str,
+    rows: Option<Vec<StreamVersionRow>>,
+    entry: impl Fn(&Endpoint) -> EndpointEntry,
+) -> (Option<EndpointId>, Option<u16>) {
     let mut path = collector(&["1", "2"]);
     let mut effects = path.handle(NOW, Event::StreamVersionsRead(rows));
     effects.extend(path.handle(
@@ -209,7 +214,13 @@
             body_bytes: 0,
         })),
     ));
-    (1..=15).for_each(|step| effects.extend(path.handle(NOW + SpanMs(100 * step), Event::Tick)));
+    effects.extend(answer_entry_reads(&mut path, NOW, &effects, &entry));
+    for step in 1..=15 {
+        let now = NOW + SpanMs(100 * step);
+        let mut later = path.handle(now, Event::Tick);
+        later.extend(answer_entry_reads(&mut path, now, &later, &entry));
+        effects.extend(later);
+    }
     let sent_to = effects.iter().find_map(|effect| match effect {
         Effect::Send { target, .. } => Some(target.endpoint.clone()),
         _ => None,
@@ -228,12 +239,29 @@
         let streams = versions.iter().map(|version| (stream_digest("stream"), version.parse().ok())).collect();
         StreamVersionRow { slot, row_version: 7, streams }
     };
-    let (sent_to, status) = take_up("stream", Some(vec![row(0, &["1"]), row(1, &["1"]), row(2, &[])]));
+    let (sent_to, status) = take_up("stream", Some(vec![row(0, &["1"]), row(1, &["1"]), row(2, &[])]), known_entry);
     assert!(sent_to.is_some() && status.is_none());
     for rows in [None, Some(Vec::new()), Some(vec![row(0, &["1", "2"])]), Some(vec![row(0, &["1"]), row(1, &["2"])])] {
-        assert_eq!(take_up("stream", rows.clone()), (None, Some(503)), "{rows:?}");
+        assert_eq!(take_up("stream", rows.clone(), known_entry), (None, Some(503)), "{rows:?}");
     }
-    assert_eq!(take_up("another stream", Some(vec![row(0, &["1"])])), (None, Some(503)));
+    assert_eq!(take_up("another stream", Some(vec![row(0, &["1"])]), known_entry), (None, Some(503)));
+}
+
+#[test]
+fn a_stream_does_not_go_on_at_an_endpoint_whose_entry_is_not_the_known_one_or_cannot_be_read() {
+    let rows = || {
+        Some(vec![StreamVersionRow {
+            slot: 0,
+            row_version: 7,
+            streams: vec![(stream_digest("stream"), "1".parse().ok())],
+        }])
+    };
+    let later_start = |known: &Endpoint| EndpointEntry::StartedAt(known.started_at_unix_ms + 1);
+    assert_eq!(take_up("stream", rows(), later_start), (None, Some(503)));
+    assert_eq!(take_up("stream", rows(), |_| EndpointEntry::Missing), (None, Some(503)));
+    assert_eq!(take_up("stream", rows(), |_| EndpointEntry::Unknown), (None, Some(503)), "no other VM was heard");
+    let (sent_to, _) = take_up("stream", rows(), known_entry);
+    assert!(sent_to.is_some());
 }
 
 /// Fleet of engines of two versions that loses all VMs four times, with a fault before each time; streams must go on from
--- a/crates/boragepass_fakes/tests/path_streams.rs
+++ b/crates/boragepass_fakes/tests/path_streams.rs
@@ -225,3 +225,21 @@
         restart_earlier_version(site, seed, |fleet| fleet.feed_delay_ms = 1_500);
     }
 }
+
+#[test]
+fn no_stream_goes_on_at_an_endpoint_that_returned_as_another_version_while_a_vm_stood_still() {
+    for (site, seed) in [(Site::Lampu, 38), (Site::Lampu, 39), (Site::Gigdesk, 40), (Site::Gigdesk, 41)] {
+        restart_earlier_version(site, seed, |fleet| fleet.pause_vm(seed as usize % fleet.vm_count(), 2_600));
+    }
+}
+
+#[test]
+fn no_stream_goes_on_at_an_endpoint_that_returned_as_another_version_while_a_vm_was_cut_off() {
+    for (site, seed) in [(Site::Lampu, 42), (Site::Lampu, 43), (Site::Gigdesk, 44), (Site::Gigdesk, 45)] {
+        restart_earlier_version(site, seed, |fleet| {
+            let vm = seed as usize % fleet.vm_count();
+            fleet.set_cut_from_store(vm, true);
+            fleet.split_vms(&[vm]);
+        });
+    }
+}
--- a/crates/boragepass_path/src/effect.rs
+++ b/crates/boragepass_path/src/effect.rs
@@ -161,6 +161,8 @@
     /// Reads the list of endpoints, reported as a snapshot, and then the versions of pools that the store keeps; reports
     /// `VersionsRecorded` once both succeeded.
     ConfirmVersions,
+    /// Reads the entry of an endpoint, once; always reports `EndpointEntryRead`.
+    ReadEndpointEntry(EndpointId),
     /// Replaces the versions of pools that the store keeps, unless they changed since they were read; then reads them.
     RecordVersions(RecordedVersions),
     /// Reads the versions of begun streams that the store keeps, once; always reports `StreamVersionsRead`.
--- a/crates/boragepass_path/src/event.rs
+++ b/crates/boragepass_path/src/event.rs
@@ -203,6 +203,17 @@
     pub signals: Option<EndpointSignals>,
 }
 
+/// What the store lists of an endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EndpointEntry {
+    /// An entry of a process with this start, in milliseconds of Unix time.
+    StartedAt(u64),
+    /// No entry that names an endpoint.
+    Missing,
+    /// The store gave no answer in time.
+    Unknown,
+}
+
 /// Input of the request path.
 #[derive(Debug, Clone)]
 pub enum Event {
@@ -226,6 +237,8 @@
     EndpointSilent(SendNumber, Option<EventId>),
     /// A reply that no other event reports, since its body was lost or nobody waits for it, states this of its endpoint.
     EndpointStated(EndpointId, EndpointSignals),
+    /// A read of an endpoint's entry ended.
+    EndpointEntryRead(EndpointId, EndpointEntry),
     /// A query of what an endpoint states of itself ended; no value if it did not reply.
     StatementsQueried(EndpointId, Option<EndpointSignals>),
     /// An endpoint refuses connections.
--- a/crates/boragepass_path/src/lib.rs
+++ b/crates/boragepass_path/src/lib.rs
@@ -37,8 +37,8 @@
 };
 pub use effect::{Answer, CallEntry, Effect, PieceInputs, RelayTarget, SendTarget};
 pub use event::{
-    Arrival, CallFailure, CallOutcome, EndpointSignals, Event, EventId, NamedRequest, PieceOutcome, Progress,
-    PromptPart, ReplyHead, ReportedLoad, SendFailure,
+    Arrival, CallFailure, CallOutcome, EndpointEntry, EndpointSignals, Event, EventId, NamedRequest, PieceOutcome,
+    Progress, PromptPart, ReplyHead, ReportedLoad, SendFailure,
 };
 pub use fleet::{VmRecord, VmState, VmSummary};
 pub use message::{
--- a/crates/boragepass_path/src/reducer/arrivals.rs
+++ b/crates/boragepass_path/src/reducer/arrivals.rs
@@ -148,6 +148,7 @@
             is_trial: trial.is_some(),
             is_relaying: false,
             stream_version,
+            awaits_entry_since: None,
             last_event: arrival.resume_after,
             route,
         })
--- a/crates/boragepass_path/src/reducer/mod.rs
+++ b/crates/boragepass_path/src/reducer/mod.rs
@@ -12,6 +12,7 @@
 mod cold;
 mod crashes;
 mod endings;
+mod endpoint_entries;
 mod evacuations;
 mod homes;
 mod leading;
@@ -49,6 +50,7 @@
 use crate::settings::PathSettings;
 use crate::stages::Pool;
 use crate::timers::{Timer, Timers};
+use endpoint_entries::EntryReads;
 use homes::homes_of_host;
 use stream_record::StreamRecording;
 use version_record::VersionRecording;
@@ -89,6 +91,7 @@
     /// Newest version of the endpoint list that another VM stated.
     newest_peer_list: StoreVersion,
     stream_recording: StreamRecording,
+    entry_reads: EntryReads,
     requests: HashMap<RequestNumber, RequestState>,
     /// Requests by the number of their send in progress.
     sends: HashMap<SendNumber, RequestNumber>,
@@ -136,6 +139,7 @@
             version_recording: VersionRecording::new(now),
             newest_peer_list: StoreVersion::default(),
             stream_recording: StreamRecording::default(),
+            entry_reads: EntryReads::default(),
             requests: HashMap::new(),
             sends: HashMap::new(),
             relays: HashMap::new(),
@@ -178,6 +182,7 @@
             Event::EndpointSilent(send, last_event) => self.on_endpoint_silent(now, send, last_event),
             Event::EndpointStated(endpoint, signals) => self.on_endpoint_signals(now, &endpoint, signals),
             Event::StatementsQueried(endpoint, signals) => self.on_statements_queried(now, &endpoint, signals),
+            Event::EndpointEntryRead(endpoint, entry) => self.on_endpoint_entry_read(now, &endpoint, entry),
             Event::EndpointDown(endpoint) => self.on_endpoint_down(now, &endpoint),
             Event::EndpointProbed(endpoint, is_reached) => self.on_endpoint_probed(now, &endpoint, is_reached),
             Event::CallEnded(call, outcome) => self.on_call_ended(now, call, outcome),
--- a/crates/boragepass_path/src/reducer/sends.rs
+++ b/crates/boragepass_path/src/reducer/sends.rs
@@ -75,7 +75,9 @@
             }
             return;
         };
-        self.send_to_endpoint(now, request, &choice, inputs);
+        if !self.awaits_endpoint_entry(now, request, &choice.endpoint) {
+            self.send_to_endpoint(now, request, &choice, inputs);
+        }
     }
 
     /// Why no endpoint of its pool can take a request.
--- a/crates/boragepass_path/src/reducer/version_record.rs
+++ b/crates/boragepass_path/src/reducer/version_record.rs
@@ -73,12 +73,12 @@
     /// to state that they know no newer list of endpoints.
     pub(super) fn are_versions_confirmed(&self, at: TimeMs) -> bool {
         let is_read = self.version_recording.confirmed_at.is_some_and(|confirmed_at| confirmed_at >= at);
-        let is_agreed = || {
-            !self.fleet.can_reach_store
-                && self.newest_peer_list <= self.endpoint_table.version
-                && self.fleet.heard_most_since(at)
-        };
-        is_read || is_agreed()
+        is_read || (!self.fleet.can_reach_store && self.is_list_agreed_since(at))
+    }
+
+    /// Whether most of the other VMs were heard after `at` and none of the others knows a newer list of endpoints.
+    pub(super) fn is_list_agreed_since(&self, at: TimeMs) -> bool {
+        self.newest_peer_list <= self.endpoint_table.version && self.fleet.heard_most_since(at)
     }
 
     /// Reads from the store which versions the pools have and had, unless that is known as of a moment after `at`.
--- a/crates/boragepass_path/src/request/state.rs
+++ b/crates/boragepass_path/src/request/state.rs
@@ -100,6 +100,8 @@
     pub(crate) is_relaying: bool,
     /// What its stream may go on at.
     pub(crate) stream_version: StreamVersion,
+    /// Since when it waits until it is known that its stream may go on at an endpoint.
+    pub(crate) awaits_entry_since: Option<TimeMs>,
     /// Last complete event that the client received.
     pub(crate) last_event: Option<EventId>,
 }
--- a/crates/boragepass_soak/src/store.rs
+++ b/crates/boragepass_soak/src/store.rs
@@ -159,7 +159,8 @@
             let from = read.from.unwrap_or_default();
             let table = self.tables.get(&read.table);
             let mut rows = table.into_iter().flat_map(|rows| rows.range(from.clone()..)).map(|(_, row)| row.clone());
-            let page: Vec<_> = rows.by_ref().take(self.page_rows_max.unwrap_or(usize::MAX)).collect();
+            let rows_max = read.limit.unwrap_or(usize::MAX).min(self.page_rows_max.unwrap_or(usize::MAX));
+            let page: Vec<_> = rows.by_ref().take(rows_max).collect();
             let rows = RowPage { has_more: rows.next().is_some(), ..RowPage::last(page, self.version) };
             return Some(Reply { head_delay, ..Reply::new(200, encode_rows(&read.table, &rows)) });
         };
