Versions of begun streams are in the store a tenth of a second after they began

Callers whose streams broke off when all VMs lost power during a release were refused (LOST): of those that they took up, most had begun within the last half second, and the store had their versions only 500 ms later.

Fix: the collector writes 40 ms after it learns of a stream. A row stays open for 500 ms and is written again with what is added, so rows are as few as before; writes are 25 a second at most, for the whole fleet, while a pool has several versions.

--- a/crates/boragepass_path/src/reducer/mod.rs
+++ b/crates/boragepass_path/src/reducer/mod.rs
@@ -306,6 +306,7 @@
             Timer::RunPools => self.run_all_pools(now),
             Timer::ShareState => self.share_state_with_domain(now),
             Timer::CheckDrain => self.check_drain(now),
+            Timer::WriteStreamVersions => self.write_scheduled_streams(now),
             Timer::Sweep => {
                 if self.endpoint_table.sweep(now) {
                     // The list's version stays the same, so other VMs would not ask for the change.
--- a/crates/boragepass_path/src/reducer/stream_record.rs
+++ b/crates/boragepass_path/src/reducer/stream_record.rs
@@ -1,9 +1,10 @@
 //! Versions of begun streams in the store, which outlive all VMs; one VM collects and writes them.
 //!
-//! A VM sends the version of each stream that it begins to the collector if its pool had several versions. About every
-//! 500 ms the collector writes what is new as one row. If another VM becomes the collector, the VMs send it again the
-//! streams that a dead collector may not have written. A VM reads the table if a request waits for a version that no
-//! holder knows. Load: 195 VMs that begin 80 streams a second make two writes a second, whatever the number of VMs.
+//! A VM sends the version of each stream that it begins to the collector if its pool had several versions. The collector
+//! writes what is new at once, as clients also take up streams that began just before all VMs died. If another VM becomes
+//! the collector, the VMs send it again the streams that a dead collector may not have written. A VM reads the table if a
+//! request waits for a version that no holder knows. Load: 195 VMs that begin 80 streams a second make 25 writes and two
+//! rows a second at most, whatever the number of VMs.
 
 use std::collections::{BTreeSet, VecDeque};
 use std::sync::Arc;
@@ -20,7 +21,10 @@
     BeginningVersion, RequestNumber, STREAM_RETENTION, StreamCollector, StreamTable, StreamVersion, StreamVersionRow,
     stream_digest,
 };
+use crate::timers::Timer;
 
+/// Time from the moment at which the collector learns of a stream until it writes that, with others that began meanwhile.
+const WRITE_DELAY: SpanMs = SpanMs(40);
 /// Shortest time between the starts of two reads of the table.
 const READ_INTERVAL: SpanMs = SpanMs(1_000);
 /// Time after which a read in progress does not keep requests waiting. A read of the table takes up to 100 ms at 10 Mbit/s.
@@ -63,6 +67,8 @@
     last_read_at: Option<TimeMs>,
     /// Row that is being written.
     written_row: Option<StreamVersionRow>,
+    /// Whether a [`Timer::WriteStreamVersions`] is pending.
+    is_write_scheduled: bool,
 }
 
 impl StreamRecording {
@@ -120,6 +126,26 @@
         if !self.stream_recording.collector.hold(now, stream_digest(stream), version.clone()) {
             self.log(Record::new("stream version dropped, too many to record"));
         }
+        self.schedule_stream_write(now);
+    }
+
+    /// Schedules a write of what the table lacks if this VM is the collector and a pool had several versions.
+    fn schedule_stream_write(&mut self, now: TimeMs) {
+        let recording = &self.stream_recording;
+        let is_collector = recording.collecting_vm.as_ref() == Some(&self.settings.vm);
+        if is_collector
+            && !recording.is_write_scheduled
+            && recording.collector.has_unrecorded()
+            && self.version_history.pools().any(|pool| self.had_several_versions(now, pool))
+        {
+            self.stream_recording.is_write_scheduled = true;
+            self.timers.set(now + WRITE_DELAY, Timer::WriteStreamVersions);
+        }
+    }
+
+    pub(super) fn write_scheduled_streams(&mut self, now: TimeMs) {
+        self.stream_recording.is_write_scheduled = false;
+        self.update_stream_record(now);
     }
 
     /// Writes what the table lacks if this VM is the collector; otherwise passes on what the collector may not know.
@@ -201,6 +227,7 @@
             }
             _ => recording.has_current_slots = false,
         }
+        self.schedule_stream_write(now);
     }
 
     /// After the first read of the versions of pools: reads the table if a pool had several.
--- a/crates/boragepass_path/src/request/stream_rows.rs
+++ b/crates/boragepass_path/src/request/stream_rows.rs
@@ -1,12 +1,13 @@
 //! Rows of the store that name the software versions of begun streams, so that these outlive all VMs.
 //!
 //! One VM, the collector, writes them for the whole fleet: up to 80 streams a second of 195 VMs make two rows of 40 streams
-//! a second. A row takes a numbered slot, and its slot is free again once no client takes up its streams any more. A VM that
-//! did not see a row being written does not know its age, so it counts from when it read the row first.
+//! a second. A row is written again with each stream that begins soon after its first, so that streams are in the store at
+//! once and yet share a row. A row takes a numbered slot, and its slot is free again once no client takes up its streams any
+//! more. A VM that did not see a row being written does not know its age, so it counts from when it read the row first.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
-use boragepass_types::{Hash64, TimeMs};
+use boragepass_types::{Hash64, SpanMs, TimeMs};
 
 use super::{BeginningVersion, STREAM_RETENTION};
 
@@ -16,6 +17,8 @@
 /// Streams of one row. With 10 bytes each and the versions, the encoded row takes 44 KB, and 58 KB as base64; the store
 /// accepts 65,536 bytes.
 const ROW_STREAMS_MAX: usize = 3_000;
+/// Time from the first write of a row in which streams are added to it.
+const ROW_OPEN_TIME: SpanMs = SpanMs(500);
 /// Versions of one row; each takes up to 203 bytes.
 const ROW_VERSIONS_MAX: usize = 64;
 /// Streams that a collector holds: 60 s of 200 streams a second, about 1.5 MB.
@@ -81,6 +84,8 @@
     /// Held streams in the order of their arrival.
     arrivals: VecDeque<(TimeMs, StreamKey)>,
     slots: BTreeMap<u16, UsedSlot>,
+    /// Row that this VM wrote last, and when it wrote it first.
+    open_row: Option<(TimeMs, StreamVersionRow)>,
 }
 
 impl StreamCollector {
@@ -121,12 +126,14 @@
     pub(crate) fn on_store_restored(&mut self) {
         self.held.values_mut().for_each(|is_recorded| *is_recorded = false);
         self.slots.clear();
+        self.open_row = None;
     }
 
     /// Compares the held streams with the table as it was read.
     pub(crate) fn on_table(&mut self, now: TimeMs, rows: &[StreamVersionRow]) {
         let recorded: BTreeSet<_> = rows.iter().flat_map(|row| &row.streams).collect();
         self.held.iter_mut().for_each(|(key, is_recorded)| *is_recorded = recorded.contains(key));
+        self.open_row = None;
         let known = std::mem::take(&mut self.slots);
         for row in rows {
             let unchanged = known.get(&row.slot).filter(|slot| slot.row_version == row.row_version);
@@ -135,7 +142,8 @@
         }
     }
 
-    /// Next row to write: streams of these versions that the table lacks, in a free slot; `None` if there are none.
+    /// Next row to write: streams of these versions that the table lacks, with those of the last row if that is still open,
+    /// or else in a free slot; `None` if there are none.
     /// The search for a slot begins at `first_slot`, which differs between VMs that both act as collectors.
     pub(crate) fn next_row(
         &self,
@@ -143,7 +151,10 @@
         versions: &BTreeSet<BeginningVersion>,
         first_slot: u64,
     ) -> Option<StreamVersionRow> {
-        let mut row_versions = BTreeSet::new();
+        let open_row = self.open_row.as_ref().filter(|(opened_at, _)| now.since(*opened_at) < ROW_OPEN_TIME);
+        let open_row = open_row.map(|(_, row)| row).filter(|row| row.streams.len() < ROW_STREAMS_MAX);
+        let open_streams = open_row.map(|row| row.streams.clone()).unwrap_or_default();
+        let mut row_versions: BTreeSet<_> = open_streams.iter().map(|(_, version)| version.clone()).collect();
         let fits = |(_, version): &&StreamKey| {
             let is_new = !row_versions.contains(version);
             if !versions.contains(version) || is_new && row_versions.len() >= ROW_VERSIONS_MAX {
@@ -153,10 +164,14 @@
             true
         };
         let unrecorded = self.held.iter().filter(|(_, is_recorded)| !**is_recorded).map(|(key, _)| key);
-        let streams: Vec<_> = unrecorded.filter(fits).take(ROW_STREAMS_MAX).cloned().collect();
-        if streams.is_empty() {
+        let added: Vec<_> = unrecorded.filter(fits).take(ROW_STREAMS_MAX - open_streams.len()).cloned().collect();
+        if added.is_empty() {
             return None;
         }
+        if let Some(StreamVersionRow { slot, row_version, .. }) = open_row {
+            let streams = open_streams.into_iter().chain(added).collect();
+            return Some(StreamVersionRow { slot: *slot, row_version: *row_version, streams });
+        }
         let first_slot = (first_slot % u64::from(SLOTS)) as u16;
         let mut slots = (first_slot..SLOTS).chain(0..first_slot);
         let is_free =
@@ -164,7 +179,8 @@
         // Without a free slot, as after several changes of the collector, the streams of the oldest row are given up.
         let oldest = || self.slots.iter().min_by_key(|(_, used)| used.begun_until).map(|(slot, _)| *slot);
         let slot = slots.find(is_free).or_else(oldest)?;
-        Some(StreamVersionRow { slot, row_version: self.slots.get(&slot).map_or(0, |used| used.row_version), streams })
+        let row_version = self.slots.get(&slot).map_or(0, |used| used.row_version);
+        Some(StreamVersionRow { slot, row_version, streams: added })
     }
 
     /// The store holds this row, under its new version.
@@ -175,5 +191,10 @@
             }
         }
         self.slots.insert(row.slot, UsedSlot { row_version: row.row_version, begun_until: now });
+        let opened_at = match &self.open_row {
+            Some((opened_at, open_row)) if open_row.slot == row.slot => *opened_at,
+            _ => now,
+        };
+        self.open_row = Some((opened_at, row.clone()));
     }
 }
