An odd key as long as the store takes does not hide the rest of the list

A VM did not become ready, or did not read the list again after a loss of the store, while another writer's row with a key of 200 bytes stood at the end of a page of the endpoint list (LOST).

Cause: the next page was asked for from a key one byte longer, which the store does not take.

Evidence: an_odd_key_as_long_as_the_store_takes_does_not_hide_the_rest_of_the_list failed before (not ready after 5 s): our stand-in of the store now turns keys of over 200 bytes away. Whether the users' store does so is not known.

Fix: the page behind a key of 200 bytes starts with that key again.

--- a/crates/boragepass_entry/src/store_feed.rs
+++ b/crates/boragepass_entry/src/store_feed.rs
@@ -132,9 +132,9 @@
     }
 }
 
-/// Key at which the page behind a key starts.
+/// Key at which the page behind a key starts. The store takes no key behind the longest ones, so the page repeats those.
 fn key_after(key: &str) -> String {
-    format!("{key}\u{1}")
+    if key.len() < names::KEY_BYTES_MAX { format!("{key}\u{1}") } else { key.to_owned() }
 }
 
 impl TableFeed {
--- a/crates/boragepass_entry/tests/over_sockets/odd_rows.rs
+++ b/crates/boragepass_entry/tests/over_sockets/odd_rows.rs
@@ -72,6 +72,18 @@
     }
 }
 
+/// A page that starts behind such a key would start at one that the store does not take.
+#[test]
+fn an_odd_key_as_long_as_the_store_takes_does_not_hide_the_rest_of_the_list() {
+    let site = Site::start();
+    site.store.put_row(names::ENDPOINT_TABLE, &"k".repeat(names::KEY_BYTES_MAX), b"{}".to_vec());
+    site.list("zzz-last");
+    site.store.limit_pages(2);
+    let vm = EntryVm::start(site.store.address);
+    vm.wait_ready();
+    wait_until("the whole list is read", || status_of(&vm).contains("zzz-last"));
+}
+
 /// The list comes in pages that start behind the last key of the one before.
 #[test]
 fn an_odd_key_at_the_end_of_a_page_does_not_hide_the_rest_of_the_list() {
--- a/crates/boragepass_soak/src/store.rs
+++ b/crates/boragepass_soak/src/store.rs
@@ -157,6 +157,9 @@
         let read = decode_table_read(&request.path)?;
         let Some(seen_version) = read.changes_after else {
             let from = read.from.unwrap_or_default();
+            if from.len() > names::KEY_BYTES_MAX {
+                return Some(Reply { head_delay, ..Reply::new(400, "") });
+            }
             let table = self.tables.get(&read.table);
             let mut rows = table.into_iter().flat_map(|rows| rows.range(from.clone()..)).map(|(_, row)| row.clone());
             let rows_max = read.limit.unwrap_or(usize::MAX).min(self.page_rows_max.unwrap_or(usize::MAX));
