Soak: endpoints crash and return under their ids as the other software version

The soak played no restart of a process behind its address: its links reset connections but went on accepting new ones, so VMs never found an endpoint down. Links can now refuse connections, as a machine whose process has ended does. Up to four endpoints a run are down for 1 to 4.5 s, return as the other version, and write their entries up to 0.4 s later.

--- a/crates/boragepass_soak/src/endpoints.rs
+++ b/crates/boragepass_soak/src/endpoints.rs
@@ -12,7 +12,7 @@
 
 use crate::http_server::{ReceivedRequest, Reply, serve};
 use crate::ledger::Ledger;
-use crate::proxy::Proxy;
+use crate::proxy::{LinkMode, Proxy};
 use crate::statements::{SendingVm, SharedStatements};
 use crate::store::Store;
 
@@ -55,6 +55,7 @@
     pausing_until: (Instant, Duration),
     down_until: Instant,
     started_at_unix_ms: u64,
+    version: &'static str,
     statements: SharedStatements,
     /// Ends of the requests that it runs.
     running_until: Vec<Instant>,
@@ -75,6 +76,8 @@
     format!("answer to {client_id}: {}", String::from_utf8_lossy(body))
 }
 
+/// Time in which a link closes all its connections.
+const CLOSING_TIME: Duration = Duration::from_millis(100);
 /// Software versions of the endpoints, which alternate.
 pub(crate) const VERSIONS: [&str; 2] = ["1", "2"];
 
@@ -96,6 +99,7 @@
             pausing_until: (inactive, Duration::ZERO),
             down_until: inactive,
             started_at_unix_ms: 1,
+            version: VERSIONS[number % VERSIONS.len()],
             statements: SharedStatements::default(),
             running_until: Vec::new(),
         };
@@ -111,9 +115,9 @@
 
     /// Writes the endpoint's row to the store.
     pub(crate) fn publish(&self, store: &Store, is_draining: bool) {
-        let (id, started_at_unix_ms) = {
+        let (id, started_at_unix_ms, version) = {
             let state = self.state();
-            (state.id.clone(), state.started_at_unix_ms)
+            (state.id.clone(), state.started_at_unix_ms, state.version)
         };
         let endpoint = Endpoint {
             id: id.parse().expect("ids of the soak are valid"),
@@ -123,7 +127,7 @@
             is_draining,
             slots: SLOTS as u32,
             started_at_unix_ms,
-            software_version: self.version().parse().ok(),
+            software_version: version.parse().ok(),
             cold_left_ms: boragepass_types::SpanMs(0),
         };
         store.put_row(names::ENDPOINT_TABLE, &id, encode_endpoint(&endpoint));
@@ -152,6 +156,25 @@
         self.publish(store, false);
     }
 
+    /// Ends its process and starts it anew under the same id as the other software version, with its entry written later.
+    /// Returns once that is done.
+    pub(crate) fn return_as_other_version(&self, store: &Store, down: Duration, registration_delay: Duration) {
+        self.link.set_mode(LinkMode::Refuse);
+        std::thread::sleep(down);
+        // Another fault of the link may have ended this one.
+        self.link.set_mode(LinkMode::Refuse);
+        std::thread::sleep(CLOSING_TIME);
+        {
+            let mut state = self.state();
+            state.version = VERSIONS.into_iter().find(|version| *version != state.version).unwrap_or(state.version);
+            state.started_at_unix_ms += 1;
+            state.statements = SharedStatements::default();
+        }
+        self.link.set_mode(LinkMode::Pass);
+        std::thread::sleep(registration_delay);
+        self.publish(store, false);
+    }
+
     pub(crate) fn is_plain(&self) -> bool {
         self.kind == EndpointKind::Plain
     }
@@ -177,10 +200,6 @@
         self.state().pausing_until = (Instant::now() + Duration::from_millis(ms), Duration::from_secs(pause_s));
     }
 
-    fn version(&self) -> &'static str {
-        VERSIONS[self.number % VERSIONS.len()]
-    }
-
     fn address(&self) -> SocketAddr {
         self.link.address
     }
@@ -216,11 +235,12 @@
         return Some(Reply::new(200, ""));
     }
     let now = Instant::now();
-    let (id, loses_reply, is_failing, is_full, is_down, statements) = {
+    let (id, version, loses_reply, is_failing, is_full, is_down, statements) = {
         let state = state.lock().unwrap_or_else(PoisonError::into_inner);
         let is_full = now < state.full_until;
         let (loses_reply, is_failing) = (now < state.losing_replies_until, now < state.failing_until);
-        (state.id.clone(), loses_reply, is_failing, is_full, now < state.down_until, state.statements.clone())
+        let is_down = now < state.down_until;
+        (state.id.clone(), state.version, loses_reply, is_failing, is_full, is_down, state.statements.clone())
     };
     if request.header(&names::EXPECTED_ENDPOINT).is_some_and(|expected| expected != id) {
         return Some(not_run_reply(421));
@@ -252,7 +272,7 @@
             if !may_lose_reply {
                 ledger.on_statements(client_id, statements.clone());
             }
-            let mut reply = run_request(kind, number, &id, ledger, request, is_failing);
+            let mut reply = run_request(kind, number, (&id, version), ledger, request, is_failing);
             if let Some(reply) = reply.as_mut().filter(|_| statements.get().rejections_max().is_some()) {
                 reply.head_delay = reply.head_delay.max(BRITTLE_WORK_TIME);
             }
@@ -316,7 +336,7 @@
 fn run_request(
     kind: EndpointKind,
     number: usize,
-    id: &str,
+    (id, version): (&str, &str),
     ledger: &Ledger,
     request: &ReceivedRequest,
     is_failing: bool,
@@ -339,7 +359,6 @@
     let first_event =
         request.header(&names::LAST_EVENT_ID).and_then(|last| last.parse::<u64>().ok()).map_or(0, |last| last + 1);
     let stream = request.header(&names::FIRST_ATTEMPT_ID).unwrap_or(&client_id);
-    let version = VERSIONS[number % VERSIONS.len()];
     let body_chunks: Vec<Bytes> =
         (first_event..EVENT_COUNT).map(|event| stream_event(stream, event, version).into()).collect();
     let mut reply = Reply::signed(request, "");
--- a/crates/boragepass_soak/src/plan.rs
+++ b/crates/boragepass_soak/src/plan.rs
@@ -83,6 +83,10 @@
     /// Another writer overwrites the entry of an endpoint, which writes its own again after a time.
     #[display("entry of endpoint {_0} is overwritten by odd entry {_1} for {_2} ms")]
     OverwrittenEntry(usize, usize, u64),
+    /// An endpoint crashes and returns under its id after a time as the other software version. It writes its new entry
+    /// some time later.
+    #[display("endpoint {_0} returns after {_1} ms as the other version and registers {_2} ms later")]
+    EndpointReturns(usize, u64, u64),
 }
 
 /// Fault and the time at which it is injected.
@@ -118,6 +122,8 @@
 const COPIES_SEED: u64 = 0x636f_7069_6573;
 /// Distinguishes the generator of odd entries from the others.
 const ODD_ENTRIES_SEED: u64 = 0x6f_6464;
+/// Distinguishes the generator of endpoints that return as another version from the others.
+const RETURNS_SEED: u64 = 0x7265_7475_726e;
 /// Shortest time for which endpoints are brittle; in the first 4 s of it rejections do no harm.
 const BRITTLE_MS_MIN: u64 = 8_000;
 /// Most faults in one series.
@@ -145,6 +151,7 @@
         draw_kill_of_all(seed, end_ms, &mut faults);
         draw_copies(seed, end_ms, endpoint_count, &mut faults);
         draw_odd_entries(seed, end_ms, endpoint_count, &mut faults);
+        draw_returns(seed, end_ms, endpoint_count, &mut faults);
         faults.sort_by_key(|planned| planned.at_ms);
         Self { faults }
     }
@@ -235,6 +242,16 @@
     }
 }
 
+/// Draws endpoints that return as another version, from a generator of its own for the same reason.
+fn draw_returns(seed: u64, end_ms: u64, endpoint_count: usize, faults: &mut Vec<PlannedFault>) {
+    let mut random = SmallRng::seed_from_u64(seed ^ RETURNS_SEED);
+    for _ in 0..random.random_range(1..5) {
+        let (endpoint, down_ms) = (random.random_range(0..endpoint_count), random.random_range(1_000..4_500));
+        let fault = Fault::EndpointReturns(endpoint, down_ms, random.random_range(0..400));
+        faults.push(PlannedFault { at_ms: random.random_range(FAULT_FREE_START_MS..end_ms), fault });
+    }
+}
+
 fn draw_link_mode(random: &mut SmallRng) -> LinkMode {
     match random.random_range(0..5) {
         0 => LinkMode::Delay(random.random_range(20..400)),
--- a/crates/boragepass_soak/src/proxy.rs
+++ b/crates/boragepass_soak/src/proxy.rs
@@ -5,9 +5,9 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use async_std::future::timeout;
 use async_std::io::{ReadExt, WriteExt};
 use async_std::net::{TcpListener, TcpStream};
-use async_std::stream::StreamExt;
 use async_std::task;
 
 /// How a link behaves.
@@ -23,6 +23,9 @@
     /// Closes all open connections, and new ones on arrival.
     #[display("resets")]
     Reset,
+    /// Closes all open connections and refuses new ones, as a machine whose process has ended does.
+    #[display("refuses")]
+    Refuse,
     /// Holds back bytes towards the server, and forwards those from it.
     #[display("cut towards the server")]
     CutTowards,
@@ -105,16 +108,38 @@
         let listener = task::block_on(TcpListener::bind("127.0.0.1:0")).expect("a free port");
         let address = listener.local_addr().expect("a bound address");
         let proxy = Self { address, state: Arc::default() };
-        let acceptor = proxy.clone();
-        task::spawn(async move {
-            let mut incoming = listener.incoming();
-            while let Some(Ok(stream)) = incoming.next().await {
-                task::spawn(acceptor.clone().forward_connection(stream, server));
-            }
-        });
+        task::spawn(proxy.clone().accept_connections(listener, server));
         proxy
     }
 
+    /// Accepts connections. While the link refuses them, its port has no listener.
+    async fn accept_connections(self, listener: TcpListener, server: SocketAddr) {
+        let mut listener = Some(listener);
+        loop {
+            if self.is_refusing() {
+                drop(listener.take());
+                task::sleep(HELD_POLL_INTERVAL).await;
+                continue;
+            }
+            if listener.is_none() {
+                // This fails while another socket has the port.
+                listener = TcpListener::bind(self.address).await.ok();
+            }
+            match &listener {
+                Some(listener) => {
+                    if let Ok(Ok((stream, _))) = timeout(HELD_POLL_INTERVAL, listener.accept()).await {
+                        task::spawn(self.clone().forward_connection(stream, server));
+                    }
+                }
+                None => task::sleep(HELD_POLL_INTERVAL).await,
+            }
+        }
+    }
+
+    fn is_refusing(&self) -> bool {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner).mode == LinkMode::Refuse
+    }
+
     pub(crate) fn set_mode(&self, mode: LinkMode) {
         let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
         state.mode = mode;
@@ -139,7 +164,7 @@
             state.connection_count += 1;
             state.connection_count - 1
         };
-        let is_reset = self.connection_mode(connection) == LinkMode::Reset;
+        let is_reset = matches!(self.connection_mode(connection), LinkMode::Reset | LinkMode::Refuse);
         let Ok(server) = (if is_reset { Err(()) } else { TcpStream::connect(server).await.map_err(drop) }) else {
             // Dropping the client's socket closes it without a byte.
             return;
@@ -183,8 +208,8 @@
         let (connection, direction) = (forwarding.connection, forwarding.direction);
         let mut chunk = vec![0; CHUNK_BYTES];
         loop {
-            let read = async_std::future::timeout(HELD_POLL_INTERVAL, source.read(&mut chunk)).await;
-            if self.connection_mode(connection) == LinkMode::Reset {
+            let read = timeout(HELD_POLL_INTERVAL, source.read(&mut chunk)).await;
+            if matches!(self.connection_mode(connection), LinkMode::Reset | LinkMode::Refuse) {
                 break;
             }
             if self.connection_mode(connection) == LinkMode::Endless && direction == Direction::FromServer {
@@ -220,7 +245,7 @@
     async fn wait_to_forward(&self, connection: u64, direction: Direction) -> bool {
         loop {
             match (self.connection_mode(connection), direction) {
-                (LinkMode::Reset, _) => return false,
+                (LinkMode::Reset | LinkMode::Refuse, _) => return false,
                 (LinkMode::Delay(ms), _) => {
                     task::sleep(Duration::from_millis(ms)).await;
                     return true;
--- a/crates/boragepass_soak/src/run.rs
+++ b/crates/boragepass_soak/src/run.rs
@@ -254,6 +254,14 @@
                     endpoint.restart(&store);
                 });
             }
+            Fault::EndpointReturns(endpoint, down_ms, registration_ms) => {
+                self.ledger.record_endpoint_disturbance(endpoint, Duration::from_millis(down_ms + registration_ms));
+                let (endpoint, store) = (self.endpoints[endpoint].clone(), self.store.clone());
+                std::thread::spawn(move || {
+                    let registration_delay = Duration::from_millis(registration_ms);
+                    endpoint.return_as_other_version(&store, Duration::from_millis(down_ms), registration_delay);
+                });
+            }
             Fault::EndpointPauses(endpoint, ms, pause_s) => self.endpoints[endpoint].ask_for_pauses(ms, pause_s),
             Fault::EndpointLimits(endpoint, ms, per_s) => {
                 let endpoint = self.endpoints[endpoint].clone();
