Model: added routes are in force in time, never taken back and served

The model had no oracle for CONFIG. It now judges requests on routes that are added and removed by how they were handled: sent to an endpoint, or answered that no route matches.

--- a/crates/boragepass_fakes/src/path_fleet/deployment.rs
+++ b/crates/boragepass_fakes/src/path_fleet/deployment.rs
@@ -2,6 +2,7 @@
 //!
 //! Two sites are modelled on those of the users under names of our own, each also in a grown size.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -82,6 +83,8 @@
     /// Kinds of request that clients submit.
     pub kinds: Vec<RequestKind>,
     pub(super) services: Vec<Service>,
+    /// Routes that the operator added, beside those of the kinds.
+    pub(super) added_routes: BTreeSet<u8>,
     /// Workspace with home regions, if any.
     pub(super) home_workspace: Option<Workspace>,
     /// Set if endpoints differ in speed and some prompts are long.
@@ -452,6 +455,7 @@
             endpoints,
             kinds: kinds.into_iter().map(Into::into).collect(),
             services: services.collect(),
+            added_routes: BTreeSet::new(),
             home_workspace: None,
             unevenness: None,
         }
@@ -483,11 +487,23 @@
             keys: vec![ApiKey(Arc::from(CLIENT_KEY))],
             home_regions: Vec::new(),
         };
-        let routes = self.kinds.iter().map(|kind| kind.route.clone()).collect();
+        let added_kind = &self.kinds[self.added_route_kind()].route;
+        let added = self.added_routes.iter().map(|number| Route {
+            name: format!("added-{number}").into(),
+            prefix: format!("/added-{number}/").into(),
+            ..added_kind.clone()
+        });
+        let routes = self.kinds.iter().map(|kind| kind.route.clone()).chain(added).collect();
         let workspaces = std::iter::once(workspace).chain(self.home_workspace.clone()).collect();
         Configuration::new(ConfigurationVersion(version), limits, routes, self.services.clone(), workspaces)
     }
 
+    /// Index of the kind whose service the added routes have.
+    pub(super) fn added_route_kind(&self) -> usize {
+        let is_repeatable = |kind: &RequestKind| kind.route.repeatability == Repeatability::Idempotent;
+        self.kinds.iter().position(is_repeatable).unwrap_or_default()
+    }
+
     /// Parameters of a pool, if it is a stage pool.
     pub(super) fn stage_pool(&self, pool: &PoolId) -> Option<StagePool> {
         self.services.iter().find(|service| service.name == *pool).and_then(|service| match service.kind {
--- a/crates/boragepass_fakes/src/path_fleet/fleet/mod.rs
+++ b/crates/boragepass_fakes/src/path_fleet/fleet/mod.rs
@@ -3,6 +3,7 @@
 //! It models the network, the store and the faults of processes. Endpoints model their own timing, and the ledger
 //! checks what clients and endpoints observe.
 
+mod added_routes;
 mod clients;
 mod cold;
 mod evacuation;
@@ -24,8 +25,8 @@
 use boragepass_path::{
     Arrival, Batching, CallFailure, CallNumber, CallOutcome, ColdBounds, Effect, Endpoint, EndpointEntry,
     EndpointSignals, EndpointUpdate, Evacuations, Event, EventId, NamedRequest, PathSettings, PeerMessage,
-    PieceOutcome, Progress, PromptPart, RecordedVersions, Repeatability, ReplyHead, RequestNumber, RequestPath,
-    RetryLimits, SendFailure, SendNumber, StoreVersion, VmRecord, VmState,
+    PieceOutcome, Progress, PromptPart, RecordedVersions, RefusalReason, Repeatability, ReplyHead, RequestNumber,
+    RequestPath, RetryLimits, SendFailure, SendNumber, StoreVersion, VmRecord, VmState,
 };
 use boragepass_types::{
     EndpointId, FailureDomain, Hash64, Incarnation, Millicores, RequestRate, SpanMs, StoreEra, TimeMs, VmId,
@@ -40,6 +41,7 @@
 use super::ledger::{Ending, Ledger, RequestRecord};
 use super::pause::PausingRejections;
 use super::rate_limit::StatedLimit;
+pub use added_routes::ADDED_ROUTES;
 pub use partition::EndpointLinks;
 use partition::LinkOutcome;
 
@@ -258,6 +260,8 @@
     pub endpoint_clock_error_ms: i64,
     /// Time in milliseconds from the start of an endpoint that restarted under its id until its entry is written.
     pub registration_delay_ms: u64,
+    /// Longest time in milliseconds by which a configuration reaches a VM later than usual; drawn anew each time.
+    pub configuration_delay_max_ms: u64,
     /// Time in milliseconds by which changes of the store reach the VMs that follow it later than usual.
     pub feed_delay_ms: u64,
     /// Number of log records of the VMs by their text.
@@ -337,10 +341,12 @@
             abandon_share: 0.0,
             endpoint_clock_error_ms: 0,
             registration_delay_ms: 0,
+            configuration_delay_max_ms: 0,
             feed_delay_ms: 0,
             log_record_counts: BTreeMap::new(),
         };
         fleet.record_homes();
+        fleet.record_added_routes();
         for vm in 0..fleet.vms.len() {
             fleet.start_vm(vm);
         }
@@ -773,6 +779,9 @@
             }
             Effect::RelayReply(request, send) => self.relay_reply((vm, incarnation, send), request),
             Effect::Respond(request, answer) => {
+                if answer.reason == RefusalReason::NoRoute {
+                    self.check_added_route_missing(vm, incarnation, request);
+                }
                 let ending = if matches!(answer.status, 429 | 503) { Ending::Refused } else { Ending::Failed };
                 self.end_request(vm, incarnation, request, ending);
                 self.deliver(vm, 0, Event::AnswerDelivered(request));
@@ -885,7 +894,8 @@
             self.deliver(to, REGION_DELAY_MS, Event::EvacuationsShared(evacuations));
         }
         if let Some(configuration) = configuration {
-            self.deliver(to, REGION_DELAY_MS, Event::ConfigurationReceived(configuration));
+            let delay_ms = REGION_DELAY_MS + self.draw_configuration_delay_ms();
+            self.deliver(to, delay_ms, Event::ConfigurationReceived(configuration));
         }
         self.deliver(to, REGION_DELAY_MS, Event::EndpointsUpdated(update));
         if !cold.is_empty() {
--- a/crates/boragepass_fakes/src/path_fleet/fleet/sends.rs
+++ b/crates/boragepass_fakes/src/path_fleet/fleet/sends.rs
@@ -106,6 +106,7 @@
         let (client_id, id) = (active_send.client_id.clone(), active_send.endpoint_id.clone());
         self.check_endpoint_signals(key.0, &id, &client_id);
         self.on_arrival_at_engine(key.0, &client_id);
+        self.check_added_route_sent(&client_id);
         let reply_delay_ms = self.endpoint_delay_ms(key.0, &id);
         if let Some(signals) = self.rejection_signals(key.0, &id, reply_delay_ms) {
             self.active_sends.remove(&key);
--- a/crates/boragepass_fakes/src/path_fleet/fleet/store.rs
+++ b/crates/boragepass_fakes/src/path_fleet/fleet/store.rs
@@ -163,14 +163,25 @@
         self.configuration_version += 1;
         self.store.version += 1;
         self.record_homes();
+        self.record_added_routes();
         let configuration = Arc::new(self.deployment.configuration(self.configuration_version));
         for vm in 0..self.vms.len() {
             if !self.vms[vm].is_cut_from_store && self.vms[vm].is_store_follower {
-                self.deliver(vm, STORE_DELAY_MS, Event::ConfigurationReceived(configuration.clone()));
+                let delay_ms = STORE_DELAY_MS + self.draw_configuration_delay_ms();
+                self.deliver(vm, delay_ms, Event::ConfigurationReceived(configuration.clone()));
             }
         }
     }
 
+    /// Time by which a configuration reaches a VM later than usual.
+    pub(super) fn draw_configuration_delay_ms(&mut self) -> u64 {
+        // Without a delay nothing is drawn, so that runs without one stay as they are.
+        match self.configuration_delay_max_ms {
+            0 => 0,
+            delay_max_ms => self.rng.random_range(0..delay_max_ms),
+        }
+    }
+
     /// Delivers a change of the endpoint list to the VMs that follow the store.
     fn publish(&mut self, update: impl Fn(StoreVersion) -> EndpointUpdate) {
         self.store.version += 1;
--- a/crates/boragepass_fakes/src/path_fleet/ledger.rs
+++ b/crates/boragepass_fakes/src/path_fleet/ledger.rs
@@ -5,6 +5,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use super::added_routes::AddedRoutes;
 use super::evacuations::EvacuationRecord;
 use super::homes::HomeRecords;
 use super::partitions::{FirstTry, Partitions, are_served_worse};
@@ -133,6 +134,7 @@
     pub(super) requests: BTreeMap<Arc<str>, RequestRecord>,
     pub(super) harmful_parts: BTreeMap<Hash64, HarmfulPartRecord>,
     pub(super) partitions: Partitions,
+    pub(super) added_routes: AddedRoutes,
     pub(super) homes: HomeRecords,
     /// Brittle endpoints and how often they fell over, by pool.
     pub(super) falls: BTreeMap<PoolId, (u32, u32)>,
--- a/crates/boragepass_fakes/tests/path_faults.rs
+++ b/crates/boragepass_fakes/tests/path_faults.rs
@@ -7,7 +7,7 @@
 
 #![allow(clippy::unwrap_used, reason = "a test fails where it panics")]
 
-use boragepass_fakes::path_fleet::{Deployment, EndpointFault, EndpointLinks, PathFleet, Site};
+use boragepass_fakes::path_fleet::{ADDED_ROUTES, Deployment, EndpointFault, EndpointLinks, PathFleet, Site};
 use boragepass_path::ColdStart;
 use boragepass_types::{EndpointId, FailureDomain, RequestRate, SpanMs};
 use proptest::prelude::{BoxedStrategy, Just, Strategy, prop_oneof};
@@ -27,6 +27,9 @@
 /// Time after its deadline by which a request must have been answered.
 const ANSWER_SLACK_MS: u64 = 500;
 
+/// Time in which a changed configuration reaches a VM that follows the store.
+const CONFIGURATION_DELAY_MAX_MS: u64 = 900;
+
 /// Home regions that a step gives to the route of a kind.
 const HOMES: [&[&str]; 5] = [&[], &["region-a"], &["region-b"], &["region-a", "region-b"], &["region-b", "region-c"]];
 
@@ -44,6 +47,7 @@
     CutStore { vm: usize, is_cut: bool },
     ChangeConfiguration,
     ChangeHomes { kind: usize, regions: usize },
+    ChangeRoute { route: u8, is_present: bool, rounds: u32 },
     DropDatagrams { percent: u64 },
     AbandonRequests { percent: u64 },
     StartHarmfulRequests { kind: usize, part: u64, per_s: u64 },
@@ -170,6 +174,31 @@
     }
 }
 
+/// Reference model whose cases also add and remove routes, for the same reason apart from [`AnySteps`].
+struct AnyStepsWithRoutes;
+
+impl ReferenceStateMachine for AnyStepsWithRoutes {
+    type State = ();
+    type Transition = Step;
+
+    fn init_state() -> BoxedStrategy<Self::State> {
+        Just(()).boxed()
+    }
+
+    fn transitions(state: &Self::State) -> BoxedStrategy<Self::Transition> {
+        prop_oneof![
+            4 => AnySteps::transitions(state),
+            1 => (0..ADDED_ROUTES, proptest::bool::ANY, 1_u32..12)
+                .prop_map(|(route, is_present, rounds)| Step::ChangeRoute { route, is_present, rounds }),
+        ]
+        .boxed()
+    }
+
+    fn apply(state: Self::State, _transition: &Self::Transition) -> Self::State {
+        state
+    }
+}
+
 struct FaultTest {
     fleet: PathFleet,
 }
@@ -183,6 +212,19 @@
         Self { fleet }
     }
 
+    /// Lets all requests end, then the fleet recover from all faults.
+    fn end(&mut self) {
+        let fleet = &mut self.fleet;
+        fleet.set_load(0.0);
+        fleet.stop_harmful_requests();
+        fleet.run_for(ALL_ENDED_MS);
+        let now = fleet.now();
+        fleet.ledger.check_ended(now, ANSWER_SLACK_MS);
+        fleet.clear_faults();
+        fleet.run_for(RECOVERY_MS);
+        self.check();
+    }
+
     fn check(&self) {
         if let Some(violation) = self.fleet.ledger.violations().first() {
             panic!("{violation}");
@@ -223,6 +265,10 @@
                 fleet.deployment.set_home_regions(kind, HOMES[regions]);
                 fleet.change_configuration();
             }
+            Step::ChangeRoute { route, is_present, rounds } => {
+                fleet.set_added_route(route, is_present);
+                fleet.probe_added_route(&(0..VMS).collect::<Vec<_>>(), route, rounds);
+            }
             Step::DropDatagrams { percent } => fleet.datagram_loss = percent as f64 / 100.0,
             Step::AbandonRequests { percent } => fleet.abandon_share = percent as f64 / 100.0,
             Step::StartHarmfulRequests { kind, part, per_s } => {
@@ -278,15 +324,7 @@
     }
 
     fn teardown(mut test: Self, _state: ()) {
-        let fleet = &mut test.fleet;
-        fleet.set_load(0.0);
-        fleet.stop_harmful_requests();
-        fleet.run_for(ALL_ENDED_MS);
-        let now = fleet.now();
-        fleet.ledger.check_ended(now, ANSWER_SLACK_MS);
-        fleet.clear_faults();
-        fleet.run_for(RECOVERY_MS);
-        test.check();
+        test.end();
     }
 }
 
@@ -310,6 +348,30 @@
     }
 }
 
+/// The same steps with routes that are added and removed, which reach the VMs at different times.
+struct RoutesTest(FaultTest);
+
+impl StateMachineTest for RoutesTest {
+    type SystemUnderTest = Self;
+    type Reference = AnyStepsWithRoutes;
+
+    fn init_test(_state: &()) -> Self {
+        let mut test = FaultTest::start(Deployment::of(Site::Lampu));
+        test.fleet.configuration_delay_max_ms = CONFIGURATION_DELAY_MAX_MS;
+        Self(test)
+    }
+
+    fn apply(test: Self, state: &(), step: Step) -> Self {
+        Self(<FaultTest as StateMachineTest>::apply(test.0, state, step))
+    }
+
+    fn teardown(mut test: Self, _state: ()) {
+        test.0.end();
+        test.0.fleet.check_added_routes_served();
+        test.0.check();
+    }
+}
+
 fn config() -> Config {
     let number =
         |name: &str, default: u64| std::env::var(name).ok().and_then(|value| value.parse().ok()).unwrap_or(default);
@@ -329,4 +391,7 @@
 
     #[test]
     fn guarantees_hold_with_home_regions_under_any_faults(sequential 1..40 => HomesTest);
+
+    #[test]
+    fn configurations_are_in_force_in_time_and_never_taken_back_under_any_faults(sequential 1..40 => RoutesTest);
 }
