Logs and metrics show how a configuration reaches a VM and which one judges a relayed request

Now each VM logs when it receives a version, from where, its size and the time to decode it; when it asks another VM and how far it is behind; and the version by which a relayed request was judged on both VMs.

--- a/crates/boragepass_entry/src/driver.rs
+++ b/crates/boragepass_entry/src/driver.rs
@@ -5,7 +5,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_std::channel::{Receiver, Sender, bounded, unbounded};
 use async_std::future::timeout;
@@ -32,6 +32,17 @@
 /// Longest sleep of the timer loop when no timer is set.
 const IDLE_WAKE: Duration = Duration::from_millis(500);
 
+/// Where a configuration comes from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
+pub(crate) enum ConfigurationSource {
+    /// The store.
+    #[display("store")]
+    Store,
+    /// Another VM.
+    #[display("other VM")]
+    OtherVm,
+}
+
 /// Where the response to a client comes from.
 pub(crate) enum ResponseSource {
     /// Reply of an endpoint.
@@ -172,16 +183,26 @@
 
     /// Passes a configuration, encoded as in the store, on to the request path. A newer one than that in force is
     /// also kept for other VMs.
-    pub(crate) fn receive_configuration(self: &Rc<Self>, value: Bytes) {
+    pub(crate) fn receive_configuration(self: &Rc<Self>, value: Bytes, source: ConfigurationSource) {
+        self.metrics.observe_configuration(source, value.len());
+        let began_at = Instant::now();
         match decode_configuration(&value) {
             Ok(configuration) => {
                 let current_version = self.with_path(|path, _| path.configuration().map(|known| known.version));
                 if current_version.is_none_or(|version| version < configuration.version) {
+                    let record = Record::new("configuration received")
+                        .number("version", configuration.version.0)
+                        .text("source", source)
+                        .number("bytes", value.len())
+                        .number("decode_ms", began_at.elapsed().as_millis());
+                    self.record(&record);
                     self.peers.set_configuration(value);
                 }
                 self.dispatch(Event::ConfigurationReceived(configuration.into()));
             }
-            Err(error) => self.record(&Record::new("configuration not read").text("reason", error)),
+            Err(error) => {
+                self.record(&Record::new("configuration not read").text("source", source).text("reason", error));
+            }
         }
     }
 
@@ -220,8 +241,8 @@
     pub(crate) async fn run_timers(self: Rc<Self>) {
         loop {
             let next_wake = self.path.borrow().next_wake();
-            let wait = next_wake
-                .map_or(IDLE_WAKE, |at| self.clock.instant(at).saturating_duration_since(std::time::Instant::now()));
+            let wait =
+                next_wake.map_or(IDLE_WAKE, |at| self.clock.instant(at).saturating_duration_since(Instant::now()));
             if !wait.is_zero() && self.event_queue.borrow().is_empty() {
                 // Either a timer is due or an event was queued.
                 let _woken = timeout(wait, self.wake_channel.1.recv()).await;
@@ -251,7 +272,9 @@
             Effect::SendPeerMessage(vm, address, message) => self.peers.send_message(&vm, address, &message),
             Effect::SendPeerDatagram(_, address, message) => self.peers.send_datagram(address, &message),
             Effect::ShareState { vm, address, with_configuration } => {
-                self.peers.share_state(self.clock.now(), &vm, address, &self.path.borrow(), with_configuration);
+                let configuration_bytes =
+                    self.peers.share_state(self.clock.now(), &vm, address, &self.path.borrow(), with_configuration);
+                self.metrics.observe_shared_configuration(configuration_bytes);
             }
             Effect::FollowStore(follows) => self.follows_store.set(follows),
             Effect::RegisterVm => {
--- a/crates/boragepass_entry/src/metrics.rs
+++ b/crates/boragepass_entry/src/metrics.rs
@@ -5,6 +5,8 @@
     Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry, TextEncoder,
 };
 
+use crate::driver::ConfigurationSource;
+
 /// Upper bounds of the latency buckets in seconds, from one exchange within a failure domain to the
 /// longest deadline.
 const BUCKETS_S: [f64; 12] = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8];
@@ -22,6 +24,8 @@
     rejections: IntCounterVec,
     evacuated_domains: IntGauge,
     kept_entries: IntGaugeVec,
+    configuration_bytes: IntCounterVec,
+    configuration_copies: IntCounterVec,
 }
 
 impl Metrics {
@@ -53,6 +57,17 @@
             Opts::new("boragepass_kept_entries", "entries that are kept for requests that have not ended"),
             &["kind"],
         )?;
+        let configuration_bytes = IntCounterVec::new(
+            Opts::new(
+                "boragepass_configuration_bytes_total",
+                "bytes of configurations by where they came from or went to",
+            ),
+            &["link"],
+        )?;
+        let configuration_copies = IntCounterVec::new(
+            Opts::new("boragepass_configuration_copies_total", "configurations by where they came from or went to"),
+            &["link"],
+        )?;
         let registry = Registry::new();
         registry.register(Box::new(records.clone()))?;
         registry.register(Box::new(refusals.clone()))?;
@@ -64,6 +79,8 @@
         registry.register(Box::new(excess_bytes.clone()))?;
         registry.register(Box::new(rejections.clone()))?;
         registry.register(Box::new(kept_entries.clone()))?;
+        registry.register(Box::new(configuration_bytes.clone()))?;
+        registry.register(Box::new(configuration_copies.clone()))?;
         Ok(Self {
             registry,
             records,
@@ -76,6 +93,8 @@
             rejections,
             evacuated_domains,
             kept_entries,
+            configuration_bytes,
+            configuration_copies,
         })
     }
 
@@ -101,6 +120,23 @@
         self.rejections.with_label_values(&[head.named_request.to_string().as_str(), connection]).inc();
     }
 
+    /// Counts a configuration that was received, newer or not.
+    pub(crate) fn observe_configuration(&self, source: ConfigurationSource, bytes: usize) {
+        self.count_configuration(&format!("from {source}"), bytes);
+    }
+
+    /// Counts a configuration that was sent to another VM; zero bytes stand for none.
+    pub(crate) fn observe_shared_configuration(&self, bytes: usize) {
+        if bytes > 0 {
+            self.count_configuration("to other VM", bytes);
+        }
+    }
+
+    fn count_configuration(&self, link: &str, bytes: usize) {
+        self.configuration_copies.with_label_values(&[link]).inc();
+        self.configuration_bytes.with_label_values(&[link]).inc_by(bytes as u64);
+    }
+
     /// Sets the number of entries of some kind that are kept for requests.
     pub(crate) fn set_kept_entries(&self, kind: &str, entries: usize) {
         self.kept_entries.with_label_values(&[kind]).set(entries as i64);
--- a/crates/boragepass_entry/src/peers.rs
+++ b/crates/boragepass_entry/src/peers.rs
@@ -15,7 +15,7 @@
 use boragepass_types::{AccessKey, Incarnation, TimeMs, VmId};
 use bytes::Bytes;
 
-use crate::driver::Driver;
+use crate::driver::{ConfigurationSource, Driver};
 use crate::peer_sections::Sections;
 use crate::peer_wire::{WireFrame, WireState, decode, encode};
 
@@ -106,7 +106,8 @@
         }
     }
 
-    /// Sends another VM the known endpoints, and the configuration if `with_configuration` is set.
+    /// Sends another VM the known endpoints, and the configuration if `with_configuration` is set. Returns the number of bytes
+    /// of the configuration that were sent.
     pub(crate) fn share_state(
         &self,
         now: TimeMs,
@@ -114,14 +115,12 @@
         address: SocketAddr,
         path: &RequestPath,
         with_configuration: bool,
-    ) {
+    ) -> usize {
+        let configuration =
+            self.configuration.borrow().as_ref().filter(|_| with_configuration).map(|value| value.to_vec());
+        let configuration_bytes = configuration.as_ref().map_or(0, Vec::len);
         let state = WireState {
-            configuration: self
-                .configuration
-                .borrow()
-                .as_ref()
-                .filter(|_| with_configuration)
-                .map(|value| value.to_vec()),
+            configuration,
             endpoints: path.shared_endpoints().map(|shared| (&shared).into()).collect(),
             endpoints_version: path.endpoints_version().into(),
         };
@@ -131,6 +130,7 @@
             ..Sections::default()
         };
         self.links.send_encoded(vm, address, &encode(&WireFrame::State(state), &sections));
+        configuration_bytes
     }
 }
 
@@ -216,7 +216,7 @@
 /// Passes on the configuration and endpoints that another VM shared; older versions change nothing.
 fn apply_shared_state(driver: &Rc<Driver>, state: WireState) {
     if let Some(value) = state.configuration {
-        driver.receive_configuration(value.into());
+        driver.receive_configuration(value.into(), ConfigurationSource::OtherVm);
     }
     let mut endpoints = Vec::with_capacity(state.endpoints.len());
     for endpoint in state.endpoints {
--- a/crates/boragepass_entry/src/store_feed.rs
+++ b/crates/boragepass_entry/src/store_feed.rs
@@ -24,7 +24,7 @@
 use rand::{Rng, SeedableRng};
 use serde::{Deserialize, Serialize};
 
-use crate::driver::Driver;
+use crate::driver::{ConfigurationSource, Driver};
 use crate::store_client::{StoreClient, StoreError};
 
 /// Timeout of calls other than polls for changes.
@@ -342,7 +342,7 @@
         if row.key != names::CONFIGURATION_KEY {
             return;
         }
-        self.driver.receive_configuration(row.value.clone());
+        self.driver.receive_configuration(row.value.clone(), ConfigurationSource::Store);
     }
 
     fn decode_endpoint_row(&mut self, row: &Row) -> Option<Endpoint> {
--- a/crates/boragepass_path/src/reducer/arrivals.rs
+++ b/crates/boragepass_path/src/reducer/arrivals.rs
@@ -48,6 +48,7 @@
                         .text("host", &arrival.host)
                         .text("path", &arrival.path)
                         .text("reason", reason)
+                        .text("is_relayed", arrival.is_relayed)
                         .text("prompt_parts", prompt_part_ids(&arrival.prompt))
                         .number(
                             "configuration",
--- a/crates/boragepass_path/src/reducer/peers.rs
+++ b/crates/boragepass_path/src/reducer/peers.rs
@@ -98,6 +98,13 @@
         match self.state_behind_since {
             Some(since) if now.since(since) >= STATE_LAG_MAX => {
                 self.state_behind_since = None;
+                let known = self.configuration.as_ref().map_or(0, |configuration| configuration.version.0);
+                let record = Record::new("state asked for")
+                    .text("vm", vm)
+                    .number("configuration", self.fleet.configuration_version_of(vm).0)
+                    .number("known_configuration", known)
+                    .number("behind_ms", now.since(since).0);
+                self.log(record);
                 self.send_peer_message(vm, PeerMessage::StateQuery);
             }
             Some(_) => {}
--- a/crates/boragepass_path/src/reducer/relays.rs
+++ b/crates/boragepass_path/src/reducer/relays.rs
@@ -64,6 +64,7 @@
             .text("request", &state.arrival.client_id)
             .number("send", send.0)
             .text("to", &vm)
+            .number("configuration", state.configuration.version.0)
             .number("left_ms", state.time_left(now).0);
         let effect = Effect::Relay {
             send,
