A VM that relays requests handles none by an older configuration than before

What callers saw: at a VM without links to endpoints, requests on a route that had just been added were served and then refused with 404 in turn (CONFIG, back to an older version; DENIED).

Cause: the VM admits a request by its own configuration and relays it to another VM, drawn by the request's id, which judges it anew by whatever version it has.

Fix: a relayed request states the version of the VM that relays it. One with an older version does not judge it, and another VM is tried; VMs known to be up to date come first. One with a newer version says so at once, and until the relaying VM has that version too, for 4 s at most, it refuses requests as not run instead of judging them by its own. Builds without these headers judge as before.

--- a/crates/boragepass_entry/src/client_server.rs
+++ b/crates/boragepass_entry/src/client_server.rs
@@ -10,7 +10,7 @@
 use async_std::future::timeout;
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
-use boragepass_path::{Answer, Arrival, Event, HttpLimits, Record};
+use boragepass_path::{Answer, Arrival, Event, HttpLimits, Record, RefusalReason};
 use boragepass_platform::{DecodeError, decode_arrival};
 use boragepass_server::Acceptor;
 use boragepass_types::SpanMs;
@@ -30,7 +30,7 @@
 use crate::driver::{ClientExchange, Driver, ResponseSource};
 use crate::http_io::HttpIo;
 use crate::page_server::accept_record;
-use crate::sends::{RELAYED_ENDPOINT_HEADER, Reply};
+use crate::sends::{CONFIGURATION_BEHIND_HEADER, RELAYED_ENDPOINT_HEADER, Reply, take_relay_origin};
 
 /// Limits until a configuration is known; the configurations of both sites state the same.
 const LIMITS_DEFAULT: HttpLimits = HttpLimits {
@@ -180,14 +180,18 @@
     peer: Option<SocketAddr>,
     source: RequestSource,
 ) -> Result<Response<AnswerBody>, ConnectionClosed> {
-    let (request_head, request_body) = request.into_parts();
+    let (mut request_head, request_body) = request.into_parts();
+    let relay_origin = match source {
+        RequestSource::OtherVm => take_relay_origin(&mut request_head.headers),
+        RequestSource::Client => None,
+    };
     let request_body = match read_body(driver, request_body).await {
         Ok(request_body) => request_body,
         Err(status) => return Ok(error_response(driver, status, "body not read", peer)),
     };
     let request_number = driver.next_request_number();
     let arrival = match decode_arrival(request_number, &request_head, &request_body) {
-        Ok(arrival) => Arrival { is_relayed: source == RequestSource::OtherVm, ..arrival },
+        Ok(arrival) => Arrival { is_relayed: source == RequestSource::OtherVm, relay_origin, ..arrival },
         Err(error) => return Ok(malformed_request_response(driver, &error, peer)),
     };
     let (response_sender, response_receiver) = oneshot::channel();
@@ -209,7 +213,7 @@
     guard.disarm();
     let guard = DeliveryGuard::new(driver.clone(), request_number);
     Ok(match response {
-        ResponseSource::Local(answer) => local_response(answer, guard),
+        ResponseSource::Local(answer) => local_response(answer, guard, source),
         ResponseSource::Endpoint(Reply::Whole { head, body }) => {
             to_response(head, AnswerBody::whole(body, Some(guard)), source)
         }
@@ -248,12 +252,15 @@
     Bytes::from(json!({ "error": reason }).to_string())
 }
 
-fn local_response(answer: Answer, guard: DeliveryGuard) -> Response<AnswerBody> {
+fn local_response(answer: Answer, guard: DeliveryGuard, source: RequestSource) -> Response<AnswerBody> {
     let mut response = Response::new(AnswerBody::whole(error_body(&answer.reason.to_string()), Some(guard)));
     // Every status of a refusal is a valid one, so the fallback is not used.
     *response.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::SERVICE_UNAVAILABLE);
     let headers = response.headers_mut();
     headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    if source == RequestSource::OtherVm && answer.reason == RefusalReason::ConfigurationBehind {
+        headers.insert(CONFIGURATION_BEHIND_HEADER, HeaderValue::from_static("1"));
+    }
     if let Some(retry_after) = answer.retry_after_ms {
         let seconds = format!("{:.3}", retry_after.0 as f64 / 1e3);
         if let Ok(seconds) = HeaderValue::from_str(&seconds) {
--- a/crates/boragepass_entry/src/peers.rs
+++ b/crates/boragepass_entry/src/peers.rs
@@ -63,6 +63,11 @@
         }
     }
 
+    /// This VM.
+    pub(crate) fn local_vm(&self) -> &VmId {
+        &self.local_vm.0
+    }
+
     /// Keeps the configuration in force, to share it with VMs that have an older one, because they do not poll
     /// the store or the store refuses them.
     pub(crate) fn set_configuration(&self, value: Bytes) {
--- a/crates/boragepass_entry/src/sends.rs
+++ b/crates/boragepass_entry/src/sends.rs
@@ -9,16 +9,18 @@
 
 use async_std::channel::{Receiver, Sender};
 use async_std::task;
-use boragepass_path::{Effect, Event, EventId, Progress, SendFailure, SendNumber, SendTarget};
+use boragepass_path::{
+    ConfigurationVersion, Effect, Event, EventId, Progress, RelayOrigin, SendFailure, SendNumber, SendTarget,
+};
 use boragepass_platform::{
     AddedHeaders, ForwardedReplyHead, decode_reply_head, decode_signals, forwarded_reply_head,
     forwarded_request_headers, relayed_request_headers,
 };
-use boragepass_types::{EndpointId, SpanMs};
+use boragepass_types::{EndpointId, SpanMs, VmId};
 use bytes::{Bytes, BytesMut};
 use futures::future::{Either, abortable, select};
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
-use http::{HeaderName, HeaderValue, Request, Uri};
+use http::{HeaderMap, HeaderName, HeaderValue, Request, Uri};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 
@@ -29,6 +31,12 @@
 
 /// Header in which a VM names the endpoint of an answer to the VM that relayed the request. Clients do not get it.
 pub(crate) const RELAYED_ENDPOINT_HEADER: HeaderName = HeaderName::from_static("relayed-endpoint");
+/// Header in which a VM that relays a request names itself.
+const RELAYING_VM_HEADER: HeaderName = HeaderName::from_static("relaying-vm");
+/// Header in which a VM that relays a request states the version of its configuration.
+const RELAYING_CONFIGURATION_HEADER: HeaderName = HeaderName::from_static("relaying-configuration");
+/// Header of the answer of a VM that did not serve a relayed request since its configuration is older.
+pub(crate) const CONFIGURATION_BEHIND_HEADER: HeaderName = HeaderName::from_static("configuration-behind");
 /// Largest event of a stream, which is buffered until it is complete.
 const EVENT_BYTES_MAX: usize = 1_024 * 1_024;
 
@@ -71,7 +79,10 @@
         return;
     };
     let send = *send;
-    let outgoing = driver.exchanges.borrow().get(request).and_then(|exchange| outgoing_request(exchange, effect));
+    let exchanges = driver.exchanges.borrow();
+    let local_vm = driver.peers.local_vm();
+    let outgoing = exchanges.get(request).and_then(|exchange| outgoing_request(exchange, effect, local_vm));
+    drop(exchanges);
     let (job, task_abort) = abortable(run_send(driver.clone(), send, outgoing));
     driver.sends.borrow_mut().insert(send, RunningSend { task_abort, connection_abort: None, pending_reply: None });
     task::spawn_local(async move {
@@ -136,7 +147,7 @@
 }
 
 /// Builds the request of a send or relay from that of the client.
-fn outgoing_request(exchange: &ClientExchange, effect: &Effect) -> Option<Outgoing> {
+fn outgoing_request(exchange: &ClientExchange, effect: &Effect, local_vm: &VmId) -> Option<Outgoing> {
     let client_head = &exchange.request_head;
     let path = client_head.uri.path_and_query().map_or("/", |path| path.as_str());
     let mut request = Request::new(Full::new(exchange.request_body.clone()));
@@ -178,8 +189,9 @@
                 resume_after: *resume_after,
             })
         }
-        Effect::Relay { send, target, deadline_ms, is_stream, resume_after, .. } => {
+        Effect::Relay { send, target, deadline_ms, configuration, is_stream, resume_after, .. } => {
             *request.headers_mut() = relayed_request_headers(&client_head.headers, *deadline_ms);
+            state_relay_origin(request.headers_mut(), local_vm, *configuration);
             Some(Outgoing {
                 send: *send,
                 address: target.address,
@@ -197,6 +209,21 @@
     }
 }
 
+/// Sets the headers with which this VM tells another one who relays a request.
+fn state_relay_origin(headers: &mut HeaderMap, local_vm: &VmId, configuration: ConfigurationVersion) {
+    headers.insert(RELAYING_CONFIGURATION_HEADER, HeaderValue::from(configuration.0));
+    if let Ok(name) = HeaderValue::from_str(local_vm.as_str()) {
+        headers.insert(RELAYING_VM_HEADER, name);
+    }
+}
+
+/// Takes the headers of the VM that relays a request; `None` if its build does not set them.
+pub(crate) fn take_relay_origin(headers: &mut HeaderMap) -> Option<RelayOrigin> {
+    let vm = headers.remove(RELAYING_VM_HEADER)?.to_str().ok()?.parse().ok()?;
+    let configuration = headers.remove(RELAYING_CONFIGURATION_HEADER)?.to_str().ok()?.parse().ok()?;
+    Some(RelayOrigin { vm, configuration: ConfigurationVersion(configuration) })
+}
+
 async fn exchange_with_target(driver: &Rc<Driver>, outgoing: Outgoing) -> Result<Event, SendFailure> {
     let Outgoing { send, is_stream, silence_ms, resume_after, .. } = outgoing;
     let mut may_reuse = outgoing.may_reuse_connection;
@@ -216,6 +243,9 @@
             Err(ExchangeError::ConnectionLost(_)) => return Err(SendFailure::ConnectionLost),
         }
     };
+    if outgoing.endpoint.is_none() && response.headers().contains_key(CONFIGURATION_BEHIND_HEADER) {
+        return Err(SendFailure::ConfigurationBehind);
+    }
     let mut client_head = forwarded_reply_head(&response);
     let reply_head =
         decode_reply_head(response.status(), response.headers(), &outgoing.client_id, connection.earlier_exchanges());
--- a/crates/boragepass_fakes/src/path_fleet/fleet/clients.rs
+++ b/crates/boragepass_fakes/src/path_fleet/fleet/clients.rs
@@ -135,6 +135,7 @@
             request,
             client_id: client_id.clone(),
             is_relayed: false,
+            relay_origin: None,
             host: spec.route.host.clone(),
             path: format!("/{}/x", spec.name).into(),
             key: Some(boragepass_path::ApiKey(Arc::from(spec.key))),
--- a/crates/boragepass_fakes/src/path_fleet/fleet/mod.rs
+++ b/crates/boragepass_fakes/src/path_fleet/fleet/mod.rs
@@ -23,10 +23,10 @@
 use std::sync::Arc;
 
 use boragepass_path::{
-    Arrival, Batching, CallFailure, CallNumber, CallOutcome, ColdBounds, Effect, Endpoint, EndpointEntry,
-    EndpointSignals, EndpointUpdate, Evacuations, Event, EventId, NamedRequest, PathSettings, PeerMessage,
-    PieceOutcome, Progress, PromptPart, RecordedVersions, RefusalReason, Repeatability, ReplyHead, RequestNumber,
-    RequestPath, RetryLimits, SendFailure, SendNumber, StoreVersion, VmRecord, VmState,
+    Arrival, Batching, CallFailure, CallNumber, CallOutcome, ColdBounds, ConfigurationVersion, Effect, Endpoint,
+    EndpointEntry, EndpointSignals, EndpointUpdate, Evacuations, Event, EventId, NamedRequest, PathSettings,
+    PeerMessage, PieceOutcome, Progress, PromptPart, RecordedVersions, RefusalReason, RelayOrigin, Repeatability,
+    ReplyHead, RequestNumber, RequestPath, RetryLimits, SendFailure, SendNumber, StoreVersion, VmRecord, VmState,
 };
 use boragepass_types::{
     EndpointId, FailureDomain, Hash64, Incarnation, Millicores, RequestRate, SpanMs, StoreEra, TimeMs, VmId,
@@ -769,9 +769,9 @@
                     self.schedule(now + silence_ms, Action::CheckSilence(key));
                 }
             }
-            Effect::Relay { send, request, target, .. } => {
+            Effect::Relay { send, request, target, configuration, .. } => {
                 self.check_relay_homes(vm, incarnation, request, target.address);
-                self.start_relay((vm, incarnation, send), request, target.address);
+                self.start_relay((vm, incarnation, send), request, target.address, configuration);
             }
             Effect::CancelSend(send) => {
                 self.cancel_send((vm, incarnation, send));
@@ -782,6 +782,10 @@
                 if answer.reason == RefusalReason::NoRoute {
                     self.check_added_route_missing(vm, incarnation, request);
                 }
+                let is_behind = answer.reason == RefusalReason::ConfigurationBehind;
+                if is_behind && self.refuse_relay_as_behind((vm, incarnation, request)) {
+                    return;
+                }
                 let ending = if matches!(answer.status, 429 | 503) { Ending::Refused } else { Ending::Failed };
                 self.end_request(vm, incarnation, request, ending);
                 self.deliver(vm, 0, Event::AnswerDelivered(request));
--- a/crates/boragepass_fakes/src/path_fleet/fleet/relays.rs
+++ b/crates/boragepass_fakes/src/path_fleet/fleet/relays.rs
@@ -32,7 +32,13 @@
 
 impl PathFleet {
     /// Delivers a relayed request to the VM that is to serve it.
-    pub(super) fn start_relay(&mut self, key: SendKey, request: RequestNumber, address: SocketAddr) {
+    pub(super) fn start_relay(
+        &mut self,
+        key: SendKey,
+        request: RequestNumber,
+        address: SocketAddr,
+        configuration: ConfigurationVersion,
+    ) {
         let (vm, incarnation, send) = key;
         let client_id = self.client_ids.get(&(vm, incarnation, request)).cloned();
         let arrival = client_id.as_ref().and_then(|client_id| self.relays.arrivals.get(client_id).cloned());
@@ -43,7 +49,8 @@
         };
         self.last_request_number += 1;
         let number = RequestNumber(self.last_request_number);
-        let arrival = Arrival { request: number, is_relayed: true, ..arrival };
+        let origin = RelayOrigin { vm: self.vms[vm].id.clone(), configuration };
+        let arrival = Arrival { request: number, is_relayed: true, relay_origin: Some(origin), ..arrival };
         let serving_key = (to, self.vms[to].incarnation, number);
         self.client_ids.insert(serving_key, client_id);
         self.relays.sent_by.insert(serving_key, key);
@@ -116,6 +123,19 @@
         true
     }
 
+    /// Tells the VM that relayed a request, if one did, that the other one has an older configuration; returns whether the
+    /// request is relayed.
+    pub(super) fn refuse_relay_as_behind(&mut self, key: RequestKey) -> bool {
+        let Some(relay_key) = self.relays.sent_by.remove(&key) else {
+            return false;
+        };
+        self.relays.serving.remove(&relay_key);
+        self.client_ids.remove(&key);
+        let failed = Event::SendFailed(relay_key.2, SendFailure::ConfigurationBehind);
+        self.deliver(relay_key.0, REGION_DELAY_MS, failed);
+        true
+    }
+
     /// Breaks the relays from and to a VM whose process was killed.
     pub(super) fn break_relays(&mut self, vm: usize) {
         let mut sent: Vec<SendKey> = self.relays.serving.keys().filter(|key| key.0 == vm).copied().collect();
--- a/crates/boragepass_fakes/tests/path_peers.rs
+++ b/crates/boragepass_fakes/tests/path_peers.rs
@@ -82,6 +82,7 @@
         request: RequestNumber(number),
         client_id: client_id.clone(),
         is_relayed: false,
+        relay_origin: None,
         host: "site.example".into(),
         path: "/summary/x".into(),
         key: Some(ApiKey("client-key".into())),
--- a/crates/boragepass_fakes/tests/path_stream_record.rs
+++ b/crates/boragepass_fakes/tests/path_stream_record.rs
@@ -218,6 +218,7 @@
             request: RequestNumber(1),
             client_id: "next-attempt".into(),
             is_relayed: false,
+            relay_origin: None,
             host: "site.example".into(),
             path: "/ask/x".into(),
             key: Some(ApiKey("client-key".into())),
--- a/crates/boragepass_path/src/admission/refusal.rs
+++ b/crates/boragepass_path/src/admission/refusal.rs
@@ -10,6 +10,9 @@
     /// No configuration is known yet.
     #[display("no configuration yet")]
     NoConfiguration,
+    /// Another VM handled requests of this one by a newer configuration, or relays by a newer one.
+    #[display("configuration not up to date")]
+    ConfigurationBehind,
     /// No route matches.
     #[display("no route")]
     NoRoute,
@@ -80,6 +83,7 @@
             Self::UnknownKey => 401,
             Self::NoRoute => 404,
             Self::NoConfiguration
+            | Self::ConfigurationBehind
             | Self::Overload
             | Self::LateAtStage
             | Self::StageFailed
--- a/crates/boragepass_path/src/effect.rs
+++ b/crates/boragepass_path/src/effect.rs
@@ -6,6 +6,7 @@
 use boragepass_types::{EndpointId, SpanMs, VmId, WorkspaceId};
 
 use crate::admission::RefusalReason;
+use crate::configuration::ConfigurationVersion;
 use crate::event::EventId;
 use crate::message::PeerMessage;
 use crate::placement::RecordedVersions;
@@ -104,6 +105,8 @@
         target: RelayTarget,
         /// Time that the VM has for the answer, counted from now.
         deadline_ms: SpanMs,
+        /// Oldest configuration by which the VM may judge the request.
+        configuration: ConfigurationVersion,
         /// Whether the answer is streamed to the client as it arrives.
         is_stream: bool,
         /// Event after which the client takes up the stream.
--- a/crates/boragepass_path/src/event.rs
+++ b/crates/boragepass_path/src/event.rs
@@ -5,7 +5,7 @@
 
 use boragepass_types::{EndpointId, Hash64, Incarnation, RequestRate, SpanMs, VmId};
 
-use crate::configuration::{ApiKey, Configuration};
+use crate::configuration::{ApiKey, Configuration, ConfigurationVersion};
 use crate::fleet::VmRecord;
 use crate::message::{ColdReport, PeerMessage};
 use crate::placement::{EndpointUpdate, Evacuations, RecordedVersions};
@@ -23,6 +23,15 @@
     pub tokens: u64,
 }
 
+/// VM that relays a request, and what it had in force.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RelayOrigin {
+    /// VM that the client sent the request to.
+    pub vm: VmId,
+    /// Version of its configuration.
+    pub configuration: ConfigurationVersion,
+}
+
 /// Client request that was read in full. Its headers and body stay with the executor.
 #[derive(Debug, Clone)]
 pub struct Arrival {
@@ -32,6 +41,8 @@
     pub client_id: Arc<str>,
     /// Whether another VM relays it, which reaches no endpoint itself.
     pub is_relayed: bool,
+    /// VM that relayed it, if that one says so.
+    pub relay_origin: Option<RelayOrigin>,
     /// Requested host.
     pub host: Arc<str>,
     /// Requested path, without the query.
@@ -146,6 +157,9 @@
     /// The reply states that a request did not run, but may be a copy of an earlier reply to another send.
     #[display("unproven rejection")]
     UnprovenRejection,
+    /// The VM that the request was relayed to has an older configuration than this one and did not serve it.
+    #[display("older configuration there")]
+    ConfigurationBehind,
     /// The endpoint stayed silent for too long, and its send was cancelled in favor of another endpoint.
     #[display("silent")]
     EndpointSilent,
--- a/crates/boragepass_path/src/lib.rs
+++ b/crates/boragepass_path/src/lib.rs
@@ -38,7 +38,7 @@
 pub use effect::{Answer, CallEntry, Effect, PieceInputs, RelayTarget, SendTarget};
 pub use event::{
     Arrival, CallFailure, CallOutcome, EndpointEntry, EndpointSignals, Event, EventId, NamedRequest, PieceOutcome,
-    Progress, PromptPart, ReplyHead, ReportedLoad, SendFailure,
+    Progress, PromptPart, RelayOrigin, ReplyHead, ReportedLoad, SendFailure,
 };
 pub use fleet::{VmRecord, VmState, VmSummary};
 pub use message::{
--- a/crates/boragepass_path/src/reducer/arrivals.rs
+++ b/crates/boragepass_path/src/reducer/arrivals.rs
@@ -20,6 +20,8 @@
 const DEFAULT_FIRST_BYTE_MS: f64 = 100.0;
 /// Retry delay for clients while this VM has no configuration, the route no pool, or the process stops.
 const NOT_READY_RETRY_AFTER: SpanMs = SpanMs(500);
+/// Retry delay for clients while this VM asks for a newer configuration: an exchange between regions and its transfer.
+const CATCH_UP_RETRY_AFTER: SpanMs = SpanMs(250);
 
 /// Prompt parts that a log line lists.
 const LOGGED_PROMPT_PARTS_MAX: usize = 6;
@@ -33,6 +35,9 @@
 impl RequestPath {
     pub(super) fn on_request_arrived(&mut self, now: TimeMs, arrival: Box<Arrival>) {
         let request = arrival.request;
+        if let Some(origin) = &arrival.relay_origin {
+            self.announce_newer_configuration(now, origin);
+        }
         match self.admit(now, &arrival) {
             Ok(state) => {
                 self.log_arrival(&state, &arrival);
@@ -50,10 +55,7 @@
                         .text("reason", reason)
                         .text("is_relayed", arrival.is_relayed)
                         .text("prompt_parts", prompt_part_ids(&arrival.prompt))
-                        .number(
-                            "configuration",
-                            self.configuration.as_ref().map_or(0, |configuration| configuration.version.0),
-                        )
+                        .number("configuration", self.configuration_version().0)
                         .number("retry_after_ms", retry_after_ms.unwrap_or_default().0),
                 );
                 if reason == RefusalReason::NoHomeEndpoint {
@@ -95,6 +97,11 @@
         let Some(configuration) = self.configuration.clone() else {
             return Err((RefusalReason::NoConfiguration, Some(NOT_READY_RETRY_AFTER)));
         };
+        let is_origin_newer =
+            arrival.relay_origin.as_ref().is_some_and(|origin| origin.configuration > configuration.version);
+        if is_origin_newer || self.is_behind_relays(now) {
+            return Err((RefusalReason::ConfigurationBehind, Some(CATCH_UP_RETRY_AFTER)));
+        }
         if self.endpoint_table.evacuations.is_awaited(now) {
             return Err((RefusalReason::EvacuationsUnknown, Some(NOT_READY_RETRY_AFTER)));
         }
--- a/crates/boragepass_path/src/reducer/mod.rs
+++ b/crates/boragepass_path/src/reducer/mod.rs
@@ -35,7 +35,7 @@
 use rand::rngs::SmallRng;
 
 use crate::admission::RefusalReason;
-use crate::configuration::Configuration;
+use crate::configuration::{Configuration, ConfigurationVersion};
 use crate::effect::Effect;
 use crate::event::Event;
 use crate::fleet::{ColdSettling, Fleet, VmState, VmSummary};
@@ -97,6 +97,8 @@
     sends: HashMap<SendNumber, RequestNumber>,
     /// Requests by the number of their relay in progress.
     relays: HashMap<SendNumber, RequestNumber>,
+    /// Newest configuration at VMs that may have served relayed requests, and when it was first seen there.
+    configuration_at_relays: Option<(ConfigurationVersion, TimeMs)>,
     /// Led pools by the numbers of their calls in progress.
     calls: HashMap<CallNumber, PoolKey>,
     /// This VM's own piece requests in progress, with the request that each belongs to.
@@ -143,6 +145,7 @@
             requests: HashMap::new(),
             sends: HashMap::new(),
             relays: HashMap::new(),
+            configuration_at_relays: None,
             calls: HashMap::new(),
             piece_requests: HashMap::new(),
             average_first_byte_ms: HashMap::new(),
@@ -227,6 +230,11 @@
         self.configuration.as_ref()
     }
 
+    /// Version of the configuration in force; zero before there is one.
+    pub(crate) fn configuration_version(&self) -> ConfigurationVersion {
+        self.configuration.as_ref().map(|configuration| configuration.version).unwrap_or_default()
+    }
+
     /// Known endpoints.
     pub fn endpoints(&self) -> impl Iterator<Item = &Endpoint> {
         self.endpoint_table.iter().map(|known_endpoint| &known_endpoint.endpoint)
@@ -254,8 +262,7 @@
 
     /// What is known of the live VMs, this one first.
     pub fn vm_summaries(&self, now: TimeMs) -> Vec<VmSummary> {
-        let configuration = self.configuration.as_ref().map(|configuration| configuration.version).unwrap_or_default();
-        self.fleet.summaries(now, configuration)
+        self.fleet.summaries(now, self.configuration_version())
     }
 
     /// Number of requests in progress.
--- a/crates/boragepass_path/src/reducer/peers.rs
+++ b/crates/boragepass_path/src/reducer/peers.rs
@@ -83,8 +83,9 @@
         for load in heartbeat.led_pools.into_iter().filter(|_| reach.endpoints) {
             self.pool_backlogs.on_report(now, load);
         }
-        let configuration = self.configuration.as_ref().map(|configuration| configuration.version).unwrap_or_default();
+        let configuration = self.configuration_version();
         self.newest_peer_list = self.newest_peer_list.max(heartbeat.endpoints_version);
+        self.on_configuration_at_relay(now, &vm, heartbeat.configuration);
         let is_behind =
             heartbeat.configuration > configuration || heartbeat.endpoints_version > self.endpoint_table.version;
         self.query_newer_state(now, &vm, is_behind);
@@ -98,7 +99,7 @@
         match self.state_behind_since {
             Some(since) if now.since(since) >= STATE_LAG_MAX => {
                 self.state_behind_since = None;
-                let known = self.configuration.as_ref().map_or(0, |configuration| configuration.version.0);
+                let known = self.configuration_version().0;
                 let record = Record::new("state asked for")
                     .text("vm", vm)
                     .number("configuration", self.fleet.configuration_version_of(vm).0)
@@ -113,7 +114,7 @@
     }
 
     fn share_state(&mut self, vm: &VmId) {
-        let configuration = self.configuration.as_ref().map(|configuration| configuration.version).unwrap_or_default();
+        let configuration = self.configuration_version();
         if let Some(record) = self.fleet.record(vm) {
             let effect = Effect::ShareState {
                 vm: vm.clone(),
@@ -168,13 +169,13 @@
         self.send_heartbeats_to(now, targets);
     }
 
-    fn send_heartbeats_to(&mut self, now: TimeMs, targets: Vec<(VmId, SocketAddr)>) {
+    pub(super) fn send_heartbeats_to(&mut self, now: TimeMs, targets: Vec<(VmId, SocketAddr)>) {
         if targets.is_empty() {
             return;
         }
         let heartbeat = Heartbeat {
             vm: self.fleet.local_record.clone(),
-            configuration: self.configuration.as_ref().map(|configuration| configuration.version).unwrap_or_default(),
+            configuration: self.configuration_version(),
             has_store: self.fleet.can_reach_store,
             reaches_endpoints: self.fleet.reaches_endpoints,
             endpoints_version: self.endpoint_table.version,
--- a/crates/boragepass_path/src/reducer/relays.rs
+++ b/crates/boragepass_path/src/reducer/relays.rs
@@ -1,29 +1,60 @@
 //! Requests that this VM relays to another one, since it reaches no endpoint itself.
 //!
 //! The other VM serves a relayed request as one of its own and never relays it again. What it answers goes to the client
-//! unchanged, refusals too: its 503 states that the request did not run. A request is relayed only before any endpoint
+//! unchanged, refusals too: its 503 states that the request did not run. It judges the request by its own configuration, so
+//! it must not have an older one than this VM, and this VM must not go back to its own once the other has a newer one. A request is relayed only before any endpoint
 //! can have run it, and not again once it has reached a VM, which may have used up the runs that its route allows.
 
-use boragepass_types::{TimeMs, VmId};
+use boragepass_types::{SpanMs, TimeMs, VmId};
 
 use super::RequestPath;
 use crate::admission::RefusalReason;
+use crate::configuration::ConfigurationVersion;
 use crate::effect::{Effect, RelayTarget};
-use crate::event::{Arrival, Progress, ReplyHead, SendFailure};
+use crate::event::{Arrival, Progress, RelayOrigin, ReplyHead, SendFailure};
 use crate::fleet::relay_vm;
+use crate::message::PeerMessage;
 use crate::placement::Homes;
 use crate::record::Record;
 use crate::request::{Phase, RelayedSend, RequestNumber, SendNumber};
 
+/// Time after which a VM that cannot get a newer configuration judges requests by its own again.
+const CATCH_UP_MAX: SpanMs = SpanMs(4_000);
 /// VMs to which one request is relayed at most.
 const RELAY_VMS_MAX: usize = 3;
 
 impl RequestPath {
+    /// Whether this VM must not judge requests by the configuration that it has, since requests that it relayed may have been
+    /// judged by a newer one.
+    pub(super) fn is_behind_relays(&self, now: TimeMs) -> bool {
+        self.configuration_at_relays.is_some_and(|(version, seen_at)| {
+            version > self.configuration_version() && now.since(seen_at) < CATCH_UP_MAX
+        })
+    }
+
+    /// Notes the configuration of another VM while requests are relayed, and asks for it if it is newer.
+    pub(super) fn on_configuration_at_relay(&mut self, now: TimeMs, vm: &VmId, version: ConfigurationVersion) {
+        let is_known = self.configuration_at_relays.is_some_and(|(known, _)| known >= version);
+        if self.endpoint_reach.is_partitioned() && version > self.configuration_version() && !is_known {
+            self.configuration_at_relays = Some((version, now));
+            self.send_peer_message(vm, PeerMessage::StateQuery);
+        }
+    }
+
+    /// Tells the VM that relayed a request at once that this one judges it by a newer configuration.
+    pub(super) fn announce_newer_configuration(&mut self, now: TimeMs, origin: &RelayOrigin) {
+        if origin.configuration < self.configuration_version()
+            && let Some(address) = self.fleet.record(&origin.vm).map(|record| record.peer_address)
+        {
+            self.send_heartbeats_to(now, vec![(origin.vm.clone(), address)]);
+        }
+    }
+
     /// Whether an arriving request goes to another VM.
     pub(super) fn is_to_be_relayed(&self, now: TimeMs, arrival: &Arrival, homes: &Homes) -> bool {
         self.endpoint_reach.is_partitioned()
             && !arrival.is_relayed
-            && relay_vm(&self.fleet, now, &arrival.client_id, &[], homes).is_some()
+            && relay_vm(&self.fleet, now, &arrival.client_id, &[], homes, self.configuration_version()).is_some()
     }
 
     /// Relays a request to another VM if this one reaches no endpoint; returns whether it did.
@@ -40,7 +71,8 @@
             return true;
         }
         let client_id = state.arrival.client_id.clone();
-        let vm = relay_vm(&self.fleet, now, &client_id, &state.relay_vms, &state.homes).map(|record| {
+        let version = self.configuration_version();
+        let vm = relay_vm(&self.fleet, now, &client_id, &state.relay_vms, &state.homes, version).map(|record| {
             let target = RelayTarget { vm: record.vm.clone(), address: record.relay_address };
             (record.vm.clone(), target)
         });
@@ -57,6 +89,7 @@
 
     fn relay_request(&mut self, now: TimeMs, request: RequestNumber, vm: VmId, target: RelayTarget) {
         let send = SendNumber::take(&mut self.send_counter);
+        let configuration = self.configuration_version();
         let Some(state) = self.requests.get_mut(&request) else {
             return;
         };
@@ -64,13 +97,14 @@
             .text("request", &state.arrival.client_id)
             .number("send", send.0)
             .text("to", &vm)
-            .number("configuration", state.configuration.version.0)
+            .number("configuration", configuration.0)
             .number("left_ms", state.time_left(now).0);
         let effect = Effect::Relay {
             send,
             request,
             target,
             deadline_ms: state.time_left(now),
+            configuration,
             is_stream: state.route.repeatability.is_stream(),
             resume_after: state.last_event,
         };
@@ -156,7 +190,7 @@
             .number("send", send.0)
             .text("to", &relayed.vm)
             .text("reason", failure);
-        let is_sent = failure != SendFailure::NotSent;
+        let is_sent = !matches!(failure, SendFailure::NotSent | SendFailure::ConfigurationBehind);
         state.possible_runs += u32::from(is_sent);
         state.phase = Phase::InStages;
         let is_relaying = state.is_relaying;
--- a/crates/boragepass_path/src/reducer/sends.rs
+++ b/crates/boragepass_path/src/reducer/sends.rs
@@ -515,7 +515,7 @@
             self.abort_answer(now, request);
         } else {
             let reason = match failure {
-                SendFailure::NotSent => RefusalReason::NoEndpoint,
+                SendFailure::NotSent | SendFailure::ConfigurationBehind => RefusalReason::NoEndpoint,
                 SendFailure::ConnectionLost => RefusalReason::EndpointLost,
                 SendFailure::UnusableReply | SendFailure::UnprovenRejection => RefusalReason::UnusableReply,
                 SendFailure::EndpointSilent => RefusalReason::TimeoutAtEndpoint,
@@ -551,7 +551,8 @@
                     self.endpoint_table.mark_full(now, endpoint, now + FULL_ENDPOINT_BACKOFF);
                 }
             }
-            SendFailure::EndpointSilent => {}
+            // Only other VMs answer that.
+            SendFailure::EndpointSilent | SendFailure::ConfigurationBehind => {}
         }
     }
 
