A relayed request keeps to the home regions of both VMs

What callers saw: content of a request left the home regions that its route had when it came (HOME), if the VM that took it was without links to endpoints and relayed it to one with a newer configuration.

Cause: a relay carried no home regions, so the other VM judged by its own configuration alone.

Fix: the relay states the home regions of the request so far, and the other VM keeps to these and its own.

--- a/crates/boragepass_entry/src/sends.rs
+++ b/crates/boragepass_entry/src/sends.rs
@@ -10,13 +10,13 @@
 use async_std::channel::{Receiver, Sender};
 use async_std::task;
 use boragepass_path::{
-    ConfigurationVersion, Effect, Event, EventId, Progress, RelayOrigin, SendFailure, SendNumber, SendTarget,
+    ConfigurationVersion, Effect, Event, EventId, Homes, Progress, RelayOrigin, SendFailure, SendNumber, SendTarget,
 };
 use boragepass_platform::{
     AddedHeaders, ForwardedReplyHead, decode_reply_head, decode_signals, forwarded_reply_head,
     forwarded_request_headers, relayed_request_headers,
 };
-use boragepass_types::{EndpointId, SpanMs, VmId};
+use boragepass_types::{EndpointId, Region, SpanMs, VmId};
 use bytes::{Bytes, BytesMut};
 use futures::future::{Either, abortable, select};
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
@@ -35,6 +35,9 @@
 const RELAYING_VM_HEADER: HeaderName = HeaderName::from_static("relaying-vm");
 /// Header in which a VM that relays a request states the version of its configuration.
 const RELAYING_CONFIGURATION_HEADER: HeaderName = HeaderName::from_static("relaying-configuration");
+/// Header in which a VM that relays a request states its home regions, separated by commas; without it all regions are
+/// allowed.
+const RELAYED_HOMES_HEADER: HeaderName = HeaderName::from_static("relayed-home-regions");
 /// Header of the answer of a VM that did not serve a relayed request since its configuration is older.
 pub(crate) const CONFIGURATION_BEHIND_HEADER: HeaderName = HeaderName::from_static("configuration-behind");
 /// Largest event of a stream, which is buffered until it is complete.
@@ -189,9 +192,10 @@
                 resume_after: *resume_after,
             })
         }
-        Effect::Relay { send, target, deadline_ms, configuration, is_stream, resume_after, .. } => {
+        Effect::Relay { send, target, deadline_ms, configuration, homes, is_stream, resume_after, .. } => {
             *request.headers_mut() = relayed_request_headers(&client_head.headers, *deadline_ms);
-            state_relay_origin(request.headers_mut(), local_vm, *configuration);
+            let origin = RelayOrigin { vm: local_vm.clone(), configuration: *configuration, homes: homes.clone() };
+            state_relay_origin(request.headers_mut(), &origin);
             Some(Outgoing {
                 send: *send,
                 address: target.address,
@@ -210,18 +214,30 @@
 }
 
 /// Sets the headers with which this VM tells another one who relays a request.
-fn state_relay_origin(headers: &mut HeaderMap, local_vm: &VmId, configuration: ConfigurationVersion) {
-    headers.insert(RELAYING_CONFIGURATION_HEADER, HeaderValue::from(configuration.0));
-    if let Ok(name) = HeaderValue::from_str(local_vm.as_str()) {
-        headers.insert(RELAYING_VM_HEADER, name);
+fn state_relay_origin(headers: &mut HeaderMap, origin: &RelayOrigin) {
+    headers.insert(RELAYING_CONFIGURATION_HEADER, HeaderValue::from(origin.configuration.0));
+    let homes = origin.homes.regions().map(|regions| regions.iter().map(Region::as_str).collect::<Vec<_>>().join(","));
+    let texts = [(RELAYING_VM_HEADER, Some(origin.vm.to_string())), (RELAYED_HOMES_HEADER, homes)];
+    for (name, text) in texts {
+        if let Some(value) = text.and_then(|text| HeaderValue::try_from(text).ok()) {
+            headers.insert(name, value);
+        }
     }
 }
 
 /// Takes the headers of the VM that relays a request; `None` if its build does not set them.
 pub(crate) fn take_relay_origin(headers: &mut HeaderMap) -> Option<RelayOrigin> {
-    let vm = headers.remove(RELAYING_VM_HEADER)?.to_str().ok()?.parse().ok()?;
-    let configuration = headers.remove(RELAYING_CONFIGURATION_HEADER)?.to_str().ok()?.parse().ok()?;
-    Some(RelayOrigin { vm, configuration: ConfigurationVersion(configuration) })
+    let vm = headers.remove(RELAYING_VM_HEADER);
+    let configuration = headers.remove(RELAYING_CONFIGURATION_HEADER);
+    let homes = headers.remove(RELAYED_HOMES_HEADER).map(|homes| {
+        let names = homes.to_str().unwrap_or_default().split(',');
+        names.filter_map(|name| name.parse().ok()).collect()
+    });
+    Some(RelayOrigin {
+        vm: vm?.to_str().ok()?.parse().ok()?,
+        configuration: ConfigurationVersion(configuration?.to_str().ok()?.parse().ok()?),
+        homes: Homes::stated(homes),
+    })
 }
 
 async fn exchange_with_target(driver: &Rc<Driver>, outgoing: Outgoing) -> Result<Event, SendFailure> {
--- a/crates/boragepass_fakes/src/path_fleet/fleet/mod.rs
+++ b/crates/boragepass_fakes/src/path_fleet/fleet/mod.rs
@@ -24,7 +24,7 @@
 
 use boragepass_path::{
     Arrival, Batching, CallFailure, CallNumber, CallOutcome, ColdBounds, ConfigurationVersion, Effect, Endpoint,
-    EndpointEntry, EndpointSignals, EndpointUpdate, Evacuations, Event, EventId, NamedRequest, PathSettings,
+    EndpointEntry, EndpointSignals, EndpointUpdate, Evacuations, Event, EventId, Homes, NamedRequest, PathSettings,
     PeerMessage, PieceOutcome, Progress, PromptPart, RecordedVersions, RefusalReason, RelayOrigin, Repeatability,
     ReplyHead, RequestNumber, RequestPath, RetryLimits, SendFailure, SendNumber, StoreVersion, VmRecord, VmState,
 };
@@ -769,9 +769,9 @@
                     self.schedule(now + silence_ms, Action::CheckSilence(key));
                 }
             }
-            Effect::Relay { send, request, target, configuration, .. } => {
+            Effect::Relay { send, request, target, configuration, homes, .. } => {
                 self.check_relay_homes(vm, incarnation, request, target.address);
-                self.start_relay((vm, incarnation, send), request, target.address, configuration);
+                self.start_relay((vm, incarnation, send), request, target.address, configuration, homes);
             }
             Effect::CancelSend(send) => {
                 self.cancel_send((vm, incarnation, send));
--- a/crates/boragepass_fakes/src/path_fleet/fleet/relays.rs
+++ b/crates/boragepass_fakes/src/path_fleet/fleet/relays.rs
@@ -38,6 +38,7 @@
         request: RequestNumber,
         address: SocketAddr,
         configuration: ConfigurationVersion,
+        homes: Homes,
     ) {
         let (vm, incarnation, send) = key;
         let client_id = self.client_ids.get(&(vm, incarnation, request)).cloned();
@@ -49,7 +50,7 @@
         };
         self.last_request_number += 1;
         let number = RequestNumber(self.last_request_number);
-        let origin = RelayOrigin { vm: self.vms[vm].id.clone(), configuration };
+        let origin = RelayOrigin { vm: self.vms[vm].id.clone(), configuration, homes };
         let arrival = Arrival { request: number, is_relayed: true, relay_origin: Some(origin), ..arrival };
         let serving_key = (to, self.vms[to].incarnation, number);
         self.client_ids.insert(serving_key, client_id);
--- a/crates/boragepass_path/src/effect.rs
+++ b/crates/boragepass_path/src/effect.rs
@@ -9,7 +9,7 @@
 use crate::configuration::ConfigurationVersion;
 use crate::event::EventId;
 use crate::message::PeerMessage;
-use crate::placement::RecordedVersions;
+use crate::placement::{Homes, RecordedVersions};
 use crate::record::Record;
 use crate::request::{CallNumber, RequestNumber, SendNumber, StreamVersionRow};
 
@@ -107,6 +107,8 @@
         deadline_ms: SpanMs,
         /// Oldest configuration by which the VM may judge the request.
         configuration: ConfigurationVersion,
+        /// Home regions to which the VM has to keep beside those that it knows itself.
+        homes: Homes,
         /// Whether the answer is streamed to the client as it arrives.
         is_stream: bool,
         /// Event after which the client takes up the stream.
--- a/crates/boragepass_path/src/event.rs
+++ b/crates/boragepass_path/src/event.rs
@@ -8,7 +8,7 @@
 use crate::configuration::{ApiKey, Configuration, ConfigurationVersion};
 use crate::fleet::VmRecord;
 use crate::message::{ColdReport, PeerMessage};
-use crate::placement::{EndpointUpdate, Evacuations, RecordedVersions};
+use crate::placement::{EndpointUpdate, Evacuations, Homes, RecordedVersions};
 use crate::request::{CallNumber, RequestNumber, SendNumber, StreamVersionRow};
 
 /// Number of a server-sent event within a stream.
@@ -30,6 +30,8 @@
     pub vm: VmId,
     /// Version of its configuration.
     pub configuration: ConfigurationVersion,
+    /// Home regions of the request there.
+    pub homes: Homes,
 }
 
 /// Client request that was read in full. Its headers and body stay with the executor.
--- a/crates/boragepass_path/src/placement/homes.rs
+++ b/crates/boragepass_path/src/placement/homes.rs
@@ -27,6 +27,16 @@
         Self::listed(&route.home_regions).and(&of_workspace)
     }
 
+    /// Home regions that another VM stated, which may be none at all.
+    pub fn stated(regions: Option<BTreeSet<Region>>) -> Self {
+        Self { regions }
+    }
+
+    /// Allowed regions; `None` if all are.
+    pub fn regions(&self) -> Option<&BTreeSet<Region>> {
+        self.regions.as_ref()
+    }
+
     /// Home regions of one list; an empty list allows all.
     fn listed(regions: &[Region]) -> Self {
         Self { regions: (!regions.is_empty()).then(|| regions.iter().cloned().collect()) }
--- a/crates/boragepass_path/src/reducer/homes.rs
+++ b/crates/boragepass_path/src/reducer/homes.rs
@@ -25,7 +25,8 @@
     /// Home regions of an arriving request.
     pub(super) fn arriving_homes(&self, configuration: &Configuration, route: &Route, arrival: &Arrival) -> Homes {
         let workspace = arrival.key.as_ref().and_then(|key| configuration.workspace_of(key));
-        Homes::of(route, workspace)
+        let homes = Homes::of(route, workspace);
+        arrival.relay_origin.as_ref().map_or(homes.clone(), |origin| homes.and(&origin.homes))
     }
 
     /// Chooses a pool of a route by weight. For a request with home regions, only pools with an endpoint there count,
--- a/crates/boragepass_path/src/reducer/relays.rs
+++ b/crates/boragepass_path/src/reducer/relays.rs
@@ -105,6 +105,7 @@
             target,
             deadline_ms: state.time_left(now),
             configuration,
+            homes: state.homes.clone(),
             is_stream: state.route.repeatability.is_stream(),
             resume_after: state.last_event,
         };
