--- a/crates/boragepass_fakes/src/path_fleet/fleet/added_routes.rs
+++ b/crates/boragepass_fakes/src/path_fleet/fleet/added_routes.rs
@@ -7,6 +7,8 @@
 pub const ADDED_ROUTES: u8 = 4;
 /// Time between two rounds of requests after a change.
 const ROUND_MS: u64 = 100;
+/// Time in which all VMs know that evacuations were taken back.
+const EVACUATIONS_ENDED_MS: u64 = 4_000;
 /// Time in which requests on added routes are answered without faults.
 const ALL_ANSWERED_MS: u64 = 5_000;
 
@@ -69,8 +71,11 @@
         }
     }
 
-    /// Checks that each VM serves each added route, once all faults are removed.
+    /// Checks that each VM serves each added route, once all faults are removed. Takes back all evacuations.
     pub fn check_added_routes_served(&mut self) {
+        let domains: Vec<_> = self.deployment.domains.iter().map(|(domain, _)| domain.clone()).collect();
+        domains.iter().for_each(|domain| self.take_back(domain));
+        self.run_for(EVACUATIONS_ENDED_MS);
         let first = self.last_request_number + 1;
         for vm in 0..self.vms.len() {
             (0..ADDED_ROUTES).for_each(|route| self.probe_added_route(&[vm], route, 1));
