A configuration crosses the link of a VM once instead of with every change of the endpoint list

What callers saw: routes that had been added or moved were not in force for seconds at small VMs (CONFIG) after the configuration had grown by many routes.

Cause: each change of the endpoint list repeated the whole configuration, some 400 KB with 1,329 routes, from both followers until a heartbeat confirmed it, and a VM that was behind asked another VM for it every 200 ms, each of which sent it whole. On a link of 10 Mbit/s one copy takes 0.3 s.

Fix: the configuration goes apart from the endpoint list, once for each VM and version, and again after 1 s if the VM has not confirmed it. A VM confirms a new version at once to the followers. The second follower sends it after 0.4 s to those that have not. A VM that is behind in the configuration alone waits 0.5 s before it asks, and asks once in 0.6 s.

--- a/crates/boragepass_entry/src/driver.rs
+++ b/crates/boragepass_entry/src/driver.rs
@@ -271,10 +271,11 @@
             Effect::FreeResults(target, handles) => stage_calls::start_free_results(self, target, handles),
             Effect::SendPeerMessage(vm, address, message) => self.peers.send_message(&vm, address, &message),
             Effect::SendPeerDatagram(_, address, message) => self.peers.send_datagram(address, &message),
-            Effect::ShareState { vm, address, with_configuration } => {
-                let configuration_bytes =
-                    self.peers.share_state(self.clock.now(), &vm, address, &self.path.borrow(), with_configuration);
-                self.metrics.observe_shared_configuration(configuration_bytes);
+            Effect::ShareState { vm, address } => {
+                self.peers.share_state(self.clock.now(), &vm, address, &self.path.borrow());
+            }
+            Effect::ShareConfiguration { vm, address } => {
+                self.metrics.observe_shared_configuration(self.peers.share_configuration(&vm, address));
             }
             Effect::FollowStore(follows) => self.follows_store.set(follows),
             Effect::RegisterVm => {
--- a/crates/boragepass_entry/src/peers.rs
+++ b/crates/boragepass_entry/src/peers.rs
@@ -10,7 +10,7 @@
 use async_std::channel::{Receiver, Sender};
 use async_std::net::{TcpListener, UdpSocket};
 use async_std::task;
-use boragepass_path::{EndpointUpdate, Event, PeerMessage, Record, RequestPath};
+use boragepass_path::{EndpointUpdate, Event, PeerMessage, Record, RequestPath, StoreVersion};
 use boragepass_server::{Identity, Inbox, PeerLinks, Tasks, serve_peers};
 use boragepass_types::{AccessKey, Incarnation, TimeMs, VmId};
 use bytes::Bytes;
@@ -111,21 +111,10 @@
         }
     }
 
-    /// Sends another VM the known endpoints, and the configuration if `with_configuration` is set. Returns the number of bytes
-    /// of the configuration that were sent.
-    pub(crate) fn share_state(
-        &self,
-        now: TimeMs,
-        vm: &VmId,
-        address: SocketAddr,
-        path: &RequestPath,
-        with_configuration: bool,
-    ) -> usize {
-        let configuration =
-            self.configuration.borrow().as_ref().filter(|_| with_configuration).map(|value| value.to_vec());
-        let configuration_bytes = configuration.as_ref().map_or(0, Vec::len);
+    /// Sends another VM the known endpoints.
+    pub(crate) fn share_state(&self, now: TimeMs, vm: &VmId, address: SocketAddr, path: &RequestPath) {
         let state = WireState {
-            configuration,
+            configuration: None,
             endpoints: path.shared_endpoints().map(|shared| (&shared).into()).collect(),
             endpoints_version: path.endpoints_version().into(),
         };
@@ -135,7 +124,19 @@
             ..Sections::default()
         };
         self.links.send_encoded(vm, address, &encode(&WireFrame::State(state), &sections));
-        configuration_bytes
+    }
+
+    /// Sends another VM the configuration in force; returns its number of bytes.
+    pub(crate) fn share_configuration(&self, vm: &VmId, address: SocketAddr) -> usize {
+        let Some(value) = self.configuration.borrow().as_ref().map(|value| value.to_vec()) else {
+            return 0;
+        };
+        let bytes = value.len();
+        // Without endpoints, and of the oldest version, it changes no list.
+        let endpoints_version = StoreVersion::default().into();
+        let state = WireState { configuration: Some(value), endpoints: Vec::new(), endpoints_version };
+        self.links.send_encoded(vm, address, &encode(&WireFrame::State(state), &Sections::default()));
+        bytes
     }
 }
 
@@ -223,6 +224,10 @@
     if let Some(value) = state.configuration {
         driver.receive_configuration(value.into(), ConfigurationSource::OtherVm);
     }
+    let version: StoreVersion = state.endpoints_version.into();
+    if version == StoreVersion::default() {
+        return;
+    }
     let mut endpoints = Vec::with_capacity(state.endpoints.len());
     for endpoint in state.endpoints {
         match endpoint.try_into() {
@@ -230,6 +235,5 @@
             Err(error) => driver.record(&Record::new("shared endpoint not read").text("reason", error)),
         }
     }
-    let version = state.endpoints_version.into();
     driver.dispatch(Event::EndpointsUpdated(EndpointUpdate::PeerSnapshot(endpoints, version)));
 }
--- a/crates/boragepass_fakes/src/path_fleet/fleet/mod.rs
+++ b/crates/boragepass_fakes/src/path_fleet/fleet/mod.rs
@@ -846,6 +846,7 @@
                 }
             }
             Effect::ShareState { address, .. } => self.share_state(vm, address),
+            Effect::ShareConfiguration { address, .. } => self.share_configuration(vm, address),
             Effect::Exit => {
                 self.vms[vm].request_path = None;
                 self.start_vm(vm);
@@ -883,7 +884,20 @@
         self.schedule(at, Action::DeliverPeerMessage(address, from, incarnation, message));
     }
 
-    /// Delivers the configuration and the endpoints that a VM has to a peer, as a reliable bulk transfer.
+    /// Delivers the configuration that a VM has to a peer, as a reliable bulk transfer.
+    fn share_configuration(&mut self, vm: usize, address: SocketAddr) {
+        let to = self.vms.iter().position(|other| other.peer_address == address);
+        let Some(to) = to.filter(|to| self.are_linked(vm, *to)) else {
+            return;
+        };
+        let configuration = self.vms[vm].request_path.as_ref().and_then(|path| path.configuration().cloned());
+        if let Some(configuration) = configuration {
+            let delay_ms = REGION_DELAY_MS + self.draw_configuration_delay_ms();
+            self.deliver(to, delay_ms, Event::ConfigurationReceived(configuration));
+        }
+    }
+
+    /// Delivers the endpoints that a VM has to a peer, as a reliable bulk transfer.
     fn share_state(&mut self, vm: usize, address: SocketAddr) {
         let Some(to) = self.vms.iter().position(|other| other.peer_address == address) else {
             return;
@@ -892,15 +906,10 @@
             return;
         };
         let cold = path.cold_endpoints(self.now);
-        let configuration = path.configuration().cloned();
         let update = EndpointUpdate::PeerSnapshot(path.shared_endpoints().collect(), path.endpoints_version());
         if let Some(evacuations) = path.evacuations().cloned() {
             self.deliver(to, REGION_DELAY_MS, Event::EvacuationsShared(evacuations));
         }
-        if let Some(configuration) = configuration {
-            let delay_ms = REGION_DELAY_MS + self.draw_configuration_delay_ms();
-            self.deliver(to, delay_ms, Event::ConfigurationReceived(configuration));
-        }
         self.deliver(to, REGION_DELAY_MS, Event::EndpointsUpdated(update));
         if !cold.is_empty() {
             self.deliver(to, REGION_DELAY_MS, Event::ColdEndpointsShared(cold));
--- a/crates/boragepass_fakes/tests/path_peers.rs
+++ b/crates/boragepass_fakes/tests/path_peers.rs
@@ -846,3 +846,51 @@
     assert!(is_ready(path.handle(NOW, evacuating_heartbeat(evacuations(7, &["a-1"])))));
     assert!(is_ready(beside_previous_builds.handle(NOW + SpanMs(3_500), Event::Tick)));
 }
+
+/// The configuration may have thousands of routes, and the endpoint list changes several times a second in a release.
+#[test]
+fn a_vm_is_sent_a_configuration_once_while_the_endpoint_list_changes() {
+    let deployment = Deployment::of(Site::Lampu);
+    let mut path = request_path_of(vm_record(0, 500), &deployment);
+    path.handle(NOW, Event::StoreReachable(true));
+    for number in 1..=3 {
+        path.handle(NOW, heartbeat(vm_record(number, 120)));
+    }
+    path.handle(NOW + SpanMs(10), Event::ConfigurationReceived(Arc::new(deployment.configuration(2))));
+    let mut shared = BTreeMap::new();
+    for step in 0..14 {
+        let now = NOW + SpanMs(20 + 50 * step);
+        let changed = EndpointUpdate::Changed(deployment.endpoints[0].clone(), version(2 + step));
+        for event in [Event::EndpointsUpdated(changed), Event::Tick] {
+            for effect in path.handle(now, event) {
+                if let Effect::ShareConfiguration { vm, .. } = effect {
+                    *shared.entry(vm).or_insert(0) += 1;
+                }
+            }
+        }
+    }
+    assert_eq!(shared.values().copied().collect::<Vec<_>>(), [1, 1], "one for each VM that does not follow the store");
+}
+
+/// Each VM that is asked answers with the whole configuration, and all copies cross the link of the VM that asks.
+#[test]
+fn a_vm_that_waits_for_a_configuration_does_not_ask_every_vm_for_it() {
+    let mut path = request_path(&Deployment::of(Site::Lampu));
+    let mut queries = 0;
+    for step in 0..50 {
+        let now = NOW + SpanMs(20 * step);
+        let Event::PeerMessageReceived { from, incarnation, message: PeerMessage::Heartbeat(mut newer) } =
+            heartbeat(vm_record(1 + step as u16 % 20, 120))
+        else {
+            panic!("the event is a heartbeat");
+        };
+        newer.configuration = ConfigurationVersion(2);
+        let message = PeerMessage::Heartbeat(newer);
+        for effect in path.handle(now, Event::PeerMessageReceived { from, incarnation, message }) {
+            if let Effect::SendPeerMessage(_, _, message) = effect {
+                queries += usize::from(*message == PeerMessage::StateQuery);
+            }
+        }
+    }
+    assert_eq!(queries, 1, "in a second");
+}
--- a/crates/boragepass_path/src/effect.rs
+++ b/crates/boragepass_path/src/effect.rs
@@ -148,14 +148,19 @@
     SendPeerMessage(VmId, SocketAddr, Box<PeerMessage>),
     /// Sends a message to another VM that may be lost.
     SendPeerDatagram(VmId, SocketAddr, Box<PeerMessage>),
-    /// Sends the known endpoints to another VM, and the configuration if that VM has an older one.
+    /// Sends the known endpoints to another VM.
     ShareState {
         /// Receiving VM.
         vm: VmId,
         /// Address at which that VM listens for peers.
         address: SocketAddr,
-        /// Whether to send the configuration too.
-        with_configuration: bool,
+    },
+    /// Sends the configuration in force to another VM.
+    ShareConfiguration {
+        /// Receiving VM.
+        vm: VmId,
+        /// Address at which that VM listens for peers.
+        address: SocketAddr,
     },
     /// Starts or stops following the store's changes.
     FollowStore(bool),
--- a/crates/boragepass_path/src/fleet/followers.rs
+++ b/crates/boragepass_path/src/fleet/followers.rs
@@ -17,13 +17,16 @@
 
 /// Whether a VM follows the store, by the membership that this VM knows.
 pub(crate) fn is_store_follower(fleet: &Fleet, now: TimeMs, vm: &VmId) -> bool {
-    let Some(record) = fleet.record(vm) else {
-        return false;
-    };
+    follower_rank(fleet, now, vm).is_some()
+}
+
+/// Place of a VM among the followers of its failure domain, from zero; `None` if it does not follow the store.
+pub(crate) fn follower_rank(fleet: &Fleet, now: TimeMs, vm: &VmId) -> Option<usize> {
+    let record = fleet.record(vm)?;
     let weight = |record: &VmRecord| (record.processor, rendezvous_weight(RENDEZVOUS_KEY, record.vm.as_str()));
     let own = weight(record);
     let candidates =
         fleet.live_vms_in_domain(now, &record.failure_domain).filter(|(_, can_reach_store)| *can_reach_store);
-    let preferred = candidates.filter(|(other, _)| other.vm != *vm && weight(other) > own);
-    preferred.count() < FOLLOWERS_PER_DOMAIN
+    let rank = candidates.filter(|(other, _)| other.vm != *vm && weight(other) > own).count();
+    (rank < FOLLOWERS_PER_DOMAIN).then_some(rank)
 }
--- a/crates/boragepass_path/src/fleet/members.rs
+++ b/crates/boragepass_path/src/fleet/members.rs
@@ -19,6 +19,9 @@
 /// Heartbeats of which one states what the VM's process runs. It shares no divisor with the heartbeats of which one goes
 /// to other regions, so that those get it too.
 const HEARTBEATS_PER_STATEMENT: u32 = 7;
+/// Time after which a VM that has not confirmed a configuration is sent it again. A configuration of a thousand routes, some
+/// 400 KB, takes 0.3 s on a link of 10 Mbit/s, twice that if two VMs send it.
+const CONFIGURATION_RESEND_TIME: SpanMs = SpanMs(1_000);
 /// Other VMs that one heartbeat names.
 const INTRODUCED_VMS_MAX: usize = 4;
 
@@ -75,6 +78,8 @@
     last_named_at: TimeMs,
     reach: Reach,
     configuration: ConfigurationVersion,
+    /// Configuration that this VM sent it last, and when.
+    sent_configuration: Option<(ConfigurationVersion, TimeMs)>,
     process: Option<ProcessStatement>,
 }
 
@@ -174,6 +179,7 @@
                 last_named_at: now,
                 reach: Reach { store: false, endpoints: true },
                 configuration: ConfigurationVersion(0),
+                sent_configuration: None,
                 process: None,
             });
         }
@@ -206,8 +212,16 @@
         };
         let same_process = self.members.get(&record.vm).filter(|known| known.record.incarnation == record.incarnation);
         let process = process.or(same_process.and_then(|known| known.process));
-        let member = Member { record, last_heartbeat_at: Some(now), last_named_at: now, reach, configuration, process };
-        self.insert_member(member);
+        let sent_configuration = same_process.and_then(|known| known.sent_configuration);
+        self.insert_member(Member {
+            record,
+            last_heartbeat_at: Some(now),
+            last_named_at: now,
+            reach,
+            configuration,
+            sent_configuration,
+            process,
+        });
         change
     }
 
@@ -338,6 +352,21 @@
         self.members.get(vm).map(|member| member.configuration).unwrap_or_default()
     }
 
+    /// Whether a VM is to be sent a version of the configuration now: it has not stated that it has it, and was not sent it
+    /// within [`CONFIGURATION_RESEND_TIME`]. Counts as sent from now on.
+    pub(crate) fn take_configuration_share(&mut self, now: TimeMs, vm: &VmId, version: ConfigurationVersion) -> bool {
+        let Some(member) = self.members.get_mut(vm).filter(|member| member.configuration < version) else {
+            return false;
+        };
+        let is_on_its_way = member
+            .sent_configuration
+            .is_some_and(|(sent, at)| sent == version && now.since(at) < CONFIGURATION_RESEND_TIME);
+        if !is_on_its_way {
+            member.sent_configuration = Some((version, now));
+        }
+        !is_on_its_way
+    }
+
     /// Whether most of the other VMs sent a heartbeat after a moment; false if no other VM is known.
     pub(crate) fn heard_most_since(&self, at: TimeMs) -> bool {
         let heard = self.members.values().filter(|member| member.last_heartbeat_at.is_some_and(|heard| heard > at));
--- a/crates/boragepass_path/src/fleet/mod.rs
+++ b/crates/boragepass_path/src/fleet/mod.rs
@@ -13,7 +13,7 @@
 mod version_recorder;
 
 pub(crate) use cold_sharing::{ColdSettling, LEADING_VMS_MAX, cold_leading_vms, cold_sharing_vms};
-pub(crate) use followers::is_store_follower;
+pub(crate) use followers::{follower_rank, is_store_follower};
 pub(crate) use leader::{home_pool_leader, pool_leader};
 pub(crate) use limit_sharing::limit_sharing_vms;
 pub(crate) use members::{Fleet, MembershipChange, Reach};
--- a/crates/boragepass_path/src/reducer/mod.rs
+++ b/crates/boragepass_path/src/reducer/mod.rs
@@ -113,6 +113,8 @@
     stopping_since: Option<TimeMs>,
     /// When a heartbeat first showed a newer configuration or endpoint list, since the last query for them.
     state_behind_since: Option<TimeMs>,
+    /// When this VM last asked another one for its state.
+    state_queried_at: Option<TimeMs>,
     follows_store: bool,
     /// Whether a [`Timer::ShareState`] is pending.
     is_share_scheduled: bool,
@@ -156,6 +158,7 @@
             piece_request_counter: 0,
             stopping_since: None,
             state_behind_since: None,
+            state_queried_at: None,
             // A VM that knows no other VM has to follow the store itself.
             follows_store: true,
             is_share_scheduled: false,
@@ -312,6 +315,7 @@
             Timer::CheckEndpoint(endpoint) => self.check_endpoint(&endpoint),
             Timer::RunPools => self.run_all_pools(now),
             Timer::ShareState => self.share_state_with_domain(now),
+            Timer::ShareConfiguration => self.share_configuration_with_domain(now),
             Timer::CheckDrain => self.check_drain(now),
             Timer::WriteStreamVersions => self.write_scheduled_streams(now),
             Timer::Sweep => {
@@ -402,8 +406,9 @@
             }
         }
         self.configuration = Some(configuration);
+        self.confirm_configuration(now);
+        self.schedule_configuration_share(now);
         self.update_cold_terms(now);
-        self.schedule_state_share(now);
         self.update_readiness(now);
         self.apply_new_homes(now);
     }
--- a/crates/boragepass_path/src/reducer/peers.rs
+++ b/crates/boragepass_path/src/reducer/peers.rs
@@ -6,7 +6,7 @@
 
 use super::RequestPath;
 use crate::effect::Effect;
-use crate::fleet::{MembershipChange, Reach, is_store_follower};
+use crate::fleet::{MembershipChange, Reach, follower_rank, is_store_follower};
 use crate::message::{Heartbeat, PeerMessage};
 use crate::placement::EvacuationSource;
 use crate::record::Record;
@@ -16,8 +16,22 @@
 /// usually delivers the change sooner.
 const STATE_LAG_MAX: SpanMs = SpanMs(200);
 
+/// The same for the configuration alone, which may be large and on its way.
+const CONFIGURATION_LAG_MAX: SpanMs = SpanMs(500);
+/// Shortest time between two queries. Each answer carries the whole state.
+const STATE_QUERY_INTERVAL: SpanMs = SpanMs(600);
+
 /// Time for which changes of the store are collected before they are forwarded together.
 const SHARE_DELAY: SpanMs = SpanMs(40);
+/// Time after which the second follower of a failure domain sends a configuration to the VMs that have not confirmed it.
+const NEXT_FOLLOWER_DELAY: SpanMs = SpanMs(400);
+
+/// What another VM has newer than this one.
+#[derive(Debug, Clone, Copy)]
+struct NewerState {
+    configuration: bool,
+    endpoints: bool,
+}
 
 impl RequestPath {
     pub(super) fn on_peer(&mut self, now: TimeMs, from: &VmId, incarnation: Incarnation, message: PeerMessage) {
@@ -40,7 +54,8 @@
             }
             PeerMessage::StreamVersionQuery(stream) => self.on_stream_version_query(from, stream),
             PeerMessage::StateQuery => {
-                self.share_state(from);
+                self.share_endpoints(from);
+                self.share_configuration(now, from);
             }
         }
     }
@@ -86,19 +101,24 @@
         let configuration = self.configuration_version();
         self.newest_peer_list = self.newest_peer_list.max(heartbeat.endpoints_version);
         self.on_configuration_at_relay(now, &vm, heartbeat.configuration);
-        let is_behind =
-            heartbeat.configuration > configuration || heartbeat.endpoints_version > self.endpoint_table.version;
-        self.query_newer_state(now, &vm, is_behind);
+        let newer = NewerState {
+            configuration: heartbeat.configuration > configuration,
+            endpoints: heartbeat.endpoints_version > self.endpoint_table.version,
+        };
+        self.query_newer_state(now, &vm, newer);
     }
 
-    /// Asks a VM for its state if this one is behind it and was first found behind at least [`STATE_LAG_MAX`] ago.
-    fn query_newer_state(&mut self, now: TimeMs, vm: &VmId, is_behind: bool) {
-        if !is_behind {
+    /// Asks a VM for its state if this one has been behind it for a while and no other one was asked a moment ago.
+    fn query_newer_state(&mut self, now: TimeMs, vm: &VmId, newer: NewerState) {
+        if !newer.configuration && !newer.endpoints {
             return;
         }
+        let lag_max = if newer.endpoints { STATE_LAG_MAX } else { CONFIGURATION_LAG_MAX };
+        let is_asked = self.state_queried_at.is_some_and(|at| now.since(at) < STATE_QUERY_INTERVAL);
         match self.state_behind_since {
-            Some(since) if now.since(since) >= STATE_LAG_MAX => {
+            Some(since) if now.since(since) >= lag_max && !is_asked => {
                 self.state_behind_since = None;
+                self.state_queried_at = Some(now);
                 let known = self.configuration_version().0;
                 let record = Record::new("state asked for")
                     .text("vm", vm)
@@ -113,15 +133,19 @@
         }
     }
 
-    fn share_state(&mut self, vm: &VmId) {
-        let configuration = self.configuration_version();
-        if let Some(record) = self.fleet.record(vm) {
-            let effect = Effect::ShareState {
-                vm: vm.clone(),
-                address: record.peer_address,
-                with_configuration: self.fleet.configuration_version_of(vm) < configuration,
-            };
-            self.effects.push(effect);
+    fn share_endpoints(&mut self, vm: &VmId) {
+        if let Some(address) = self.fleet.record(vm).map(|record| record.peer_address) {
+            self.effects.push(Effect::ShareState { vm: vm.clone(), address });
+        }
+    }
+
+    /// Sends a VM the configuration, unless it has it or was sent it a moment ago.
+    fn share_configuration(&mut self, now: TimeMs, vm: &VmId) {
+        let version = self.configuration_version();
+        if self.fleet.take_configuration_share(now, vm, version)
+            && let Some(address) = self.fleet.record(vm).map(|record| record.peer_address)
+        {
+            self.effects.push(Effect::ShareConfiguration { vm: vm.clone(), address });
         }
     }
 
@@ -145,16 +169,48 @@
 
     pub(super) fn share_state_with_domain(&mut self, now: TimeMs) {
         self.is_share_scheduled = false;
-        let domain = self.settings.failure_domain.clone();
-        let non_followers: Vec<VmId> = self
-            .fleet
-            .live_vms_in_domain(now, &domain)
-            .map(|(record, _)| record.vm.clone())
-            .filter(|vm| *vm != self.settings.vm && !is_store_follower(&self.fleet, now, vm))
-            .collect();
+        let non_followers = self.non_followers(now);
         for vm in non_followers {
-            self.share_state(&vm);
+            self.share_endpoints(&vm);
+        }
+    }
+
+    /// Sends a new configuration to the VMs of the failure domain that do not follow the store. Only the first follower does
+    /// so at once, so that a large one crosses the link of a small VM once.
+    pub(super) fn schedule_configuration_share(&mut self, now: TimeMs) {
+        if let Some(rank) = follower_rank(&self.fleet, now, &self.settings.vm) {
+            let delay = if rank == 0 { SHARE_DELAY } else { NEXT_FOLLOWER_DELAY };
+            self.timers.set(now + delay, Timer::ShareConfiguration);
+        }
+    }
+
+    pub(super) fn share_configuration_with_domain(&mut self, now: TimeMs) {
+        for vm in self.non_followers(now) {
+            self.share_configuration(now, &vm);
+        }
+    }
+
+    /// Other live VMs of the failure domain that do not follow the store.
+    fn non_followers(&self, now: TimeMs) -> Vec<VmId> {
+        let live = self.fleet.live_vms_in_domain(now, &self.settings.failure_domain);
+        let others = live.map(|(record, _)| &record.vm).filter(|vm| **vm != self.settings.vm);
+        others.filter(|vm| !is_store_follower(&self.fleet, now, vm)).cloned().collect()
+    }
+
+    /// Tells the VMs of the failure domain that follow the store that this one has a new configuration, so that they do not
+    /// send it again.
+    pub(super) fn confirm_configuration(&mut self, now: TimeMs) {
+        if self.follows_store {
+            return;
         }
+        let domain = &self.settings.failure_domain;
+        let followers = self
+            .fleet
+            .live_vms_in_domain(now, domain)
+            .filter(|(record, _)| is_store_follower(&self.fleet, now, &record.vm))
+            .map(|(record, _)| (record.vm.clone(), record.peer_address))
+            .collect();
+        self.send_heartbeats_to(now, followers);
     }
 
     /// Sends the regular heartbeat.
--- a/crates/boragepass_path/src/timers.rs
+++ b/crates/boragepass_path/src/timers.rs
@@ -30,6 +30,8 @@
     CheckDrain,
     /// Forwards changes of the store to VMs that do not follow it.
     ShareState,
+    /// Sends the configuration to VMs that still lack it.
+    ShareConfiguration,
     /// Writes the versions of streams that the store's table lacks.
     WriteStreamVersions,
     /// Drops expired entries.
