A reply of the store that arrives slowly is read to its end

What callers saw: a VM on a slow or busy link keeps the configuration before, or none, as long as the whole reply takes over 1.5 s: it gives the reply up and reads it again from the beginning. A configuration of 1,329 routes, over 500 KB as the store sends it, takes 0.45 s on an idle link of 10 Mbit/s.

Evidence: a_configuration_that_arrives_slowly_is_read_to_its_end (20 parts, 2 s in all) failed before and passes.

Fix: the timeout of a call ends with the head of its reply; the body may take 15 s as long as it does not pause for 1.5 s.

--- a/crates/boragepass_entry/src/reply_body.rs
+++ b/crates/boragepass_entry/src/reply_body.rs
@@ -3,7 +3,9 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
+use std::time::Duration;
 
+use async_std::future::timeout;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -56,9 +58,18 @@
 
 impl BodyReader {
     /// Reads a body to its end.
-    pub(crate) async fn read(&self, mut body: Incoming) -> Result<Bytes, BodyError> {
+    pub(crate) async fn read(&self, body: Incoming) -> Result<Bytes, BodyError> {
+        self.read_while_progressing(body, Duration::MAX).await
+    }
+
+    /// Reads a body to its end, unless no byte arrives for `stall_timeout`.
+    pub(crate) async fn read_while_progressing(
+        &self,
+        mut body: Incoming,
+        stall_timeout: Duration,
+    ) -> Result<Bytes, BodyError> {
         let mut buffered = BufferedBody { all_bytes: &self.buffered_bytes, counted_bytes: 0, bytes: BytesMut::new() };
-        while let Some(frame) = body.frame().await {
+        while let Some(frame) = timeout(stall_timeout, body.frame()).await.map_err(|_| BodyError::ConnectionLost)? {
             let frame = frame.map_err(|_| BodyError::ConnectionLost)?;
             if let Some(data) = frame.data_ref() {
                 buffered.extend(data)?;
--- a/crates/boragepass_entry/src/store_client.rs
+++ b/crates/boragepass_entry/src/store_client.rs
@@ -8,10 +8,17 @@
 use boragepass_types::StoreEra;
 use bytes::Bytes;
 use http::header::{CONTENT_TYPE, HOST, HeaderValue};
-use http::{Method, Request, StatusCode};
+use http::{Method, Request, Response, StatusCode};
 use http_body_util::Full;
+use hyper::body::Incoming;
 
-use crate::connections::{Connections, ExchangeError};
+use crate::connections::{Connection, Connections, ExchangeError};
+
+/// Longest pause in the body of a reply. A large row takes longer than a call may on a small VM's link, so a reply that
+/// arrives is not given up.
+const BODY_STALL_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Longest time of the body of a reply.
+const BODY_TIMEOUT: Duration = Duration::from_secs(15);
 
 /// Why a call of the store failed.
 #[derive(Debug, displaydoc::Display)]
@@ -71,13 +78,28 @@
         body: Bytes,
         call_timeout: Duration,
     ) -> Result<StoreReply, StoreError> {
-        match timeout(call_timeout, self.exchange(method, path, body)).await {
-            Ok(result) => result,
-            Err(_) => Err(StoreError::NoReply),
+        let begun = timeout(call_timeout, self.begin(method, path, body)).await;
+        let (connection, response) = begun.unwrap_or(Err(StoreError::NoReply))?;
+        let status = response.status();
+        let era = decode_store_era(response.headers());
+        let read = self.connections.body_reader.read_while_progressing(response.into_body(), BODY_STALL_TIMEOUT);
+        let body = timeout(BODY_TIMEOUT, read).await.map_err(|_| StoreError::NoReply)?;
+        let body = body.map_err(|_| StoreError::NoReply)?;
+        self.connections.release(connection).await;
+        match status {
+            StatusCode::OK => Ok(StoreReply { body, era }),
+            StatusCode::GONE => Err(StoreError::HistoryGone),
+            other => Err(StoreError::Refused(other)),
         }
     }
 
-    async fn exchange(&self, method: Method, path: &str, body: Bytes) -> Result<StoreReply, StoreError> {
+    /// Sends a request and waits for the head of its reply.
+    async fn begin(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+    ) -> Result<(Connection, Response<Incoming>), StoreError> {
         let mut request = Request::new(Full::new(body));
         *request.method_mut() = method;
         *request.uri_mut() =
@@ -89,20 +111,10 @@
         }
         let not_reached = |error: ExchangeError| StoreError::NotReached(error.to_string());
         let mut connection = self.connections.open(self.address, true).await.map_err(not_reached)?;
-        let response = match self.connections.exchange(&mut connection, request).await {
-            Ok(response) => response,
-            Err(error @ ExchangeError::NotSent(_)) => return Err(StoreError::NotReached(error.to_string())),
-            Err(ExchangeError::ConnectionLost(_)) => return Err(StoreError::NoReply),
-        };
-        let status = response.status();
-        let era = decode_store_era(response.headers());
-        let read = self.connections.body_reader.read(response.into_body()).await;
-        let body = read.map_err(|_| StoreError::NoReply)?;
-        self.connections.release(connection).await;
-        match status {
-            StatusCode::OK => Ok(StoreReply { body, era }),
-            StatusCode::GONE => Err(StoreError::HistoryGone),
-            other => Err(StoreError::Refused(other)),
+        match self.connections.exchange(&mut connection, request).await {
+            Ok(response) => Ok((connection, response)),
+            Err(error @ ExchangeError::NotSent(_)) => Err(StoreError::NotReached(error.to_string())),
+            Err(ExchangeError::ConnectionLost(_)) => Err(StoreError::NoReply),
         }
     }
 }
--- a/crates/boragepass_entry/tests/over_sockets/main.rs
+++ b/crates/boragepass_entry/tests/over_sockets/main.rs
@@ -5,6 +5,7 @@
 mod kept_entries;
 mod late_copies;
 mod odd_rows;
+mod slow_store;
 mod support;
 
 use std::io::{Read, Write};
