Only the newest configuration and endpoint list wait for a slow link to another VM

What callers saw: in a series of changes a small VM served by versions that were seconds old (CONFIG), and piece requests and results to it waited behind them.

Cause: each change queued the whole message for each VM, 1,024 at most; on a link slower than the changes the newest came last. Copies of the configuration in force were decoded again.

Fix: of the messages that replace each other, a configuration and a list of endpoints, a newer one takes the place of the one that waits. The message with a configuration is encoded once for all VMs, and a copy of the one in force is not decoded.

--- a/crates/boragepass_entry/src/driver.rs
+++ b/crates/boragepass_entry/src/driver.rs
@@ -185,6 +185,10 @@
     /// also kept for other VMs.
     pub(crate) fn receive_configuration(self: &Rc<Self>, value: Bytes, source: ConfigurationSource) {
         self.metrics.observe_configuration(source, value.len());
+        // Several VMs may send the same one, and to decode a large one takes long on a small VM.
+        if self.peers.has_configuration(&value) {
+            return;
+        }
         let began_at = Instant::now();
         match decode_configuration(&value) {
             Ok(configuration) => {
--- a/crates/boragepass_entry/src/peers.rs
+++ b/crates/boragepass_entry/src/peers.rs
@@ -11,7 +11,7 @@
 use async_std::net::{TcpListener, UdpSocket};
 use async_std::task;
 use boragepass_path::{EndpointUpdate, Event, PeerMessage, Record, RequestPath, StoreVersion};
-use boragepass_server::{Identity, Inbox, PeerLinks, Tasks, serve_peers};
+use boragepass_server::{Identity, Inbox, PeerLinks, Replaceable, Tasks, encode_frame, serve_peers};
 use boragepass_types::{AccessKey, Incarnation, TimeMs, VmId};
 use bytes::Bytes;
 
@@ -36,13 +36,20 @@
     }
 }
 
+/// Configuration in force.
+struct KnownConfiguration {
+    /// As the store encodes it.
+    value: Bytes,
+    /// Message with it, which all VMs get alike.
+    frame: Bytes,
+}
+
 /// Sends messages to other VMs.
 pub(crate) struct Peers {
     links: PeerLinks,
     datagrams: Rc<UdpSocket>,
     local_vm: (VmId, Incarnation),
-    /// Configuration in force, encoded as in the store.
-    configuration: RefCell<Option<Bytes>>,
+    configuration: RefCell<Option<KnownConfiguration>>,
     last_encoded_datagram: RefCell<Option<(PeerMessage, Vec<u8>)>>,
 }
 
@@ -71,7 +78,16 @@
     /// Keeps the configuration in force, to share it with VMs that have an older one, because they do not poll
     /// the store or the store refuses them.
     pub(crate) fn set_configuration(&self, value: Bytes) {
-        self.configuration.replace(Some(value));
+        // Without endpoints, and of the oldest version, the message changes no list.
+        let endpoints_version = StoreVersion::default().into();
+        let state = WireState { configuration: Some(value.to_vec()), endpoints: Vec::new(), endpoints_version };
+        let frame = encode_frame(&encode(&WireFrame::State(state), &Sections::default()));
+        self.configuration.replace(Some(KnownConfiguration { value, frame }));
+    }
+
+    /// Whether a configuration is the one in force, byte for byte.
+    pub(crate) fn has_configuration(&self, value: &Bytes) -> bool {
+        self.configuration.borrow().as_ref().is_some_and(|known| known.value == *value)
     }
 
     /// Sends a message over the connection to a VM.
@@ -123,19 +139,17 @@
             cold_endpoints: path.cold_endpoints(now),
             ..Sections::default()
         };
-        self.links.send_encoded(vm, address, &encode(&WireFrame::State(state), &sections));
+        let frame = encode_frame(&encode(&WireFrame::State(state), &sections));
+        self.links.send_newest(vm, address, Replaceable::Endpoints, frame);
     }
 
-    /// Sends another VM the configuration in force; returns its number of bytes.
+    /// Sends another VM the configuration in force; returns the number of bytes.
     pub(crate) fn share_configuration(&self, vm: &VmId, address: SocketAddr) -> usize {
-        let Some(value) = self.configuration.borrow().as_ref().map(|value| value.to_vec()) else {
+        let Some(frame) = self.configuration.borrow().as_ref().map(|known| known.frame.clone()) else {
             return 0;
         };
-        let bytes = value.len();
-        // Without endpoints, and of the oldest version, it changes no list.
-        let endpoints_version = StoreVersion::default().into();
-        let state = WireState { configuration: Some(value), endpoints: Vec::new(), endpoints_version };
-        self.links.send_encoded(vm, address, &encode(&WireFrame::State(state), &Sections::default()));
+        let bytes = frame.len();
+        self.links.send_newest(vm, address, Replaceable::Configuration, frame);
         bytes
     }
 }
--- a/crates/boragepass_server/src/lib.rs
+++ b/crates/boragepass_server/src/lib.rs
@@ -20,6 +20,6 @@
 pub use accept::{AcceptChange, Acceptor};
 pub use clock::{Clock, new_incarnation, unix_time};
 pub use daemon::{Daemon, StartError};
-pub use peer_link::{Identity, PeerLinks, Traffic};
+pub use peer_link::{Identity, PeerLinks, Replaceable, Traffic, encode_frame};
 pub use peer_server::{Inbox, serve as serve_peers};
 pub use tasks::Tasks;
