--- a/crates/boragepass_entry/tests/over_sockets/support/mod.rs
+++ b/crates/boragepass_entry/tests/over_sockets/support/mod.rs
@@ -108,7 +108,7 @@
         let mut first_line = String::new();
         reader.read_line(&mut first_line).expect("a first line");
         let started: serde_json::Value = serde_json::from_str(&first_line).expect("a JSON line");
-        let names = ["clients", "readiness", "addresses", "operators", "metrics"];
+        let names = ["clients", "readiness", "addresses", "operators", "metrics", "relays"];
         let address = |name: &str| started[name].as_str().and_then(|text| text.parse().ok());
         let addresses = names.iter().filter_map(|name| Some(((*name).to_owned(), address(name)?))).collect();
         let reader_lines = log_lines.clone();
