All that a VM holds for clients and endpoints draws on one budget of its machine's memory

What callers saw: clients that send many large bodies, whole, in pieces or in chunks, stop short of their end, go over the limit, or do not read their answers ended a process for want of memory, and with it the requests of all others.

Cause: each body was bounded by itself, not all together; a chunked body also kept each chunk with the buffer that it was read into; idle connections, heads without end and answers had no bound at all. Replies had one of 48 MB, whatever the machine.

Fix: connections, bodies that arrive or wait, replies and chunks of streams are charged against three tenths of the machine's memory, as long as any copy lives. When it is spent, connections that have kept the VM waiting for a second give way, the longest wait first; what still finds no room gets 503 with Retry-After, is closed unread, or waits if it is a stream. Content over 64 KB may use three quarters, so large bodies do not lock out ordinary requests. An announced body over the limit is answered 413 unread. [node] memory_mb comes from the platform's limits.

--- a/crates/boragepass_entry/src/answer_body.rs
+++ b/crates/boragepass_entry/src/answer_body.rs
@@ -12,6 +12,7 @@
 use hyper::body::{Body, Frame, SizeHint};
 
 use crate::driver::Driver;
+use crate::memory_budget::ConnectionHold;
 
 /// Chunk of a streamed answer.
 #[derive(Debug)]
@@ -72,9 +73,16 @@
     /// Whether hyper had a turn to write the chunks before the abort.
     has_flushed: bool,
     guard: Option<DeliveryGuard>,
+    connection: Option<Rc<ConnectionHold>>,
 }
 
 impl AnswerBody {
+    /// Names the connection that it goes to, which waits for its client again once the answer was handed over.
+    pub(crate) fn on_connection(mut self, connection: Rc<ConnectionHold>) -> Self {
+        self.connection = Some(connection);
+        self
+    }
+
     /// Creates a body whose bytes are all known.
     pub(crate) fn whole(bytes: Bytes, mut guard: Option<DeliveryGuard>) -> Self {
         if bytes.is_empty()
@@ -82,13 +90,15 @@
         {
             guard.is_complete = true;
         }
-        Self { content: Content::Whole(Some(bytes).filter(|bytes| !bytes.is_empty())), has_flushed: false, guard }
+        let content = Content::Whole(Some(bytes).filter(|bytes| !bytes.is_empty()));
+        Self { content, has_flushed: false, guard, connection: None }
     }
 
     /// Creates a body that arrives in chunks. It is aborted if the sender is dropped before
     /// [`BodyChunk::End`].
     pub(crate) fn stream(chunks: Receiver<BodyChunk>, guard: DeliveryGuard) -> Self {
-        Self { content: Content::Stream(Box::pin(chunks)), has_flushed: false, guard: Some(guard) }
+        let content = Content::Stream(Box::pin(chunks));
+        Self { content, has_flushed: false, guard: Some(guard), connection: None }
     }
 
     fn mark_complete(&mut self) {
@@ -98,6 +108,14 @@
     }
 }
 
+impl Drop for AnswerBody {
+    fn drop(&mut self) {
+        if let Some(connection) = &self.connection {
+            connection.set_receiving(true);
+        }
+    }
+}
+
 impl Body for AnswerBody {
     type Data = Bytes;
     type Error = AnswerAborted;
--- a/crates/boragepass_entry/src/client_server.rs
+++ b/crates/boragepass_entry/src/client_server.rs
@@ -16,11 +16,11 @@
 use boragepass_types::SpanMs;
 use bytes::Bytes;
 use futures::channel::oneshot;
-use futures::future::{Either, select};
+use futures::future::{AbortHandle, AbortRegistration, Abortable, Either, select};
 use http::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use rustix::process::{Resource, getrlimit};
@@ -28,7 +28,8 @@
 
 use crate::answer_body::{AnswerBody, DeliveryGuard};
 use crate::driver::{ClientExchange, Driver, ResponseSource};
-use crate::http_io::HttpIo;
+use crate::http_io::{HttpIo, WatchedIo};
+use crate::memory_budget::{ConnectionHold, MemoryBudget};
 use crate::page_server::accept_record;
 use crate::sends::{CONFIGURATION_BEHIND_HEADER, RELAYED_ENDPOINT_HEADER, Reply, take_relay_origin};
 
@@ -45,12 +46,16 @@
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// Chunks of a streamed answer that wait for a slow client.
 const QUEUED_CHUNKS_MAX: usize = 32;
+/// Memory of a connection beside its buffer for heads.
+const CONNECTION_BYTES: usize = 16 * 1_024;
+/// Seconds after which a client may come again whose request found no memory: those who let this VM wait give way by then.
+const MEMORY_RETRY_AFTER_S: &str = "1";
 /// Interval at which a listener whose clients have all connections that they may have looks for room.
 const ROOM_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
 /// connection closed without an answer
 #[derive(Debug, displaydoc::Display)]
-struct ConnectionClosed;
+pub(crate) struct ConnectionClosed;
 
 impl std::error::Error for ConnectionClosed {}
 
@@ -86,15 +91,36 @@
     loop {
         wait_for_room(&driver, &open_connections, connections_max).await;
         let stream = acceptor.accept().await;
+        // Without memory for it, the connection is closed before anything of it is read.
+        let Ok((io, connection, closing)) = hold_connection(&driver.budget, stream, connection_bytes(&driver)) else {
+            continue;
+        };
         open_connections.set(open_connections.get() + 1);
         let (driver, open_connections) = (driver.clone(), open_connections.clone());
         task::spawn_local(async move {
-            serve_connection(driver, stream, source).await;
+            let _closed = Abortable::new(serve_connection(driver, io, connection, source), closing).await;
             open_connections.set(open_connections.get() - 1);
         });
     }
 }
 
+/// Memory of a connection without content.
+fn connection_bytes(driver: &Driver) -> usize {
+    http_limits(driver).head_bytes_max.max(BUFFER_BYTES_MIN) + CONNECTION_BYTES
+}
+
+/// Charges a new connection; also returns what closes it when others need its memory.
+pub(crate) fn hold_connection(
+    budget: &MemoryBudget,
+    stream: TcpStream,
+    bytes: usize,
+) -> Result<(WatchedIo, Rc<ConnectionHold>, AbortRegistration), ConnectionClosed> {
+    let (io, blocked_since) = WatchedIo::new(HttpIo::new(stream).map_err(|_| ConnectionClosed)?);
+    let (abort, closing) = AbortHandle::new_pair();
+    let connection = budget.hold_connection(bytes, blocked_since, abort).map_err(|_| ConnectionClosed)?;
+    Ok((io, connection, closing))
+}
+
 /// Descriptors that this process may have; none if there is no limit.
 fn descriptor_limit() -> Option<u64> {
     getrlimit(Resource::Nofile).current
@@ -120,28 +146,36 @@
 /// Requests in progress on a connection, and when the last one ended.
 #[derive(Debug)]
 struct ConnectionActivity {
+    has_had_request: Cell<bool>,
     requests_in_progress: Cell<u32>,
     last_ended_at: Cell<Instant>,
 }
 
 impl ConnectionActivity {
+    /// Whether no request has come since the connection was opened, for a time.
+    fn has_no_request_for(&self, idle_timeout: Duration) -> bool {
+        !self.has_had_request.get() && self.last_ended_at.get().elapsed() >= idle_timeout
+    }
+
     fn is_idle_for(&self, idle_timeout: Duration) -> bool {
         self.requests_in_progress.get() == 0 && self.last_ended_at.get().elapsed() >= idle_timeout
     }
 }
 
-async fn serve_connection(driver: Rc<Driver>, stream: TcpStream, source: RequestSource) {
-    let peer = stream.peer_addr().ok();
-    let Ok(io) = HttpIo::new(stream) else {
-        return;
-    };
+async fn serve_connection(driver: Rc<Driver>, io: WatchedIo, hold: Rc<ConnectionHold>, source: RequestSource) {
+    let peer = io.peer_address();
     let limits = http_limits(&driver);
-    let activity = Rc::new(ConnectionActivity { requests_in_progress: 0.into(), last_ended_at: Instant::now().into() });
+    let activity = Rc::new(ConnectionActivity {
+        has_had_request: false.into(),
+        requests_in_progress: 0.into(),
+        last_ended_at: Instant::now().into(),
+    });
     let service = service_fn(|request| {
-        let (driver, activity) = (driver.clone(), activity.clone());
+        let (driver, activity, hold) = (driver.clone(), activity.clone(), hold.clone());
         async move {
+            activity.has_had_request.set(true);
             activity.requests_in_progress.set(activity.requests_in_progress.get() + 1);
-            let response = handle_request(&driver, request, peer, source).await;
+            let response = handle_request(&driver, request, peer, source, &hold).await;
             activity.requests_in_progress.set(activity.requests_in_progress.get().saturating_sub(1));
             activity.last_ended_at.set(Instant::now());
             response
@@ -165,6 +199,10 @@
         match select(connection.as_mut(), pin!(shutdown_or_idle)).await {
             Either::Left(_ended) => return,
             Either::Right(((), _)) => {
+                if activity.has_no_request_for(idle_timeout) {
+                    // A client that has not sent a whole head would keep a graceful shutdown waiting.
+                    return;
+                }
                 if connection_shutdown.is_closed() || activity.is_idle_for(idle_timeout) {
                     is_closing = true;
                     connection.as_mut().graceful_shutdown();
@@ -179,14 +217,30 @@
     request: Request<Incoming>,
     peer: Option<SocketAddr>,
     source: RequestSource,
+    hold: &Rc<ConnectionHold>,
+) -> Result<Response<AnswerBody>, ConnectionClosed> {
+    let response = answer_request(driver, request, peer, source, hold).await;
+    response.map(|response| response.map(|body| body.on_connection(hold.clone())))
+}
+
+async fn answer_request(
+    driver: &Rc<Driver>,
+    request: Request<Incoming>,
+    peer: Option<SocketAddr>,
+    source: RequestSource,
+    hold: &ConnectionHold,
 ) -> Result<Response<AnswerBody>, ConnectionClosed> {
     let (mut request_head, request_body) = request.into_parts();
     let relay_origin = match source {
         RequestSource::OtherVm => take_relay_origin(&mut request_head.headers),
         RequestSource::Client => None,
     };
-    let request_body = match read_body(driver, request_body).await {
+    hold.set_receiving(true);
+    let request_body = read_body(driver, request_body, hold).await;
+    hold.set_receiving(false);
+    let request_body = match request_body {
         Ok(request_body) => request_body,
+        Err(StatusCode::SERVICE_UNAVAILABLE) => return Ok(memory_spent_response()),
         Err(status) => return Ok(error_response(driver, status, "body not read", peer)),
     };
     let request_number = driver.next_request_number();
@@ -224,14 +278,38 @@
     })
 }
 
-async fn read_body(driver: &Driver, body: Incoming) -> Result<Bytes, StatusCode> {
-    let limited = Limited::new(body, http_limits(driver).body_bytes_max);
-    match timeout(BODY_TIMEOUT, limited.collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(StatusCode::PAYLOAD_TOO_LARGE),
-        Ok(Err(_)) => Err(StatusCode::BAD_REQUEST),
-        Err(_) => Err(StatusCode::REQUEST_TIMEOUT),
+/// Reads the body of a request; fails with the status of the answer.
+async fn read_body(driver: &Driver, body: Incoming, hold: &ConnectionHold) -> Result<Bytes, StatusCode> {
+    let bytes_max = http_limits(driver).body_bytes_max;
+    if body.size_hint().lower() > bytes_max as u64 {
+        return Err(StatusCode::PAYLOAD_TOO_LARGE);
     }
+    let len_max = body.size_hint().upper().map_or(bytes_max, |upper| upper as usize).min(bytes_max);
+    let mut body = Limited::new(body, bytes_max);
+    let mut buffer = hold.buffer();
+    let read_all = async {
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|error| match error.is::<LengthLimitError>() {
+                true => StatusCode::PAYLOAD_TOO_LARGE,
+                false => StatusCode::BAD_REQUEST,
+            })?;
+            if let Some(data) = frame.data_ref() {
+                buffer.extend(data, len_max).map_err(|_| StatusCode::SERVICE_UNAVAILABLE)?;
+            }
+        }
+        Ok(())
+    };
+    timeout(BODY_TIMEOUT, read_all).await.unwrap_or(Err(StatusCode::REQUEST_TIMEOUT))?;
+    Ok(buffer.into_bytes())
+}
+
+/// Answer to a request for whose body there is no memory; nothing of it has run. It is counted, and logged with others.
+fn memory_spent_response() -> Response<AnswerBody> {
+    let mut response = Response::new(AnswerBody::whole(error_body("memory spent"), None));
+    *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    response.headers_mut().insert(RETRY_AFTER, HeaderValue::from_static(MEMORY_RETRY_AFTER_S));
+    response
 }
 
 fn to_response(
--- a/crates/boragepass_entry/src/connections.rs
+++ b/crates/boragepass_entry/src/connections.rs
@@ -18,6 +18,7 @@
 use hyper::client::conn::http1::SendRequest;
 
 use crate::http_io::HttpIo;
+use crate::memory_budget::MemoryBudget;
 use crate::reply_body::BodyReader;
 
 /// Longest time to connect: a round trip between regions takes 40 ms, and a lost packet is sent again
@@ -32,6 +33,8 @@
 const IDLE_TIMEOUT_FRACTION: f64 = 0.7;
 /// Most idle connections per address; further ones are closed.
 const IDLE_CONNECTIONS_PER_ADDRESS_MAX: usize = 32;
+/// Largest head of a reply, and what is read ahead of its body.
+const REPLY_BUFFER_BYTES: usize = 64 * 1_024;
 /// Header in which an endpoint states how long it keeps an idle connection open.
 const KEEP_ALIVE_HEADER: &str = "keep-alive";
 
@@ -93,7 +96,7 @@
 }
 
 /// Opens connections and keeps idle ones, by address.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub(crate) struct Connections {
     idle: Rc<RefCell<HashMap<SocketAddr, Vec<IdleConnection>>>>,
     pub(crate) body_reader: BodyReader,
@@ -108,6 +111,11 @@
 }
 
 impl Connections {
+    /// Creates connections whose replies draw on a budget.
+    pub(crate) fn new(budget: MemoryBudget) -> Self {
+        Self { idle: Rc::default(), body_reader: BodyReader::new(budget), excess_bytes: Rc::default() }
+    }
+
     /// Number of idle connections on which bytes arrived that belong to no request.
     pub(crate) fn excess_bytes(&self) -> u64 {
         self.excess_bytes.get()
@@ -175,8 +183,8 @@
             Err(_) => return Err(not_sent(format!("no answer within {CONNECT_TIMEOUT:?}"))),
         };
         let io = HttpIo::new(stream).map_err(|error| not_sent(error.to_string()))?;
-        let (sender, connection) =
-            hyper::client::conn::http1::handshake(io).await.map_err(|error| not_sent(error.to_string()))?;
+        let handshake = hyper::client::conn::http1::Builder::new().max_buf_size(REPLY_BUFFER_BYTES).handshake(io);
+        let (sender, connection) = handshake.await.map_err(|error| not_sent(error.to_string()))?;
         let (task, task_abort) = abortable(connection);
         let excess_bytes = self.excess_bytes.clone();
         task::spawn_local(async move {
--- a/crates/boragepass_entry/src/driver.rs
+++ b/crates/boragepass_entry/src/driver.rs
@@ -22,6 +22,7 @@
 use crate::answer_body::BodyChunk;
 use crate::connections::Connections;
 use crate::json_log::JsonLog;
+use crate::memory_budget::MemoryBudget;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
 use crate::sends::{self, Reply};
@@ -81,6 +82,8 @@
     is_dispatching: Cell<bool>,
     wake_channel: (Sender<()>, Receiver<()>),
     pub(crate) connections: Connections,
+    /// Memory for what this VM holds for clients and endpoints.
+    pub(crate) budget: MemoryBudget,
     pub(crate) exchanges: RefCell<HashMap<RequestNumber, ClientExchange>>,
     pub(crate) sends: RefCell<HashMap<SendNumber, RunningSend>>,
     pub(crate) log: JsonLog,
@@ -107,7 +110,14 @@
 }
 
 impl Driver {
-    pub(crate) fn new(clock: Clock, path: RequestPath, log: JsonLog, metrics: Metrics, peers: Peers) -> Rc<Self> {
+    pub(crate) fn new(
+        clock: Clock,
+        path: RequestPath,
+        log: JsonLog,
+        metrics: Metrics,
+        peers: Peers,
+        budget: MemoryBudget,
+    ) -> Rc<Self> {
         let (connection_shutdown_sender, connection_shutdown) = bounded(1);
         Rc::new(Self {
             clock,
@@ -115,7 +125,8 @@
             event_queue: RefCell::default(),
             is_dispatching: Cell::new(false),
             wake_channel: bounded(1),
-            connections: Connections::default(),
+            connections: Connections::new(budget.clone()),
+            budget,
             exchanges: RefCell::default(),
             sends: RefCell::default(),
             log,
--- a/crates/boragepass_entry/src/http_io.rs
+++ b/crates/boragepass_entry/src/http_io.rs
@@ -1,9 +1,12 @@
 //! Adapter that lets hyper read and write sockets of async-std.
 
+use std::cell::Cell;
 use std::io;
+use std::net::SocketAddr;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::{Context, Poll};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_std::net::TcpStream;
 use futures::io::{AsyncRead, AsyncWrite};
@@ -63,3 +66,52 @@
         Pin::new(&mut self.0).poll_close(context)
     }
 }
+
+/// Socket that shows since when the other side has not read what is sent to it.
+#[derive(Debug)]
+pub(crate) struct WatchedIo {
+    io: HttpIo,
+    blocked_since: Rc<Cell<Option<Instant>>>,
+}
+
+impl WatchedIo {
+    /// Watches a socket; the second value is when the other side stopped reading, if it has.
+    pub(crate) fn new(io: HttpIo) -> (Self, Rc<Cell<Option<Instant>>>) {
+        let blocked_since = Rc::default();
+        (Self { io, blocked_since: Rc::clone(&blocked_since) }, blocked_since)
+    }
+}
+
+impl WatchedIo {
+    /// Address of the other side, if it is still connected.
+    pub(crate) fn peer_address(&self) -> Option<SocketAddr> {
+        self.io.0.peer_addr().ok()
+    }
+}
+
+impl hyper::rt::Read for WatchedIo {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: hyper::rt::ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.io).poll_read(context, buffer)
+    }
+}
+
+impl hyper::rt::Write for WatchedIo {
+    fn poll_write(mut self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.io).poll_write(context, bytes);
+        let blocked_since = written.is_pending().then(|| self.blocked_since.get().unwrap_or_else(Instant::now));
+        self.blocked_since.set(blocked_since);
+        written
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.io).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.io).poll_shutdown(context)
+    }
+}
--- a/crates/boragepass_entry/src/lib.rs
+++ b/crates/boragepass_entry/src/lib.rs
@@ -11,6 +11,7 @@
 mod entry_reads;
 mod http_io;
 mod json_log;
+mod memory_budget;
 mod metrics;
 mod page_server;
 mod pages;
--- a/crates/boragepass_entry/src/metrics.rs
+++ b/crates/boragepass_entry/src/metrics.rs
@@ -24,6 +24,7 @@
     rejections: IntCounterVec,
     evacuated_domains: IntGauge,
     kept_entries: IntGaugeVec,
+    held_bytes: IntGauge,
     configuration_bytes: IntCounterVec,
     configuration_copies: IntCounterVec,
 }
@@ -57,6 +58,8 @@
             Opts::new("boragepass_kept_entries", "entries that are kept for requests that have not ended"),
             &["kind"],
         )?;
+        let held_bytes =
+            IntGauge::new("boragepass_held_bytes", "memory that is held for clients and endpoints, out of its budget")?;
         let configuration_bytes = IntCounterVec::new(
             Opts::new(
                 "boragepass_configuration_bytes_total",
@@ -79,6 +82,7 @@
         registry.register(Box::new(excess_bytes.clone()))?;
         registry.register(Box::new(rejections.clone()))?;
         registry.register(Box::new(kept_entries.clone()))?;
+        registry.register(Box::new(held_bytes.clone()))?;
         registry.register(Box::new(configuration_bytes.clone()))?;
         registry.register(Box::new(configuration_copies.clone()))?;
         Ok(Self {
@@ -93,6 +97,7 @@
             rejections,
             evacuated_domains,
             kept_entries,
+            held_bytes,
             configuration_bytes,
             configuration_copies,
         })
@@ -142,6 +147,11 @@
         self.kept_entries.with_label_values(&[kind]).set(entries as i64);
     }
 
+    /// Sets the bytes that are held for clients and endpoints.
+    pub(crate) fn set_held_bytes(&self, bytes: usize) {
+        self.held_bytes.set(bytes as i64);
+    }
+
     /// Sets the number of evacuated failure domains.
     pub(crate) fn set_evacuated_domains(&self, domains: usize) {
         self.evacuated_domains.set(domains as i64);
--- a/crates/boragepass_entry/src/page_server.rs
+++ b/crates/boragepass_entry/src/page_server.rs
@@ -4,11 +4,12 @@
 use std::convert::Infallible;
 use std::rc::Rc;
 
-use async_std::net::{TcpListener, TcpStream};
+use async_std::net::TcpListener;
 use async_std::task;
 use boragepass_path::Record;
 use boragepass_server::{AcceptChange, Acceptor};
 use bytes::Bytes;
+use futures::future::Abortable;
 use http::header::{CONTENT_TYPE, HeaderValue};
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
@@ -16,8 +17,14 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 
+use crate::client_server::hold_connection;
 use crate::driver::Driver;
-use crate::http_io::HttpIo;
+use crate::http_io::WatchedIo;
+
+/// Largest head of a request.
+const HEAD_BYTES_MAX: usize = 16 * 1_024;
+/// Memory of a connection.
+const CONNECTION_BYTES: usize = 32 * 1_024;
 
 /// Response with a body that is known in full.
 pub(crate) struct Page {
@@ -46,8 +53,15 @@
     let mut acceptor = Acceptor::new(listener, |change| driver.record(&accept_record(change, "pages")));
     loop {
         let stream = acceptor.accept().await;
+        // Without memory for it, the connection is closed before anything of it is read.
+        let Ok((io, connection, closing)) = hold_connection(&driver.budget, stream, CONNECTION_BYTES) else {
+            continue;
+        };
         let page_handler = page_handler.clone();
-        task::spawn_local(async move { serve_connection(stream, page_handler).await });
+        task::spawn_local(async move {
+            let _closed = Abortable::new(serve_connection(io, page_handler), closing).await;
+            drop(connection);
+        });
     }
 }
 
@@ -63,10 +77,7 @@
     }
 }
 
-async fn serve_connection(stream: TcpStream, page_handler: Rc<impl Fn(&Request<Incoming>) -> Page>) {
-    let Ok(io) = HttpIo::new(stream) else {
-        return;
-    };
+async fn serve_connection(io: WatchedIo, page_handler: Rc<impl Fn(&Request<Incoming>) -> Page>) {
     let service = service_fn(|request| {
         let page = page_handler(&request);
         async move {
@@ -77,5 +88,5 @@
         }
     });
     // An error means that the client disconnected, so there is nobody to answer.
-    http1::Builder::new().serve_connection(io, service).await.ok();
+    http1::Builder::new().max_buf_size(HEAD_BYTES_MAX).serve_connection(io, service).await.ok();
 }
--- a/crates/boragepass_entry/src/pages.rs
+++ b/crates/boragepass_entry/src/pages.rs
@@ -54,6 +54,7 @@
             (path.in_progress(), path.cold_endpoints(now).len(), path.evacuated_domains(now).count())
         });
         driver.metrics.set_evacuated_domains(evacuated_domains);
+        driver.metrics.set_held_bytes(driver.budget.used_bytes());
         let (exchanges, sends) = driver.kept_entries();
         for (kind, entries) in [("requests", in_progress), ("exchanges", exchanges), ("sends", sends)] {
             driver.metrics.set_kept_entries(kind, entries);
--- a/crates/boragepass_entry/src/process.rs
+++ b/crates/boragepass_entry/src/process.rs
@@ -18,6 +18,7 @@
 use crate::client_server::RequestSource;
 use crate::driver::Driver;
 use crate::json_log::JsonLog;
+use crate::memory_budget::MemoryBudget;
 use crate::metrics::Metrics;
 use crate::peers::{self, PeerSockets, Peers};
 use crate::{client_server, entry_reads, page_server, pages, store_feed, stream_version_rows, version_rows};
@@ -27,6 +28,8 @@
 const SETTINGS_POLL_INTERVAL: Duration = Duration::from_secs(3);
 /// Interval at which idle connections that expired are closed.
 const IDLE_CONNECTION_SWEEP_INTERVAL: Duration = Duration::from_secs(1);
+/// Interval at which shortages of memory are logged.
+const BUDGET_WATCH_INTERVAL: Duration = Duration::from_secs(1);
 /// Interval at which buffered log lines are written; lines in the buffer are lost if the process is killed.
 const LOG_FLUSH_INTERVAL: Duration = Duration::from_millis(50);
 /// Time for the writer thread to write the last log lines.
@@ -125,7 +128,9 @@
     let path = RequestPath::new(clock.now(), path_settings(&settings, &local_record));
     let log = JsonLog::new(settings.vm.to_string(), settings.log_lines_per_s);
     let metrics = Metrics::new().map_err(StartError::Metrics)?;
-    let driver = Driver::new(clock, path, log, metrics, Peers::new(identity, tasks.clone(), datagrams));
+    let budget = MemoryBudget::new(settings.memory);
+    let peers = Peers::new(identity, tasks.clone(), datagrams);
+    let driver = Driver::new(clock, path, log, metrics, peers, budget);
     let started = Record::new("started")
         .number("incarnation", incarnation.0)
         .text("clients", client_address)
@@ -151,6 +156,7 @@
     task::spawn_local(client_server::serve(driver.clone(), relay_listener, RequestSource::OtherVm));
     task::spawn_local(driver.clone().run_timers());
     task::spawn_local(sweep_idle_connections(driver.clone()));
+    task::spawn_local(watch_budget(driver.clone()));
     task::spawn_local(flush_log(driver.clone()));
     task::spawn_local(watch_signals(driver.clone(), signals, settings_path.clone()));
     task::spawn_local(watch_settings(driver.clone(), settings_path));
@@ -184,6 +190,24 @@
     }
 }
 
+/// Records shortages of the memory for what this VM holds for others.
+async fn watch_budget(driver: Rc<Driver>) {
+    let mut known = driver.budget.shortages();
+    loop {
+        task::sleep(BUDGET_WATCH_INTERVAL).await;
+        let (closed, refused) = driver.budget.shortages();
+        if (closed, refused) != known {
+            let record = Record::new("memory for clients and endpoints was spent")
+                .number("closed_connections", closed - known.0)
+                .number("refused", refused - known.1)
+                .number("held_bytes", driver.budget.used_bytes())
+                .number("limit_bytes", driver.budget.limit_bytes());
+            driver.record(&record);
+            known = (closed, refused);
+        }
+    }
+}
+
 async fn watch_signals(driver: Rc<Driver>, signals: Receiver<i32>, path: PathBuf) {
     while let Ok(signal) = signals.recv().await {
         match signal {
--- a/crates/boragepass_entry/src/sends.rs
+++ b/crates/boragepass_entry/src/sends.rs
@@ -17,7 +17,7 @@
     forwarded_request_headers, relayed_request_headers,
 };
 use boragepass_types::{EndpointId, Region, SpanMs, VmId};
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use futures::future::{Either, abortable, select};
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Uri};
@@ -27,6 +27,7 @@
 use crate::answer_body::BodyChunk;
 use crate::connections::{Connection, ExchangeError};
 use crate::driver::{ClientExchange, Driver, RunningSend};
+use crate::memory_budget::ChargedBuffer;
 use crate::reply_body::BodyError;
 
 /// Header in which a VM names the endpoint of an answer to the VM that relayed the request. Clients do not get it.
@@ -43,6 +44,9 @@
 /// Largest event of a stream, which is buffered until it is complete.
 const EVENT_BYTES_MAX: usize = 1_024 * 1_024;
 
+/// Interval at which a stream that waits for memory looks for some.
+const MEMORY_POLL_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Stream of which only the head was read.
 pub(crate) struct OpenStream {
     body: Incoming,
@@ -377,7 +381,7 @@
     chunks: &Sender<BodyChunk>,
     last_event: &mut Option<EventId>,
 ) -> Result<(), SendFailure> {
-    let mut buffer = BytesMut::new();
+    let mut buffer = driver.budget.buffer();
     let mut has_relayed_event = false;
     loop {
         let next = match select(stream.body.frame(), pin!(silence_timeout(stream.silence_timeout))).await {
@@ -390,20 +394,22 @@
         let frame = match next {
             Some(Ok(frame)) => frame,
             Some(Err(_)) => return Err(SendFailure::ConnectionLost),
-            None if buffer.is_empty() && (has_relayed_event || stream.may_be_empty) => return Ok(()),
+            None if buffer.bytes().is_empty() && (has_relayed_event || stream.may_be_empty) => return Ok(()),
             None => return Err(SendFailure::ConnectionLost),
         };
         let Ok(data) = frame.into_data() else {
             continue;
         };
-        buffer.extend_from_slice(&data);
-        if buffer.len() > EVENT_BYTES_MAX {
+        if buffer.bytes().len() + data.len() > EVENT_BYTES_MAX {
             return Err(SendFailure::UnusableReply);
         }
-        let Some(end) = end_of_last_event(&buffer) else {
+        extend_when_free(&mut buffer, &data).await;
+        let Some(end) = end_of_last_event(buffer.bytes()) else {
             continue;
         };
-        let events = buffer.split_to(end).freeze();
+        let mut rest = driver.budget.buffer();
+        extend_when_free(&mut rest, &buffer.bytes()[end..]).await;
+        let events = std::mem::replace(&mut buffer, rest).into_bytes().slice(..end);
         let increasing_id = event_ids(&events).try_fold(*last_event, |last, id| (last < Some(id)).then_some(Some(id)));
         *last_event = increasing_id.ok_or(SendFailure::UnusableReply)?;
         if chunks.send(BodyChunk::Data(events)).await.is_err() {
@@ -417,6 +423,14 @@
     }
 }
 
+/// Appends a part of a stream. Without memory for it the stream waits, since what other clients read frees some; its client's
+/// deadline ends the wait.
+async fn extend_when_free(buffer: &mut ChargedBuffer, part: &[u8]) {
+    while !part.is_empty() && buffer.extend(part, EVENT_BYTES_MAX).is_err() {
+        task::sleep(MEMORY_POLL_INTERVAL).await;
+    }
+}
+
 /// Returns the position after the empty line that ends the last complete event.
 fn end_of_last_event(buffer: &[u8]) -> Option<usize> {
     let plain = buffer.windows(2).rposition(|pair| pair == b"\n\n").map(|at| at + 2);
--- a/crates/boragepass_entry/src/store_client.rs
+++ b/crates/boragepass_entry/src/store_client.rs
@@ -13,6 +13,7 @@
 use hyper::body::Incoming;
 
 use crate::connections::{Connection, Connections, ExchangeError};
+use crate::memory_budget::MemoryBudget;
 
 /// Longest pause in the body of a reply. A large row takes longer than a call may on a small VM's link, so a reply that
 /// arrives is not given up.
@@ -55,7 +56,7 @@
 
 impl StoreClient {
     pub(crate) fn new(address: SocketAddr) -> Self {
-        Self { address, connections: Connections::default() }
+        Self { address, connections: Connections::new(MemoryBudget::unlimited()) }
     }
 
     pub(crate) async fn get(&self, path: &str, call_timeout: Duration) -> Result<StoreReply, StoreError> {
--- a/crates/boragepass_settings/src/entry.rs
+++ b/crates/boragepass_settings/src/entry.rs
@@ -4,7 +4,7 @@
 use std::str::FromStr;
 
 use boragepass_types::{
-    AccessKey, FailureDomain, FindingKind, Findings, Hash64, Millicores, Region, SpanMs, VmId, suggest_key,
+    AccessKey, Bytes, FailureDomain, FindingKind, Findings, Hash64, Millicores, Region, SpanMs, VmId, suggest_key,
 };
 
 use crate::raw::RawSettings;
@@ -19,6 +19,7 @@
 /// Keeps to the rate that the pool states.
 const DEFAULT_COLD_OVERAGE: f64 = 1.0;
 const DEFAULT_PROCESSOR: Millicores = Millicores(1_000);
+const DEFAULT_MEMORY: Megabytes = Megabytes(Bytes(260_000_000));
 const DEFAULT_STORE_RECOVERY: SpanMs = SpanMs(4_000);
 /// Shorter recovery times would poll the store too often.
 const STORE_RECOVERY_MIN: SpanMs = SpanMs(200);
@@ -57,6 +58,8 @@
     pub seed_addresses: Vec<SocketAddr>,
     /// Processor time that this VM may use.
     pub processor: Millicores,
+    /// Memory of the machine, of which a share may be held for clients and endpoints.
+    pub memory: Bytes,
     /// Region of each failure domain.
     pub domain_regions: Vec<(FailureDomain, Region)>,
     /// Retry budget: retries allowed for each request, as a ratio.
@@ -103,6 +106,27 @@
     }
 }
 
+/// Why a size is not accepted.
+#[derive(Debug, displaydoc::Display)]
+enum MegabytesError {
+    /// {0}
+    Unreadable(std::num::ParseFloatError),
+    /// must be more than zero
+    NotPositive,
+}
+
+/// Size in megabytes, with a fraction.
+struct Megabytes(Bytes);
+
+impl FromStr for Megabytes {
+    type Err = MegabytesError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let megabytes: f64 = text.parse().map_err(MegabytesError::Unreadable)?;
+        if megabytes > 0.0 { Ok(Self(Bytes((megabytes * 1e6) as u64))) } else { Err(MegabytesError::NotPositive) }
+    }
+}
+
 /// Duration in seconds with a fraction.
 struct Seconds(SpanMs);
 
@@ -206,9 +230,11 @@
     let mut findings = Findings::default();
     check_sections(raw, &mut findings);
     let domain_regions = resolve_domain_regions(raw, &mut findings);
-    let mut node = SectionReader::new(raw, "node", &["vm", "region", "failure_domain", "cores"], &mut findings);
+    let mut node =
+        SectionReader::new(raw, "node", &["vm", "region", "failure_domain", "cores", "memory_mb"], &mut findings);
     let (vm, region, failure_domain) = (node.required("vm"), node.required("region"), node.required("failure_domain"));
     let cores: Option<Cores> = node.optional("cores");
+    let memory: Option<Megabytes> = node.optional("memory_mb");
     let listen_keys = ["clients", "readiness", "addresses", "operators", "metrics", "peers", "relays"];
     let mut listen = SectionReader::new(raw, "listen", &listen_keys, &mut findings);
     let (client_address, readiness_address, resolver_address) =
@@ -250,6 +276,7 @@
             peer_key: peer_key?,
             seed_addresses: seed_addresses.map(|list| list.0).unwrap_or_default(),
             processor: cores.map_or(DEFAULT_PROCESSOR, |cores| cores.0),
+            memory: memory.unwrap_or(DEFAULT_MEMORY).0,
             domain_regions,
             retry_ratio: retry_ratio?,
             retry_slack: retry_slack?,
