Test: an error of the next endpoint neither stands in a begun stream nor ends it as complete

It does not happen here: a reply other than a signed success is not passed on once the stream has begun, and the answer is broken off. Eight answers of the next endpoint, errors, a rejection, bytes that are no answer and a head without end, are played over sockets; the test passes on the code as it is.

--- a/crates/boragepass_entry/tests/over_sockets/main.rs
+++ b/crates/boragepass_entry/tests/over_sockets/main.rs
@@ -1,6 +1,7 @@
 //! An entry VM as a process, between a client and fakes of the store and endpoints that speak the
 //! platform's protocol.
 
+mod broken_streams;
 mod descriptors;
 mod kept_entries;
 mod late_copies;
