A VM that stops within a short grace period sends nothing that it would have to cut

What callers saw, in a report from a system like ours: requests that came late in the grace were passed on and cut at its end, bookings too (LOST).

Cause: a stopping VM takes requests for 3 s and ends all 1.2 s before the end of the grace, whatever its length. With 8 s that holds; with 4 s or less it takes requests until the moment at which it cuts them, or after it. A request that waited for its stages could be sent 0.1 s before the cut at any length.

Evidence: a_booking_that_comes_late_in_the_grace_is_refused_and_not_sent: with a grace of 2 s, a booking after 1 s was sent and answered 502; now 503, not run, for 2, 4, 8 and 20 s.

Fix: the times are shares of a short grace (38 %, 85 %, 91 %), at most as before; in the last 0.3 s before requests are ended none is sent.

--- a/crates/boragepass_fakes/tests/path_peers.rs
+++ b/crates/boragepass_fakes/tests/path_peers.rs
@@ -105,6 +105,10 @@
 }
 
 fn starting_path_of(local_record: VmRecord, deployment: &Deployment) -> RequestPath {
+    starting_path_with_grace(local_record, deployment, SpanMs(8_000))
+}
+
+fn starting_path_with_grace(local_record: VmRecord, deployment: &Deployment, stop_grace_ms: SpanMs) -> RequestPath {
     let settings = PathSettings {
         vm: local_record.vm,
         incarnation: local_record.incarnation,
@@ -117,7 +121,7 @@
         regions: deployment.domains.clone(),
         retries: RetryLimits { ratio: 0.2, slack: 56.0, window_ms: SpanMs(10_000) },
         cold_bounds: ColdBounds::default(),
-        stop_grace_ms: SpanMs(8_000),
+        stop_grace_ms,
         batching: Batching::Led,
         seed: 1,
     };
@@ -125,7 +129,10 @@
 }
 
 fn request_path_of(local_record: VmRecord, deployment: &Deployment) -> RequestPath {
-    let mut path = starting_path_of(local_record, deployment);
+    ready(starting_path_of(local_record, deployment), deployment)
+}
+
+fn ready(mut path: RequestPath, deployment: &Deployment) -> RequestPath {
     path.handle(NOW, Event::EvacuationsUpdated(Evacuations::default()));
     path.handle(NOW, Event::ConfigurationReceived(Arc::new(deployment.configuration(1))));
     path.handle(NOW, Event::EndpointsUpdated(EndpointUpdate::Snapshot(deployment.endpoints.clone(), version(1))));
@@ -894,3 +901,37 @@
     }
     assert_eq!(queries, 1, "in a second");
 }
+
+/// What a VM with a grace period does with a booking at some time after it was asked to stop, until it exits: the status of
+/// its answer, and whether it was sent to an endpoint, which never replies.
+fn booking_while_stopping(grace_ms: u64, after_ms: u64) -> (Option<u16>, bool) {
+    let deployment = Deployment::of(Site::Gigdesk);
+    let path = starting_path_with_grace(vm_record(0, 120), &deployment, SpanMs(grace_ms));
+    let mut path = ready(path, &deployment);
+    path.handle(NOW, Event::Terminate);
+    let Event::RequestArrived(mut booking) = arrival(7) else {
+        panic!("the event is an arrival");
+    };
+    booking.path = "/deposit/1".into();
+    booking.deadline_ms = Some(SpanMs(20_000));
+    let mut effects = path.handle(NOW + SpanMs(after_ms), Event::RequestArrived(booking));
+    for step in 0..grace_ms / 50 {
+        effects.extend(path.handle(NOW + SpanMs(after_ms + 50 * step), Event::Tick));
+    }
+    let status = effects.iter().find_map(|effect| match effect {
+        Effect::Respond(_, answer) => Some(answer.status),
+        _ => None,
+    });
+    (status, effects.iter().any(|effect| matches!(effect, Effect::Send { .. })))
+}
+
+#[test]
+fn a_booking_that_comes_late_in_the_grace_is_refused_and_not_sent() {
+    for grace_ms in [2_000, 4_000, 8_000, 20_000] {
+        assert!(booking_while_stopping(grace_ms, grace_ms / 10).1, "{grace_ms} ms: clients still have the address");
+        for late_ms in [grace_ms * 5 / 10, grace_ms * 7 / 10, grace_ms * 8 / 10] {
+            let late = booking_while_stopping(grace_ms, late_ms);
+            assert_eq!(late, (Some(503), false), "grace of {grace_ms} ms, after {late_ms} ms");
+        }
+    }
+}
--- a/crates/boragepass_path/src/reducer/mod.rs
+++ b/crates/boragepass_path/src/reducer/mod.rs
@@ -1,7 +1,7 @@
 //! The reducer of the request path: dispatches events and timers to the concerns, and collects their effects.
 //!
-//! This file holds the state, readiness, and the drain of a stopping process. The submodules hold the flows:
-//! arrival and admission (`arrivals`), stages of this VM's requests (`stage_flow`), pools that this VM leads
+//! This file holds the state and readiness. The submodules hold the flows: arrival and admission (`arrivals`), the stop
+//! of the process (`stopping`), stages of this VM's requests (`stage_flow`), pools that this VM leads
 //! (`leading`), sends to endpoints (`sends`), contents that crash them (`crashes`), software versions that begin
 //! streams (`stream_versions`), their record in the store (`stream_record`) and those that pools had (`version_record`),
 //! what endpoints state in replies (`signals`), the loss of all links to endpoints (`reach`), evacuated failure domains
@@ -22,6 +22,7 @@
 mod sends;
 mod signals;
 mod stage_flow;
+mod stopping;
 mod stream_record;
 mod stream_versions;
 mod version_record;
@@ -34,7 +35,6 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
-use crate::admission::RefusalReason;
 use crate::configuration::{Configuration, ConfigurationVersion};
 use crate::effect::Effect;
 use crate::event::Event;
@@ -57,16 +57,6 @@
 
 /// Interval at which expired entries are dropped.
 const SWEEP_INTERVAL: SpanMs = SpanMs(500);
-/// Interval at which a stopping process checks whether it can exit.
-const DRAIN_CHECK_INTERVAL: SpanMs = SpanMs(100);
-/// Shortest time for which a stopping process serves new requests, since clients cache its address.
-const STOP_SERVING_MIN: SpanMs = SpanMs(3_000);
-/// Time before the end of the grace period at which requests in progress are aborted, so that their clients
-/// still get an answer.
-const STOP_ABORT_MARGIN: SpanMs = SpanMs(1_200);
-/// Time before the end of the grace period at which the process exits, so that the last answers can still be sent.
-const STOP_EXIT_MARGIN: SpanMs = SpanMs(700);
-
 /// Stage pool within a region; each has its own leader and queue.
 pub(crate) type PoolKey = (PoolId, Region);
 
@@ -425,48 +415,6 @@
         }
     }
 
-    fn on_terminate(&mut self, now: TimeMs) {
-        if self.stopping_since.is_some() {
-            return;
-        }
-        self.stopping_since = Some(now);
-        self.fleet.local_record.state = VmState::Leaving;
-        self.log(Record::new("stopping").number("requests", self.requests.len()));
-        self.effects.push(Effect::SetReady(false));
-        self.effects.push(Effect::CloseConnections);
-        self.send_heartbeats(now);
-        self.timers.set(now + DRAIN_CHECK_INTERVAL, Timer::CheckDrain);
-    }
-
-    fn check_drain(&mut self, now: TimeMs) {
-        let Some(stopping_since) = self.stopping_since else {
-            return;
-        };
-        let stopping_for = now.since(stopping_since);
-        let is_idle = self.requests.is_empty() && self.led_pools.values().all(Pool::is_idle);
-        if stopping_for.0 + STOP_ABORT_MARGIN.0 >= self.settings.stop_grace_ms.0 {
-            let mut requests: Vec<_> = self.requests.keys().copied().collect();
-            requests.sort();
-            for request in requests {
-                self.fail_request(now, request, RefusalReason::Stopping);
-            }
-        }
-        let is_grace_used_up = stopping_for.0 + STOP_EXIT_MARGIN.0 >= self.settings.stop_grace_ms.0;
-        if is_grace_used_up || (is_idle && stopping_for >= STOP_SERVING_MIN) {
-            self.log(
-                Record::new("stopped").number("after_ms", stopping_for.0).number("requests_left", self.requests.len()),
-            );
-            self.effects.push(Effect::Exit);
-            return;
-        }
-        self.timers.set(now + DRAIN_CHECK_INTERVAL, Timer::CheckDrain);
-    }
-
-    /// Whether a stopping process refuses new requests.
-    fn refuses_new_requests(&self, now: TimeMs) -> bool {
-        self.stopping_since.is_some_and(|stopping_since| now.since(stopping_since) >= STOP_SERVING_MIN)
-    }
-
     fn log(&mut self, record: Record) {
         self.effects.push(Effect::Log(Box::new(record)));
     }
--- a/crates/boragepass_path/src/reducer/sends.rs
+++ b/crates/boragepass_path/src/reducer/sends.rs
@@ -49,6 +49,10 @@
             self.fail_request(now, request, RefusalReason::CrashesEndpoints);
             return;
         }
+        if self.is_too_late_to_send(now) {
+            self.fail_request(now, request, RefusalReason::Stopping);
+            return;
+        }
         if self.relay_if_partitioned(now, request) || self.leave_former_homes(now, request) {
             return;
         }
