--- a/crates/boragepass_entry/tests/crowds.rs
+++ b/crates/boragepass_entry/tests/crowds.rs
@@ -7,7 +7,7 @@
 mod support;
 
 use std::io::{ErrorKind, Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -36,6 +36,12 @@
 
 static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
 
+/// What a faulty engine sends without end after the begin of an answer.
+const ENDLESS_BLOCK: &[u8] = &[b'x'; 65_536];
+/// Begins of such answers: in the head, in place of a head, and in the body.
+const ENDLESS_ANSWERS: [&str; 3] =
+    ["HTTP/1.1 200 OK\r\nx-endless: ", "", "HTTP/1.1 200 OK\r\nID\r\nSIGNATURE: s\r\n\r\n"];
+
 /// VM with lowered limits and an endpoint that answers ordinary requests at once and others with a long body.
 struct Target {
     vm: EntryVm,
@@ -52,19 +58,11 @@
         let configuration =
             CONFIGURATION.replace(r#""maxBodyBytes": 1000"#, &format!(r#""maxBodyBytes": {BODY_BYTES_MAX}"#));
         assert_ne!(configuration, CONFIGURATION);
-        let endpoint = Endpoint {
-            id: "i-api".parse().expect("a valid id"),
-            pool: "api".parse().expect("a valid name"),
-            address: api,
-            failure_domain: "lagos-a".parse().expect("a valid name"),
-            is_draining: false,
-            slots: 200,
-            started_at_unix_ms: 1,
-            software_version: "1".parse().ok(),
-            cold_left_ms: boragepass_types::SpanMs(0),
-        };
+        let mut endpoints = vec![endpoint("api", api), endpoint("rates", api)];
+        let engines = ENDLESS_ANSWERS.map(|begin| endpoint("models", endless_engine(begin)));
+        endpoints.extend(engines);
         let memory = format!("[node]\nmemory_mb = {MEMORY_MB}");
-        let vm = EntryVm::start_with(store(&configuration, &[endpoint]), &[("[node]", memory)]);
+        let vm = EntryVm::start_with(store(&configuration, &endpoints), &[("[node]", memory)]);
         vm.wait_ready();
         Self { vm, _turn: turn }
     }
@@ -145,6 +143,41 @@
     }
 }
 
+fn endpoint(pool: &str, address: SocketAddr) -> Endpoint {
+    Endpoint {
+        id: format!("i-{pool}-{}", address.port()).parse().expect("a valid id"),
+        pool: pool.parse().expect("a valid name"),
+        address,
+        failure_domain: "lagos-a".parse().expect("a valid name"),
+        is_draining: false,
+        slots: 200,
+        started_at_unix_ms: 1,
+        software_version: "1".parse().ok(),
+        cold_left_ms: boragepass_types::SpanMs(0),
+    }
+}
+
+/// Starts an engine whose answers have no end.
+fn endless_engine(begin: &'static str) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    std::thread::spawn(move || {
+        for mut connection in listener.incoming().map_while(Result::ok) {
+            std::thread::spawn(move || {
+                let mut request = [0; 16_384];
+                let read = connection.read(&mut request).unwrap_or_default();
+                let text = String::from_utf8_lossy(&request[..read]).to_ascii_lowercase();
+                let id = text.lines().find(|line| line.starts_with(names::ATTEMPT_ID.as_str())).unwrap_or_default();
+                let begin = begin.replace("ID", id).replace("SIGNATURE", names::SIGNATURE.as_str());
+                // Bounded, so that the thread ends even if the VM reads on.
+                let is_begun = connection.write_all(begin.as_bytes()).is_ok();
+                (0..1_000).take_while(|_| is_begun && connection.write_all(ENDLESS_BLOCK).is_ok()).for_each(drop);
+            });
+        }
+    });
+    address
+}
+
 fn connect(address: SocketAddr) -> Option<TcpStream> {
     let stream = TcpStream::connect(address).ok()?;
     stream.set_write_timeout(Some(WRITE_PATIENCE)).expect("a socket takes options");
@@ -157,12 +190,14 @@
     stream.write_all(bytes).is_ok()
 }
 
+/// Head of a request without pieces, for a route that has stages too.
 fn head(path: &str, number: usize, framing: &str) -> String {
     format!(
         "POST {path} HTTP/1.1\r\nhost: gigs.example\r\n{}: crowd-{number}\r\n{}: 60000\r\n\
-         authorization: Bearer key-of-a-client\r\n{framing}\r\n\r\n",
+         authorization: Bearer key-of-a-client\r\n{}: 0,0\r\n{framing}\r\n\r\n",
         names::ATTEMPT_ID,
-        names::DEADLINE_MS
+        names::DEADLINE_MS,
+        names::PIECES
     )
 }
 
@@ -272,3 +307,25 @@
     });
     target.check(crowd);
 }
+
+#[test]
+fn answers_of_engines_without_end_do_not_use_up_the_memory() {
+    let target = Target::start();
+    let crowd = target.meet("clients", |stream, number| {
+        write(stream, head("/reviews/7", number, "content-length: 4").as_bytes());
+        write(stream, b"body");
+        std::thread::sleep(WRITE_PATIENCE);
+    });
+    target.check(crowd);
+}
+
+#[test]
+fn heads_that_stop_short_of_their_end_do_not_use_up_the_memory() {
+    for listener in ["clients", "relays", "addresses", "operators", "metrics", "readiness"] {
+        let target = Target::start();
+        let crowd = target.meet(listener, |stream, _| {
+            write(stream, format!("GET / HTTP/1.1\r\nhost: any.example\r\nx: {}", "x".repeat(15_000)).as_bytes());
+        });
+        target.check(crowd);
+    }
+}
