Soak: series of changes of the configuration, with a route of its own for each version

The soak compared versions only at the end of a run. Clients now use the route of the newest version or of the one before all the time, over connections that they keep; checked are versions in force in time (2.5 s, VMs in touch), never taken back within a process, and their routes served. One to three series of two to eight changes, 50 to 500 ms apart, are drawn from a generator of their own; every fifth version has 1,300 more routes.

--- a/crates/boragepass_soak/src/clients.rs
+++ b/crates/boragepass_soak/src/clients.rs
@@ -20,9 +20,10 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
+use crate::configurations::Configurations;
 use crate::endpoints::{EVENT_COUNT, VERSIONS, plain_answer, stream_event};
 use crate::ledger::{Ending, Ledger, RequestKind};
-use crate::site::{API_KEY, HOST};
+use crate::site::{API_KEY, HOST, extra_prefix};
 
 /// Time after which a client counts a request as unanswered; longer than the longest timeout of a route.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(9_500);
@@ -37,6 +38,7 @@
     vm_addresses: Vec<SocketAddr>,
     ledger: Arc<Ledger>,
     is_over: Arc<AtomicBool>,
+    configurations: Arc<Configurations>,
     random: SmallRng,
     sent_count: u64,
     /// Number of the VM and sender of the open connection.
@@ -59,11 +61,11 @@
         number: usize,
         seed: u64,
         vm_addresses: Vec<SocketAddr>,
-        ledger: Arc<Ledger>,
-        is_over: Arc<AtomicBool>,
+        (ledger, is_over, configurations): (Arc<Ledger>, Arc<AtomicBool>, Arc<Configurations>),
     ) -> Self {
         let random = SmallRng::seed_from_u64(seed.wrapping_mul(1_000).wrapping_add(number as u64));
-        Self { number, vm_addresses, ledger, is_over, random, sent_count: 0, connection: None, broken_stream: None }
+        let (connection, broken_stream) = (None, None);
+        Self { number, vm_addresses, ledger, is_over, configurations, random, sent_count: 0, connection, broken_stream }
     }
 
     /// Sends requests until the run is over.
@@ -113,7 +115,11 @@
         let kind = if resumed.is_some() { RequestKind::ResumedReview } else { drawn_kind };
         let body: Vec<u8> = format!("{kind} {client_id}").into_bytes();
         self.ledger.on_request_sent(&client_id, kind, vm, &body);
-        let request = build_request(kind, &client_id, &body, resumed.as_ref());
+        // Every second status request is on the route of one version; not drawn, so that seeds keep their requests.
+        let is_probe = kind == RequestKind::Status && self.sent_count % 2 == 0;
+        let probe = is_probe.then(|| self.configurations.probe(vm, self.sent_count % 3 != 0));
+        let path = probe.map_or_else(|| kind.path().to_owned(), |probe| format!("{}s", extra_prefix(probe.version)));
+        let request = build_request(kind, &path, &client_id, &body, resumed.as_ref());
         let sent = SentRequest { kind, client_id: &client_id, body: &body, resumed };
         let exchange = async {
             match sender.send_request(request).await {
@@ -124,6 +130,13 @@
         let unanswered = (Ending::Unanswered, false, None);
         let (ending, is_reusable, broken_stream) = timeout(ANSWER_TIMEOUT, exchange).await.unwrap_or(unanswered);
         self.broken_stream = broken_stream;
+        if let Some(probe) = probe {
+            self.configurations.check(&client_id, probe, &ending);
+            if ending == Ending::Status(404) {
+                self.ledger.on_route_missing(&client_id);
+                return is_reusable;
+            }
+        }
         self.ledger.on_request_ended(&client_id, ending);
         is_reusable
     }
@@ -169,14 +182,15 @@
 
 fn build_request(
     kind: RequestKind,
+    path: &str,
     client_id: &str,
     body: &[u8],
     resumed: Option<&BrokenStream>,
 ) -> Request<Full<Bytes>> {
-    let (path, deadline_ms) = match kind {
-        RequestKind::Deposit => ("/deposits/d", 1_000),
-        RequestKind::Status => ("/status/s", 2_000),
-        RequestKind::Review | RequestKind::ResumedReview => ("/reviews/r", 8_000),
+    let deadline_ms = match kind {
+        RequestKind::Deposit => 1_000,
+        RequestKind::Status => 2_000,
+        RequestKind::Review | RequestKind::ResumedReview => 8_000,
     };
     let builder = Request::post(path)
         .header("host", HOST)
--- a/crates/boragepass_soak/src/ledger.rs
+++ b/crates/boragepass_soak/src/ledger.rs
@@ -33,6 +33,17 @@
     ResumedReview,
 }
 
+impl RequestKind {
+    /// Path of its requests, unless they are on the route of one version of the configuration.
+    pub(crate) fn path(self) -> &'static str {
+        match self {
+            Self::Deposit => "/deposits/d",
+            Self::Status => "/status/s",
+            Self::Review | Self::ResumedReview => "/reviews/r",
+        }
+    }
+}
+
 /// How a request ended for its client.
 #[derive(Debug, Clone, PartialEq, Eq, derive_more::Display)]
 pub(crate) enum Ending {
@@ -222,6 +233,14 @@
         }
     }
 
+    /// Forgets a request on the route of one version that its VM does not have: no endpoint may run it from now on.
+    pub(crate) fn on_route_missing(&self, client_id: &str) {
+        let record = self.state().requests.remove(client_id);
+        if record.is_some_and(|record| !record.runs.is_empty()) {
+            self.record_violation(client_id, "no route, but an endpoint ran it");
+        }
+    }
+
     /// Records how a request ended for its client, and checks it against the runs.
     pub(crate) fn on_request_ended(&self, client_id: &str, ending: Ending) {
         let violation = {
--- a/crates/boragepass_soak/src/plan.rs
+++ b/crates/boragepass_soak/src/plan.rs
@@ -7,6 +7,7 @@
 use rand::{Rng, SeedableRng};
 
 use crate::proxy::LinkMode;
+use crate::site::GRACE_S;
 
 /// Fault that is injected from outside the VMs. Durations are in milliseconds.
 #[derive(Debug, Clone, Copy, PartialEq, derive_more::Display)]
@@ -123,12 +124,33 @@
 /// Distinguishes the generator of odd entries from the others.
 const ODD_ENTRIES_SEED: u64 = 0x6f_6464;
 /// Distinguishes the generator of endpoints that return as another version from the others.
+/// Longest time in which a process that was killed serves again.
+const RESTART_MS_MAX: u64 = 3_300;
+/// Longest time in which a restored store has all that it lost again.
+const RESTORE_MS_MAX: u64 = 2_000;
 const RETURNS_SEED: u64 = 0x7265_7475_726e;
+const CONFIGURATIONS_SEED: u64 = 0x5bd1_e995_9d1b_54a3;
 /// Shortest time for which endpoints are brittle; in the first 4 s of it rejections do no harm.
 const BRITTLE_MS_MIN: u64 = 8_000;
 /// Most faults in one series.
 const FAULTS_PER_SERIES_MAX: usize = 4;
 
+impl Fault {
+    /// Time for which it disturbs a VM or the store in a way that excuses an old configuration there; `None` if it does not.
+    pub(crate) fn disturbs_vm_for_ms(&self, vm: usize) -> Option<u64> {
+        match self {
+            Self::Stop(other) if *other == vm => Some(GRACE_S * 1_000 + RESTART_MS_MAX),
+            Self::Kill(other) if *other == vm => Some(RESTART_MS_MAX),
+            Self::KillAll => Some(RESTART_MS_MAX),
+            Self::Pause(other, ms) | Self::StoreLink(other, _, ms) if *other == vm => Some(*ms),
+            Self::StoreAway(ms) | Self::StoreSlow(ms) | Self::StoreLoses(ms) | Self::StoreSilent(ms) => Some(*ms),
+            Self::StoreForgets => Some(0),
+            Self::StoreRestored(_) => Some(RESTORE_MS_MAX),
+            _ => None,
+        }
+    }
+}
+
 impl FaultPlan {
     /// Draws overlapping series of faults for a run of `run_ms` milliseconds.
     pub fn draw(seed: u64, run_ms: u64, vm_count: usize, endpoint_count: usize) -> Self {
@@ -152,6 +174,7 @@
         draw_copies(seed, end_ms, endpoint_count, &mut faults);
         draw_odd_entries(seed, end_ms, endpoint_count, &mut faults);
         draw_returns(seed, end_ms, endpoint_count, &mut faults);
+        draw_configurations(seed, end_ms, &mut faults);
         faults.sort_by_key(|planned| planned.at_ms);
         Self { faults }
     }
@@ -252,6 +275,20 @@
     }
 }
 
+/// Draws series of changes of the configuration, from a generator of its own for the same reason.
+fn draw_configurations(seed: u64, end_ms: u64, faults: &mut Vec<PlannedFault>) {
+    let mut random = SmallRng::seed_from_u64(seed ^ CONFIGURATIONS_SEED);
+    for _ in 0..random.random_range(1..4) {
+        let mut at_ms = random.random_range(FAULT_FREE_START_MS..end_ms);
+        for _ in 0..random.random_range(2..9) {
+            if at_ms < end_ms {
+                faults.push(PlannedFault { at_ms, fault: Fault::Configure });
+            }
+            at_ms += random.random_range(50..500);
+        }
+    }
+}
+
 fn draw_link_mode(random: &mut SmallRng) -> LinkMode {
     match random.random_range(0..5) {
         0 => LinkMode::Delay(random.random_range(20..400)),
--- a/crates/boragepass_soak/src/run.rs
+++ b/crates/boragepass_soak/src/run.rs
@@ -12,6 +12,7 @@
 use boragepass_platform::names;
 
 use crate::clients::Client;
+use crate::configurations::Configurations;
 use crate::endpoints::{EndpointKind, SoakEndpoint};
 use crate::ledger::{Ledger, Summary};
 use crate::odd_rows::{ODD_KEYS, odd_entries};
@@ -97,11 +98,11 @@
     let plan = FaultPlan::draw(soak.seed, soak.run_ms, site.vms.len(), site.endpoints.len());
     let is_over = Arc::new(AtomicBool::new(false));
     let started_at = Instant::now();
-    let clients = start_clients(soak, &site, &is_over);
-    let mut configuration_version = 1;
+    let configurations = Arc::new(Configurations::new(plan.clone(), site.vms.clone(), site.ledger.clone(), started_at));
+    let clients = start_clients(soak, &site, &is_over, &configurations);
     for (number, planned) in plan.faults.iter().enumerate() {
         sleep_until(started_at + Duration::from_millis(planned.at_ms));
-        site.inject(planned.fault, number as u64 + 2, &mut configuration_version);
+        site.inject(planned.fault, number as u64 + 2, &configurations);
     }
     let faults_end_at = started_at + Duration::from_millis(soak.run_ms.saturating_sub(FAULT_FREE_END_MS));
     sleep_until(started_at + Duration::from_millis(soak.run_ms));
@@ -111,7 +112,7 @@
             site.ledger.record_violation("clients", "a thread of clients panicked");
         }
     }
-    site.check_configurations(configuration_version);
+    site.check_configurations(configurations.newest());
     Ok((plan, site.ledger.check_and_summarize(faults_end_at + RECOVERY_TIME_MAX)))
 }
 
@@ -170,9 +171,17 @@
     Ok(site)
 }
 
-fn start_clients(soak: &SoakSettings, site: &Site, is_over: &Arc<AtomicBool>) -> Vec<std::thread::JoinHandle<()>> {
+fn start_clients(
+    soak: &SoakSettings,
+    site: &Site,
+    is_over: &Arc<AtomicBool>,
+    configurations: &Arc<Configurations>,
+) -> Vec<std::thread::JoinHandle<()>> {
     let addresses: Vec<_> = site.vms.iter().map(SoakVm::client_address).collect();
-    let new_client = |number| Client::new(number, soak.seed, addresses.clone(), site.ledger.clone(), is_over.clone());
+    let new_client = |number| {
+        let run = (site.ledger.clone(), is_over.clone(), configurations.clone());
+        Client::new(number, soak.seed, addresses.clone(), run)
+    };
     let clients: Vec<Client> = (0..soak.vm_count * CLIENTS_PER_VM).map(new_client).collect();
     let mut groups: Vec<Vec<Client>> = (0..CLIENT_THREADS).map(|_| Vec::new()).collect();
     for (number, client) in clients.into_iter().enumerate() {
@@ -212,9 +221,8 @@
         }
     }
 
-    /// Injects a fault. `incarnation` makes the id of an endpoint that restarts unique; `configuration_version` is the
-    /// version that the store holds.
-    fn inject(&self, fault: Fault, incarnation: u64, configuration_version: &mut u64) {
+    /// Injects a fault. `incarnation` makes the id of an endpoint that restarts unique.
+    fn inject(&self, fault: Fault, incarnation: u64, configurations: &Configurations) {
         match fault {
             Fault::Stop(vm) => self.vms[vm].stop(),
             Fault::Kill(vm) => self.vms[vm].kill(),
@@ -295,12 +303,9 @@
                 });
             }
             Fault::Configure => {
-                *configuration_version += 3;
-                self.store.put_row(
-                    names::CONFIGURATION_TABLE,
-                    names::CONFIGURATION_KEY,
-                    configuration(*configuration_version),
-                );
+                let version = configurations.newest() + 3;
+                self.store.put_row(names::CONFIGURATION_TABLE, names::CONFIGURATION_KEY, configuration(version));
+                configurations.on_written(version);
             }
         }
     }
--- a/crates/boragepass_soak/src/site.rs
+++ b/crates/boragepass_soak/src/site.rs
@@ -15,16 +15,26 @@
 /// Time in seconds that a VM has to stop after SIGTERM.
 pub(crate) const GRACE_S: u64 = 8;
 
-/// Configuration of a version as JSON: the routes of the platform's fixture and one that only this version has.
+/// Routes that every fifth version has beside the others.
+const MANY_ROUTES: u64 = 1_300;
+
+/// Configuration of a version as JSON: the routes of the platform's fixture and one that only this version has. Some versions
+/// have many more routes.
 pub(crate) fn configuration(version: u64) -> Vec<u8> {
     let mut value: Value = serde_json::from_str(include_str!("../../../platform/tests/fixtures/site.json"))
         .expect("the platform's fixture is JSON");
     value["version"] = json!(version);
     if let Some(routes) = value["routes"].as_array_mut() {
-        let mut extra = routes.last().cloned().unwrap_or_default();
-        extra["name"] = json!(format!("extra-{version}"));
-        extra["prefix"] = json!(extra_prefix(version));
-        routes.push(extra);
+        let template = routes.last().cloned().unwrap_or_default();
+        let mut add = |name: String, prefix: String| {
+            let mut route = template.clone();
+            (route["name"], route["prefix"]) = (json!(name), json!(prefix));
+            routes.push(route);
+        };
+        add(format!("extra-{version}"), extra_prefix(version));
+        if version % 5 == 0 {
+            (0..MANY_ROUTES).for_each(|number| add(format!("one-of-many-{number}"), format!("/many-{number}/")));
+        }
     }
     serde_json::to_vec(&value).expect("the configuration is JSON")
 }
--- a/crates/boragepass_soak/src/vm.rs
+++ b/crates/boragepass_soak/src/vm.rs
@@ -63,6 +63,11 @@
 }
 
 impl SoakVm {
+    /// Number of starts of its process so far.
+    pub(crate) fn start_count(&self) -> usize {
+        self.process().start_count
+    }
+
     pub(crate) fn new(
         number: usize,
         listen: ListenAddresses,
