--- a/crates/boragepass_soak/src/clients.rs
+++ b/crates/boragepass_soak/src/clients.rs
@@ -116,8 +116,8 @@
         let body: Vec<u8> = format!("{kind} {client_id}").into_bytes();
         self.ledger.on_request_sent(&client_id, kind, vm, &body);
         // Every second status request is on the route of one version; not drawn, so that seeds keep their requests.
-        let is_probe = kind == RequestKind::Status && self.sent_count % 2 == 0;
-        let probe = is_probe.then(|| self.configurations.probe(vm, self.sent_count % 3 != 0));
+        let is_probe = kind == RequestKind::Status && self.sent_count.is_multiple_of(2);
+        let probe = is_probe.then(|| self.configurations.probe(vm, !self.sent_count.is_multiple_of(3)));
         let path = probe.map_or_else(|| kind.path().to_owned(), |probe| format!("{}s", extra_prefix(probe.version)));
         let request = build_request(kind, &path, &client_id, &body, resumed.as_ref());
         let sent = SentRequest { kind, client_id: &client_id, body: &body, resumed };
--- a/crates/boragepass_soak/src/site.rs
+++ b/crates/boragepass_soak/src/site.rs
@@ -32,7 +32,7 @@
             routes.push(route);
         };
         add(format!("extra-{version}"), extra_prefix(version));
-        if version % 5 == 0 {
+        if version.is_multiple_of(5) {
             (0..MANY_ROUTES).for_each(|number| add(format!("one-of-many-{number}"), format!("/many-{number}/")));
         }
     }
